--- /dev/null
+++ b/src/fuchsiabarrow/actions/claims.py
@@ -0,0 +1,460 @@
+"""Runs one action under a claim, at most once where repeats do harm.
+
+The claim of a key is settled before the first byte of the call leaves. What
+happens next depends on the guard of the action (see docs/actions.md):
+
+* ``none``: the call is sent once. If its answer is lost the outcome is unknown
+  and stays so.
+* ``deduplicates``: the call is sent again with the same key.
+* ``fences``: a new claim with a larger fencing number is made, the service is
+  asked with it what became of the key, and only if it did not run, and with
+  the older sender fenced off, is the call sent again.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import uuid
+
+import msgspec
+import xxhash
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.actions import journals
+from fuchsiabarrow.actions import keys
+from fuchsiabarrow.actions import writers
+from fuchsiabarrow.configuration import documents
+from fuchsiabarrow.ports import instances
+from fuchsiabarrow.ports import services
+from fuchsiabarrow.utils import clocks
+
+__all__ = ["ActionRequest", "ClaimRunner", "Outcome", "Settings"]
+
+GUARDS_WITH_TAKEOVER = ("deduplicates", "fences")
+HTTP_SUCCESS = range(200, 300)
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of the claims; the same on all entries.
+
+    Attributes:
+        claim_timeout_s: Longest wait for the store before a claim is given up.
+        send_window_s: A claim older than this is given back instead of sent.
+        settle_timeout_s: Longest wait for the store to take an outcome before
+            the caller is answered; it is written later then.
+        lapse_s: A claim without an outcome for this long may be taken over.
+        join_timeout_s: Longest wait for another entry's outcome.
+        join_poll_s: Time between looks at another entry's outcome.
+        sends: Most sends of one call to services where repeats do no harm,
+            and most instances tried where no byte had left.
+        retry_after_s: Advice to callers of actions without a final outcome.
+    """
+
+    claim_timeout_s: float = 2.0
+    send_window_s: float = 3.0
+    settle_timeout_s: float = 0.5
+    lapse_s: float = 10.0
+    join_timeout_s: float = 3.0
+    join_poll_s: float = 0.2
+    sends: int = 3
+    retry_after_s: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ActionRequest:
+    """A request to run an action.
+
+    Attributes:
+        action: Configuration of the action.
+        key: Checked idempotency key.
+        body: JSON body in bytes.
+        regions: Regions whose instances may run it; empty for all.
+        is_first: True only if the caller says that it never sent this key.
+    """
+
+    action: documents.Action
+    key: keys.ActionKey
+    body: bytes
+    regions: tuple[str, ...] = ()
+    is_first: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """What became of a request.
+
+    Attributes:
+        state: ``COMPLETED``, ``FAILED``, ``NOT_RUN`` or ``UNKNOWN``.
+        status: Status of the service's answer, 0 without one.
+        body: The service's answer in bytes.
+        detail: Explanation for the caller.
+        retry_after_s: When to ask or send again, None if it is final.
+    """
+
+    state: journals.State
+    status: int = 0
+    body: bytes = b""
+    detail: str = ""
+    retry_after_s: float | None = None
+
+
+# Chooses an instance of (service, regions, avoided instance ids).
+ChooseInstance = Callable[[str, list[str], set[str]], instances.Instance | None]
+
+
+class ClaimRunner:
+    """Runs actions for one entry.
+
+    Args:
+        owner: Name of the entry.
+        writer: Commits claims and outcomes.
+        service: Sends calls.
+        choose_instance: Chooses where to send.
+        settings: Times and bounds.
+        read_boot_time_s: Clock for the send window; counts suspension.
+        read_wall_time_s: Clock for the records.
+    """
+
+    def __init__(
+        self,
+        owner: str,
+        writer: writers.JournalWriter,
+        service: services.PlainService,
+        choose_instance: ChooseInstance,
+        settings: Settings,
+        read_boot_time_s: clocks.Clock = clocks.read_boot_time_s,
+        read_wall_time_s: clocks.Clock = clocks.read_wall_time_s,
+    ):
+        self._owner = owner
+        self._writer = writer
+        self._service = service
+        self._choose_instance = choose_instance
+        self._settings = settings
+        self._read_boot_time_s = read_boot_time_s
+        self._read_wall_time_s = read_wall_time_s
+        self._tasks: set[asyncio.Task] = set()
+
+    async def __aenter__(self) -> "ClaimRunner":
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def finish_writes(self) -> None:
+        """Waits for the outcomes and given-back claims still to be written."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def run(self, request: ActionRequest) -> Outcome:
+        """Runs an action and returns what became of it."""
+        if request.action.guard == "repeatable":
+            return await self._send_repeatable(request)
+        claimant = self._make_claimant(request)
+        started_s = self._read_boot_time_s()
+        claim = journals.claim(request.key.digest, claimant)
+        try:
+            async with asyncio.timeout(self._settings.claim_timeout_s):
+                record = await self._writer.apply(request.key.journal, claim)
+        except (TimeoutError, exceptions.StoreError):
+            return await self._go_without_claim(request, claimant)
+        if record.nonce != claimant.nonce:
+            return await self._join(request, record)
+        return await self._send_claimed(request, record, started_s)
+
+    async def look_up(self, key: keys.ActionKey) -> Outcome:
+        """Returns what is recorded of a key.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+        record = await self._writer.read(key.journal, key.digest)
+        if record is None:
+            return self._make_unknown("no entry has claimed this key so far")
+        return self._describe(record)
+
+    def _make_claimant(self, request: ActionRequest) -> journals.Claimant:
+        return journals.Claimant(
+            self._owner,
+            uuid.uuid4().hex,
+            xxhash.xxh3_128_hexdigest(request.body),
+            self._read_wall_time_s(),
+        )
+
+    # Outcomes.
+
+    def _make_unknown(self, detail: str) -> Outcome:
+        return Outcome(
+            journals.State.UNKNOWN,
+            detail=f"{detail}; ask for the outcome by its key, or send it again"
+            " with the same key",
+            retry_after_s=self._settings.retry_after_s,
+        )
+
+    def _make_not_run(self, detail: str) -> Outcome:
+        return Outcome(
+            journals.State.NOT_RUN,
+            detail=f"{detail}; send it again with the same key",
+            retry_after_s=self._settings.retry_after_s,
+        )
+
+    def _make_unclaimed(self, request: ActionRequest, why: str) -> Outcome:
+        """Returns the outcome of a request that this entry did not send.
+
+        Only its caller knows whether an earlier request with the key went to
+        another entry, which may have run it.
+        """
+        if request.is_first:
+            return self._make_not_run(why)
+        return self._make_unknown(f"{why}; an earlier send may have run")
+
+    def _describe(self, record: journals.Record) -> Outcome:
+        if record.state in journals.FINAL_STATES:
+            return Outcome(record.state, record.status, record.body)
+        if record.state is journals.State.NOT_RUN:
+            return self._make_not_run("the call was not sent")
+        if record.state is journals.State.CLAIMED:
+            return self._make_unknown("another request with this key is at it")
+        return self._make_unknown("the answer of the service was lost")
+
+    # Without a claim.
+
+    async def _go_without_claim(
+        self, request: ActionRequest, claimant: journals.Claimant
+    ) -> Outcome:
+        self._write_later(
+            request, journals.give_back(request.key.digest, claimant)
+        )
+        if request.action.guard == "deduplicates":
+            outcome = await self._send_deduplicated(request, fence=0)
+            if outcome.state is not journals.State.NOT_RUN:
+                return outcome
+            return self._make_unclaimed(request, outcome.detail)
+        return self._make_unclaimed(request, "the claim could not be written")
+
+    async def _send_repeatable(self, request: ActionRequest) -> Outcome:
+        return await self._send_deduplicated(request, fence=0)
+
+    async def _send_deduplicated(
+        self, request: ActionRequest, fence: int
+    ) -> Outcome:
+        """Sends until an answer comes; repeats do no harm."""
+        avoid: set[str] = set()
+        outcome = self._make_not_run("no instance took the call")
+        for _ in range(self._settings.sends):
+            sent = await self._send_once(request, fence, avoid)
+            if sent is None:
+                break
+            if sent.state in journals.FINAL_STATES:
+                return sent
+            if sent.state is journals.State.UNKNOWN:
+                outcome = sent
+        return outcome
+
+    # With a claim.
+
+    async def _send_claimed(
+        self,
+        request: ActionRequest,
+        record: journals.Record,
+        started_s: float,
+    ) -> Outcome:
+        """Sends a call whose claim this entry holds."""
+        if self._read_boot_time_s() - started_s > self._settings.send_window_s:
+            outcome = self._make_not_run("the entry was paused before sending")
+            return await self._settle(request, record, outcome)
+        if request.action.guard == "deduplicates":
+            outcome = await self._send_deduplicated(request, record.fence)
+            return await self._settle(request, record, outcome)
+        outcome = await self._send_to_any(request, record.fence)
+        if (
+            outcome.state is journals.State.UNKNOWN
+            and request.action.guard == "fences"
+        ):
+            await self._settle(request, record, outcome)
+            return await self._take_over(request)
+        return await self._settle(request, record, outcome)
+
+    async def _send_to_any(self, request: ActionRequest, fence: int) -> Outcome:
+        """Sends a call once; goes to another instance only if it did not run."""
+        avoid: set[str] = set()
+        for _ in range(self._settings.sends):
+            outcome = await self._send_once(request, fence, avoid)
+            if outcome is None:
+                break
+            if outcome.state is not journals.State.NOT_RUN:
+                return outcome
+        return self._make_not_run("no instance took the call")
+
+    async def _send_once(
+        self, request: ActionRequest, fence: int, avoid: set[str]
+    ) -> Outcome | None:
+        """Sends a call to one instance; None if there is none left."""
+        action = request.action
+        instance = self._choose_instance(
+            action.service, list(request.regions), avoid
+        )
+        if instance is None:
+            return None
+        call = self._make_call(request, instance, fence)
+        try:
+            answer = await self._service.call(call)
+        except exceptions.ServiceNotSentError as error:
+            avoid.add(instance.instance_id)
+            return self._make_not_run(str(error))
+        except exceptions.ServiceUncertainError as error:
+            return self._make_unknown(str(error))
+        if answer.did_not_run:
+            avoid.add(instance.instance_id)
+            return self._make_not_run("the service refused the call")
+        is_success = answer.status in HTTP_SUCCESS
+        state = (
+            journals.State.COMPLETED if is_success else journals.State.FAILED
+        )
+        return Outcome(state, answer.status, answer.body)
+
+    def _make_call(
+        self, request: ActionRequest, instance: instances.Instance, fence: int
+    ) -> services.Call:
+        return services.Call(
+            instance.address,
+            request.action.path,
+            request.key.text,
+            fence,
+            request.body,
+            request.action.timeout_s,
+        )
+
+    # Another entry's claim.
+
+    async def _join(
+        self, request: ActionRequest, record: journals.Record
+    ) -> Outcome:
+        """Waits for another claim's outcome, or takes it over if it may."""
+        if record.request != xxhash.xxh3_128_hexdigest(request.body):
+            raise exceptions.KeyFormatError(
+                "this Idempotency-Key was sent with another body; make a new"
+                " key for a new booking"
+            )
+        may_take_over = request.action.guard in GUARDS_WITH_TAKEOVER
+        loop = asyncio.get_running_loop()
+        limit_s = loop.time() + self._settings.join_timeout_s
+        while record.state is journals.State.CLAIMED:
+            age_s = self._read_wall_time_s() - record.claimed_at_s
+            if may_take_over and age_s >= self._settings.lapse_s:
+                return await self._take_over(request)
+            if loop.time() > limit_s:
+                break
+            await asyncio.sleep(self._settings.join_poll_s)
+            try:
+                found = await self._writer.read(
+                    request.key.journal, request.key.digest
+                )
+            except exceptions.StoreError:
+                continue
+            record = found or record
+        if record.state is journals.State.UNKNOWN and may_take_over:
+            return await self._take_over(request)
+        return self._describe(record)
+
+    async def _take_over(self, request: ActionRequest) -> Outcome:
+        """Claims with a larger fencing number and finds out what happened."""
+        claimant = self._make_claimant(request)
+        started_s = self._read_boot_time_s()
+        operation = journals.take_over(
+            request.key.digest, claimant, self._settings.lapse_s
+        )
+        try:
+            async with asyncio.timeout(self._settings.claim_timeout_s):
+                record = await self._writer.apply(
+                    request.key.journal, operation
+                )
+        except (TimeoutError, exceptions.StoreError):
+            self._write_later(
+                request,
+                journals.settle(
+                    request.key.digest, claimant.nonce, journals.State.UNKNOWN
+                ),
+            )
+            return self._make_unknown("the store did not take the claim")
+        if record is None or record.nonce != claimant.nonce:
+            return (
+                self._describe(record)
+                if record
+                else self._make_unknown("the record is gone")
+            )
+        if request.action.guard == "fences":
+            found = await self._ask(request, record.fence)
+            if found is not None:
+                return await self._settle(request, record, found)
+        if self._read_boot_time_s() - started_s > self._settings.send_window_s:
+            outcome = self._make_unknown("the entry was paused before sending")
+            return await self._settle(request, record, outcome)
+        if request.action.guard == "fences":
+            outcome = await self._send_to_any(request, record.fence)
+        else:
+            outcome = await self._send_deduplicated(request, record.fence)
+            if outcome.state is journals.State.NOT_RUN:
+                outcome = self._make_unknown("an earlier send may have run")
+        return await self._settle(request, record, outcome)
+
+    async def _ask(self, request: ActionRequest, fence: int) -> Outcome | None:
+        """Asks the service what became of a key, fencing off older senders."""
+        instance = self._choose_instance(
+            request.action.service, list(request.regions), set()
+        )
+        if instance is None:
+            return self._make_unknown("no instance to ask")
+        call = self._make_call(request, instance, fence)
+        try:
+            answer = await self._service.ask(call)
+        except exceptions.ServiceError as error:
+            return self._make_unknown(str(error))
+        if answer is None:
+            return None
+        return Outcome(journals.State.COMPLETED, answer.status, answer.body)
+
+    # Writing outcomes.
+
+    async def _settle(
+        self,
+        request: ActionRequest,
+        record: journals.Record,
+        outcome: Outcome,
+    ) -> Outcome:
+        """Records an outcome, and returns what the caller may be told.
+
+        If the claim was taken over meanwhile, "not run" is no longer this
+        entry's to say.
+        """
+        operation = journals.settle(
+            request.key.digest,
+            record.nonce,
+            outcome.state,
+            outcome.status,
+            outcome.body,
+        )
+        task = self._write_later(request, operation)
+        try:
+            async with asyncio.timeout(self._settings.settle_timeout_s):
+                written = await asyncio.shield(task)
+        except TimeoutError:
+            written = None
+        is_ours = written is not None and written.nonce == record.nonce
+        may_be_taken = request.action.guard in GUARDS_WITH_TAKEOVER
+        if outcome.state is journals.State.NOT_RUN and not is_ours:
+            if written is not None:
+                return self._describe(written)
+            if may_be_taken:
+                return self._make_unknown(outcome.detail)
+        return outcome
+
+    def _write_later(
+        self, request: ActionRequest, operation: journals.Operation
+    ) -> asyncio.Task:
+        task = asyncio.create_task(
+            self._writer.apply(request.key.journal, operation)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- /dev/null
+++ b/src/fuchsiabarrow/actions/journals.py
@@ -0,0 +1,213 @@
+"""Journals of claims and outcomes, and what may be done to them; no I/O.
+
+A journal is one object of the store that holds the records of many keys. It is
+only changed by conditional writes, so the operations below are applied to the
+version that is replaced, and one that found the key claimed by another never
+runs the call.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import enum
+
+import msgspec
+
+__all__ = [
+    "FINAL_STATES",
+    "Claimant",
+    "Journal",
+    "Operation",
+    "Record",
+    "State",
+    "apply_operations",
+    "claim",
+    "give_back",
+    "settle",
+    "take_over",
+]
+
+
+class State(enum.Enum):
+    """State of a key's record."""
+
+    CLAIMED = "claimed"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+# States after which nothing is ever sent under the same key again.
+FINAL_STATES = frozenset({State.COMPLETED, State.FAILED})
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """What is known of a key.
+
+    Attributes:
+        state: State of the call.
+        owner: Entry that holds the claim.
+        nonce: Mark of the claim, unique to one execution of one request.
+        fence: Fencing number of the claim; grows with each claim.
+        claimed_at_s: Wall time of the claim, for operators and takeovers.
+        request: Digest of the request's body; a resend must have the same.
+        status: Status that the service answered.
+        body: Answer of the service, in bytes.
+    """
+
+    state: State
+    owner: str
+    nonce: str
+    fence: int
+    claimed_at_s: float
+    request: str = ""
+    status: int = 0
+    body: bytes = b""
+
+
+class Journal(msgspec.Struct, frozen=True):
+    """Records by key digest.
+
+    Attributes:
+        records: The records.
+    """
+
+    records: dict[str, Record] = {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claimant:
+    """Who claims a key.
+
+    Attributes:
+        owner: Name of the entry.
+        nonce: Unique to one execution of one request.
+        request: Digest of the request's body.
+        now_s: Wall time in seconds.
+    """
+
+    owner: str
+    nonce: str
+    request: str
+    now_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operation:
+    """One change of one record.
+
+    Attributes:
+        digest: Key digest.
+        change: Returns the new record for the old one; the same object when
+            nothing changes.
+        is_claim: Whether it may add a record.
+    """
+
+    digest: str
+    change: Callable[[Record | None], Record | None]
+    is_claim: bool = False
+
+
+def _make_record(
+    state: State, claimant: Claimant, found: Record | None
+) -> Record:
+    fence = found.fence + 1 if found is not None else 1
+    return Record(
+        state,
+        claimant.owner,
+        claimant.nonce,
+        fence,
+        claimant.now_s,
+        claimant.request,
+    )
+
+
+def claim(digest: str, claimant: Claimant) -> Operation:
+    """Claims a key that nobody holds, or whose call was given back unrun.
+
+    Applying it again after a lost answer finds the same nonce and changes
+    nothing.
+    """
+
+    def change(found: Record | None) -> Record | None:
+        is_free = found is None or found.state is State.NOT_RUN
+        if not is_free or (found is not None and found.nonce == claimant.nonce):
+            return found
+        return _make_record(State.CLAIMED, claimant, found)
+
+    return Operation(digest, change, is_claim=True)
+
+
+def take_over(digest: str, claimant: Claimant, lapse_s: float) -> Operation:
+    """Claims a key whose claim lapsed, or ended in an unknown outcome.
+
+    Only for services that check fencing numbers or deduplicate by key: the
+    former holder may still wake and send.
+    """
+
+    def change(found: Record | None) -> Record | None:
+        if found is None or found.nonce == claimant.nonce:
+            return found
+        has_lapsed = (
+            found.state is State.CLAIMED
+            and claimant.now_s - found.claimed_at_s >= lapse_s
+        )
+        if not has_lapsed and found.state is not State.UNKNOWN:
+            return found
+        return _make_record(State.CLAIMED, claimant, found)
+
+    return Operation(digest, change)
+
+
+def give_back(digest: str, claimant: Claimant) -> Operation:
+    """Ends a claim whose write may or may not have taken effect.
+
+    Without a record it writes one, so that the conditional write in doubt can
+    no longer succeed.
+    """
+
+    def change(found: Record | None) -> Record | None:
+        if found is None:
+            return _make_record(State.NOT_RUN, claimant, found)
+        if found.nonce != claimant.nonce or found.state is not State.CLAIMED:
+            return found
+        return msgspec.structs.replace(found, state=State.NOT_RUN)
+
+    return Operation(digest, change)
+
+
+def settle(
+    digest: str, nonce: str, state: State, status: int = 0, body: bytes = b""
+) -> Operation:
+    """Records the outcome of a claim that still stands under a nonce."""
+
+    def change(found: Record | None) -> Record | None:
+        if found is None or found.nonce != nonce:
+            return found
+        if found.state not in (State.CLAIMED, State.UNKNOWN):
+            return found
+        return msgspec.structs.replace(
+            found, state=state, status=status, body=body
+        )
+
+    return Operation(digest, change)
+
+
+def apply_operations(
+    journal: Journal, operations: list[Operation]
+) -> tuple[Journal, list[Record | None]]:
+    """Returns the changed journal and the record after each operation.
+
+    The same journal object is returned when nothing changed.
+    """
+    records = dict(journal.records)
+    results = []
+    is_changed = False
+    for operation in operations:
+        before = records.get(operation.digest)
+        after = operation.change(before)
+        results.append(after)
+        if after is not before:
+            records[operation.digest] = after
+            is_changed = True
+    return (Journal(records) if is_changed else journal), results
--- /dev/null
+++ b/src/fuchsiabarrow/actions/writers.py
@@ -0,0 +1,182 @@
+"""Group commit of journal operations through the object API.
+
+Operations on the same journal that arrive while a write is under way share the
+next write. An entry needs no right to a journal: a write that was overtaken
+conflicts, and its operations are applied again to what is there now.
+"""
+
+import asyncio
+import dataclasses
+import random
+
+import msgspec
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.actions import journals
+from fuchsiabarrow.ports import objects
+from fuchsiabarrow.utils import jitter
+
+__all__ = ["JournalWriter", "Settings"]
+
+JOURNAL_KIND = "action-journal"
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of the journal writer.
+
+    Attributes:
+        retry_base_s: Delay scale after a conflict or a lost answer.
+        retry_limit_s: Largest such delay.
+        size_limit_bytes: A journal takes no new claim from this size on.
+    """
+
+    retry_base_s: float = 0.005
+    retry_limit_s: float = 0.5
+    size_limit_bytes: int = 900_000
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Request:
+    operation: journals.Operation
+    future: asyncio.Future
+
+
+@dataclasses.dataclass(slots=True)
+class _Shard:
+    queue: list[_Request] = dataclasses.field(default_factory=list)
+    task: asyncio.Task | None = None
+
+
+class JournalWriter:
+    """Applies operations to journals, batched by journal.
+
+    Args:
+        store: The object API.
+        settings: Delays and bounds.
+        source: Random source for delays.
+    """
+
+    def __init__(
+        self,
+        store: objects.ObjectStore,
+        settings: Settings,
+        source: random.Random,
+    ):
+        self.writes = 0
+        self.conflicts = 0
+        self.operations = 0
+        self._store = store
+        self._settings = settings
+        self._source = source
+        self._shards: dict[str, _Shard] = {}
+        self._decoder = msgspec.msgpack.Decoder(journals.Journal)
+
+    async def __aenter__(self) -> "JournalWriter":
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        tasks = [s.task for s in self._shards.values() if s.task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def read(self, journal: str, digest: str) -> journals.Record | None:
+        """Returns a record as the store has it now.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+        stored = await self._store.get(JOURNAL_KIND, journal)
+        if stored is None:
+            return None
+        return self._decoder.decode(stored.value).records.get(digest)
+
+    async def apply(
+        self, journal: str, operation: journals.Operation
+    ) -> journals.Record | None:
+        """Applies an operation and returns the record that it led to.
+
+        It is tried until the store has answered. A caller that stops waiting
+        (by cancelling) must take the operation for one that may yet be
+        applied, until another operation on the same journal went through.
+        """
+        future = asyncio.get_running_loop().create_future()
+        shard = self._shards.setdefault(journal, _Shard())
+        shard.queue.append(_Request(operation, future))
+        self.operations += 1
+        if shard.task is None:
+            shard.task = asyncio.create_task(self._commit(journal, shard))
+        return await future
+
+    async def _commit(self, journal: str, shard: _Shard) -> None:
+        """Writes the queued operations until none is left."""
+        failures = 0
+        while shard.queue:
+            batch = [r for r in shard.queue if not r.future.done()]
+            shard.queue = []
+            if not batch:
+                break
+            try:
+                results = await self._try_commit(journal, batch)
+            except exceptions.StoreError:
+                shard.queue = batch + shard.queue
+                failures += 1
+                await asyncio.sleep(self._compute_delay_s(failures))
+                continue
+            failures = 0
+            for request, result in zip(batch, results, strict=True):
+                if not request.future.done():
+                    request.future.set_result(result)
+        del self._shards[journal]
+
+    async def _try_commit(self, journal: str, batch: list[_Request]):
+        """Applies a batch to the stored journal once.
+
+        Raises:
+            StoreError: It must be tried again; it may have been applied, which
+                the operations recognise by their nonces.
+        """
+        stored = await self._store.get(JOURNAL_KIND, journal)
+        version = objects.ABSENT_VERSION if stored is None else stored.version
+        before = journals.Journal()
+        if stored is not None:
+            before = self._decoder.decode(stored.value)
+        operations = [request.operation for request in batch]
+        after, results = journals.apply_operations(before, operations)
+        if after is before:
+            return results
+        value = msgspec.msgpack.encode(after)
+        if len(value) > self._settings.size_limit_bytes:
+            _refuse_claims(journal, batch)
+        try:
+            await self._store.put(JOURNAL_KIND, journal, value, version)
+        except exceptions.StoreConflictError:
+            self.conflicts += 1
+            raise
+        self.writes += 1
+        return results
+
+    def _compute_delay_s(self, failures: int) -> float:
+        return jitter.compute_backoff_s(
+            failures,
+            self._settings.retry_base_s,
+            self._settings.retry_limit_s,
+            self._source,
+        )
+
+
+def _refuse_claims(journal: str, batch: list[_Request]) -> None:
+    """Fails the claims of a batch; outcomes are still written.
+
+    Raises:
+        StoreUnavailableError: There were claims; commit the rest anew.
+    """
+    error = exceptions.StoreUnavailableError(
+        f"journal {journal} is full; raise actions.keys.shards on all entries"
+    )
+    claims = [r for r in batch if r.operation.is_claim]
+    for request in claims:
+        if not request.future.done():
+            request.future.set_exception(error)
+    if claims:
+        raise error
--- /dev/null
+++ b/src/fuchsiabarrow/adapters/__init__.py
@@ -0,0 +1,3 @@
+"""Adapters of the ports to the HTTP protocols of the outside systems."""
+
+__all__ = ["engines", "instances", "objects", "services", "sessions"]
--- /dev/null
+++ b/src/fuchsiabarrow/adapters/objects.py
@@ -0,0 +1,120 @@
+"""Adapter to the platform's object API over HTTP."""
+
+import base64
+from collections.abc import AsyncIterator
+
+import aiohttp
+import msgspec
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.ports import objects
+
+__all__ = ["HttpObjectStore"]
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_PRECONDITION_FAILED = 412
+HTTP_SERVER_ERROR = 500
+# A watch without an event or bookmark for this long is silent.
+WATCH_SILENCE_S = 5.0
+
+
+class _Listing(msgspec.Struct, frozen=True):
+    items: list[tuple[str, str, int]]
+    at: int
+
+
+class HttpObjectStore:
+    """Client of the object API.
+
+    Args:
+        session: HTTP session, owned by the caller.
+        address: ``ip:port`` of the object API.
+        timeout_s: Bound on a call other than a watch.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, address: str, timeout_s: float
+    ):
+        self._session = session
+        self._base = f"http://{address}/objects"
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+
+    async def get(self, kind: str, name: str) -> objects.Stored | None:
+        """Implements `fuchsiabarrow.ports.objects.ObjectStore.get`."""
+        status, body, headers = await self._read(f"{self._base}/{kind}/{name}")
+        if status == HTTP_NOT_FOUND:
+            return None
+        return objects.Stored(name, body, int(headers["ETag"]))
+
+    async def list(self, kind: str) -> tuple[list[objects.Stored], int]:
+        """Implements `fuchsiabarrow.ports.objects.ObjectStore.list`."""
+        _, body, _ = await self._read(f"{self._base}/{kind}")
+        listing = msgspec.json.decode(body, type=_Listing)
+        found = [
+            objects.Stored(name, base64.b64decode(value), version)
+            for name, value, version in listing.items
+        ]
+        return found, listing.at
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expected_version: int
+    ) -> int:
+        """Implements `fuchsiabarrow.ports.objects.ObjectStore.put`."""
+        url = f"{self._base}/{kind}/{name}"
+        headers = {"If-Match": str(expected_version)}
+        try:
+            async with self._session.put(
+                url, data=value, headers=headers, timeout=self._timeout
+            ) as response:
+                await response.read()
+        except aiohttp.ClientConnectorError as error:
+            raise _make_unavailable(error) from error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise exceptions.StoreUncertainError(
+                f"the answer to a write of {kind}/{name} was lost"
+                f" ({type(error).__name__}); read the object back"
+            ) from error
+        if response.status == HTTP_PRECONDITION_FAILED:
+            raise exceptions.StoreConflictError(
+                f"{kind}/{name} is not at version {expected_version};"
+                " read it and decide again"
+            )
+        if response.status >= HTTP_SERVER_ERROR:
+            raise _make_unavailable(f"status {response.status}")
+        return int(response.headers["ETag"])
+
+    async def watch(
+        self, kind: str, since_version: int
+    ) -> AsyncIterator[objects.Event]:
+        """Implements `fuchsiabarrow.ports.objects.ObjectStore.watch`."""
+        url = f"{self._base}/{kind}?watch={since_version}"
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=WATCH_SILENCE_S, sock_read=WATCH_SILENCE_S
+        )
+        try:
+            async with self._session.get(url, timeout=timeout) as response:
+                if response.status != HTTP_OK:
+                    raise _make_unavailable(f"status {response.status}")
+                async for line in response.content:
+                    yield msgspec.json.decode(line, type=objects.Event)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise _make_unavailable(error) from error
+
+    async def _read(self, url: str):
+        try:
+            async with self._session.get(
+                url, timeout=self._timeout
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise _make_unavailable(error) from error
+        if response.status >= HTTP_SERVER_ERROR:
+            raise _make_unavailable(f"status {response.status}")
+        return response.status, body, response.headers
+
+
+def _make_unavailable(cause: object) -> exceptions.StoreUnavailableError:
+    return exceptions.StoreUnavailableError(
+        f"the object API did not answer ({cause!r}); retry after a delay"
+    )
--- /dev/null
+++ b/src/fuchsiabarrow/commands/__init__.py
@@ -0,0 +1,5 @@
+"""The command line."""
+
+from fuchsiabarrow.commands.program import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/fuchsiabarrow/commands/operations.py
@@ -0,0 +1,126 @@
+"""The operators' commands, over the operators' interface."""
+
+import asyncio
+import pathlib
+import secrets
+import sys
+import time
+
+import aiohttp
+import msgspec
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.configuration import documents
+
+__all__ = ["make_key", "patch", "print_status", "show"]
+
+KEY_BYTES = 32
+POLL_S = 0.1
+TIMEOUT_S = 15.0
+HTTP_OK = 200
+
+
+def make_key() -> None:
+    """Prints a new bearer key and its digest."""
+    key = secrets.token_urlsafe(KEY_BYTES)
+    print(f"key {key}\nkey_sha256 {documents.hash_key(key)}")
+
+
+def _make_session(key_file: str) -> aiohttp.ClientSession:
+    try:
+        key = pathlib.Path(key_file).read_text().strip()
+    except OSError as error:
+        raise exceptions.SettingsError(
+            f"{key_file}: cannot be read ({error.strerror}); name the file"
+            " with the operator's key"
+        ) from None
+    return aiohttp.ClientSession(
+        headers={"Authorization": f"Bearer {key}"},
+        timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
+    )
+
+
+async def _read(session, method: str, url: str, **arguments):
+    """Returns the decoded body and headers of a successful answer.
+
+    Raises:
+        FuchsiabarrowError: The entry refused, or did not answer.
+    """
+    try:
+        async with session.request(method, url, **arguments) as response:
+            body = await response.read()
+    except (aiohttp.ClientError, TimeoutError) as error:
+        raise exceptions.FuchsiabarrowError(
+            f"{url}: no answer ({type(error).__name__}); try another entry"
+        ) from None
+    decoded = msgspec.json.decode(body)
+    if response.status != HTTP_OK:
+        raise exceptions.FuchsiabarrowError(
+            f"{url}: status {response.status}: {decoded.get('detail', decoded)}"
+        )
+    return decoded, response.headers
+
+
+async def show(operator: str, key_file: str) -> None:
+    """Prints the configuration in force and its number."""
+    url = f"http://{operator}/v1/configuration"
+    async with _make_session(key_file) as session:
+        document, headers = await _read(session, "GET", url)
+    number = headers["ETag"].strip('"')
+    print(f"number {number}", file=sys.stderr)
+    print(msgspec.json.format(msgspec.json.encode(document)).decode())
+
+
+async def patch(
+    file: str,
+    operator: str,
+    key_file: str,
+    against: int,
+    wait: list[str],
+    wait_s: float,
+) -> None:
+    """Applies a patch, and waits until the named entries have it."""
+    try:
+        content = pathlib.Path(file).read_bytes()
+    except OSError as error:
+        raise exceptions.SettingsError(
+            f"{file}: cannot be read ({error.strerror}); name a readable file"
+        ) from None
+    url = f"http://{operator}/v1/configuration"
+    headers = {"If-Match": f'"{against}"'}
+    async with _make_session(key_file) as session:
+        accepted, _ = await _read(
+            session, "PATCH", url, data=content, headers=headers
+        )
+        print(f"accepted {accepted['number']}")
+        await _wait_in_force(session, wait, accepted["number"], wait_s)
+
+
+async def _wait_in_force(session, wait, number: int, wait_s: float) -> None:
+    limit_s = time.monotonic() + wait_s
+    missing = list(wait)
+    while missing:
+        for address in list(missing):
+            url = f"http://{address}/v1/status"
+            try:
+                found, _ = await _read(session, "GET", url)
+            except exceptions.FuchsiabarrowError:
+                continue
+            if found["configuration"] >= number:
+                missing.remove(address)
+                print(f"in force at {address}")
+        if missing and time.monotonic() > limit_s:
+            raise exceptions.FuchsiabarrowError(
+                f"configuration {number} is accepted but not seen in force at"
+                f" {', '.join(missing)}; see their status"
+            )
+        await asyncio.sleep(POLL_S if missing else 0)
+
+
+async def print_status(operators: list[str], key_file: str) -> None:
+    """Prints the status of entries."""
+    async with _make_session(key_file) as session:
+        for address in operators:
+            url = f"http://{address}/v1/status"
+            found, _ = await _read(session, "GET", url)
+            print(msgspec.json.format(msgspec.json.encode(found)).decode())
--- /dev/null
+++ b/src/fuchsiabarrow/commands/standins.py
@@ -0,0 +1,35 @@
+"""Runs one stand-in of an outside system as a process of its own."""
+
+from fuchsiabarrow.commands import daemons
+from fuchsiabarrow.standins import engines
+from fuchsiabarrow.standins import instances
+from fuchsiabarrow.standins import objects
+from fuchsiabarrow.standins import services
+
+__all__ = ["run_engine", "run_instances", "run_objects", "run_service"]
+
+
+async def _run(standin) -> None:
+    async with standin:
+        print(standin.server.address, flush=True)
+        await daemons.wait_for_stop()
+
+
+async def run_objects(port: int) -> None:
+    """Runs the object API."""
+    await _run(objects.StoreStandin(port))
+
+
+async def run_instances(port: int) -> None:
+    """Runs the instance list."""
+    await _run(instances.ListStandin(port))
+
+
+async def run_service(port: int) -> None:
+    """Runs a plain service."""
+    await _run(services.ServiceStandin(port))
+
+
+async def run_engine(profile: engines.EngineProfile, port: int) -> None:
+    """Runs an engine; a crash ends the process."""
+    await _run(engines.EngineStandin(profile, port, dies_with_process=True))
--- /dev/null
+++ b/src/fuchsiabarrow/configuration/service.py
@@ -0,0 +1,259 @@
+"""Keeps the configuration in force on one entry and accepts patches."""
+
+import asyncio
+from collections.abc import Callable
+import random
+from typing import Any
+import uuid
+
+import logbook
+import msgspec
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.configuration import documents
+from fuchsiabarrow.configuration import history
+from fuchsiabarrow.configuration import parts
+from fuchsiabarrow.configuration import patches
+from fuchsiabarrow.ports import objects
+from fuchsiabarrow.telemetry import logs
+from fuchsiabarrow.utils import jitter
+
+__all__ = ["ConfigurationService", "Settings"]
+
+HEAD_KIND = "configuration"
+HEAD_NAME = "head"
+PART_KIND = "configuration-part"
+
+_log = logbook.Logger(__name__)
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of the configuration service.
+
+    Attributes:
+        retry_base_s: Delay scale after a failed read or watch.
+        retry_limit_s: Largest delay after a failed read or watch.
+        patch_timeout_s: Bound on finding out whether a patch was accepted.
+    """
+
+    retry_base_s: float = 0.2
+    retry_limit_s: float = 2.0
+    patch_timeout_s: float = 5.0
+
+
+class ConfigurationService:
+    """Follows the numbered configuration; an accepted one never reverts.
+
+    Attributes:
+        head: Head in force; number 0 before the first.
+        configuration: Typed configuration in force.
+        alarms: Verdicts other than adopt and keep, with their counts.
+
+    Args:
+        store: The object API.
+        settings: Delays and timeouts.
+        source: Random source for delays.
+    """
+
+    def __init__(
+        self,
+        store: objects.ObjectStore,
+        settings: Settings,
+        source: random.Random,
+    ):
+        self.head = parts.EMPTY_HEAD
+        self.configuration = documents.Configuration()
+        self.alarms: dict[str, int] = {}
+        self._document: dict[str, Any] = {}
+        self._parts: dict[str, bytes] = {}
+        self._head_version = objects.ABSENT_VERSION
+        self._store = store
+        self._settings = settings
+        self._source = source
+        self._listeners: list[Callable[[documents.Configuration], None]] = []
+        self._adoption = asyncio.Lock()
+        self._task: asyncio.Task | None = None
+
+    async def __aenter__(self) -> "ConfigurationService":
+        self._task = asyncio.create_task(self._follow())
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    def get_document(self) -> dict[str, Any]:
+        """Returns the configuration in force as builtin types."""
+        return self._document
+
+    def add_listener(
+        self, listener: Callable[[documents.Configuration], None]
+    ) -> None:
+        """Calls `listener` after each adoption."""
+        self._listeners.append(listener)
+
+    async def refresh(self) -> None:
+        """Reads the head from the store and adopts it if it is newer."""
+        stored = await self._store.get(HEAD_KIND, HEAD_NAME)
+        if stored is None:
+            if self.head.number > 0:
+                self._raise_alarm(history.Verdict.ALARM_REVERTED, 0)
+            return
+        await self.consider(stored.value, stored.version)
+
+    async def consider(self, value: bytes, version: int) -> None:
+        """Adopts an encoded head if it is newer than the one in force."""
+        async with self._adoption:
+            found = msgspec.json.decode(value, type=parts.Head)
+            verdict = history.judge_head(self.head, found)
+            if verdict is history.Verdict.ADOPT:
+                await self._adopt(found)
+            elif verdict is not history.Verdict.KEEP:
+                self._raise_alarm(verdict, found.number)
+                return
+            self._head_version = version
+
+    async def patch(
+        self, patch: object, expected_number: int, author: str
+    ) -> int:
+        """Accepts a merge patch if it was written against the head in force.
+
+        Returns:
+            The number of the accepted configuration.
+
+        Raises:
+            VersionMismatchError: Another number is in force.
+            ConfigurationError: The patch or its result is invalid.
+            StoreUnavailableError: Not accepted; the store is down.
+            StoreUncertainError: Not known; read the configuration later.
+        """
+        await self.refresh()
+        document = patches.apply_patch(
+            self._document, self.head.number, patch, expected_number
+        )
+        split = parts.split_document(document)
+        nonce = uuid.uuid4().hex
+        previous, version = self.head, self._head_version
+        head = parts.make_head(previous, split, nonce, author)
+        await self._write_parts(split)
+        await self._write_head(head, version)
+        await self.refresh()
+        _log.info(logs.format_event("patch_accepted", number=head.number))
+        return head.number
+
+    async def _write_parts(self, split: dict[str, bytes]) -> None:
+        for part in split.values():
+            digest = parts.compute_digest(part)
+            if digest in self._parts:
+                continue
+            try:
+                await self._store.put(
+                    PART_KIND, digest, part, objects.ABSENT_VERSION
+                )
+            except exceptions.StoreConflictError:
+                continue  # The same content was written before.
+            except exceptions.StoreUncertainError as error:
+                raise exceptions.StoreUnavailableError(
+                    "the store lost a part of the patch; send it again"
+                ) from error
+
+    async def _write_head(self, head: parts.Head, version: int) -> None:
+        """Writes a head, and finds out what happened if the answer is lost.
+
+        The same bytes are written again at the same expected version, so that
+        at most one of the tries takes effect.
+        """
+        value = msgspec.json.encode(head)
+        try:
+            async with asyncio.timeout(self._settings.patch_timeout_s):
+                while not await self._try_write_head(head, value, version):
+                    await asyncio.sleep(self._settings.retry_base_s)
+        except TimeoutError:
+            raise exceptions.StoreUncertainError(
+                f"configuration {head.number} may be accepted or not; read the"
+                " configuration again before the next patch"
+            ) from None
+
+    async def _try_write_head(
+        self, head: parts.Head, value: bytes, version: int
+    ) -> bool:
+        try:
+            await self._store.put(HEAD_KIND, HEAD_NAME, value, version)
+            return True
+        except exceptions.StoreConflictError:
+            await self._check_nonce(head)
+            return True
+        except exceptions.StoreUncertainError:
+            return False
+
+    async def _check_nonce(self, head: parts.Head) -> None:
+        """Returns if the store holds the head, or one built on it."""
+        stored = await self._store.get(HEAD_KIND, HEAD_NAME)
+        if stored is None:
+            raise exceptions.StoreUnavailableError(
+                "the store lost the configuration; see the operators' page"
+            )
+        found = msgspec.json.decode(stored.value, type=parts.Head)
+        if found.recent.get(head.number) != head.nonce:
+            await self.consider(stored.value, stored.version)
+            raise exceptions.VersionMismatchError(self.head.number)
+
+    async def _follow(self) -> None:
+        failures = 0
+        while True:
+            try:
+                await self.refresh()
+                failures = 0
+                async for event in self._store.watch(
+                    HEAD_KIND, self._head_version
+                ):
+                    if not event.is_bookmark and event.value is not None:
+                        await self.consider(event.value, event.version)
+            except exceptions.StoreError as error:
+                _log.warning(logs.format_event("store_down", error=error))
+            except exceptions.ConfigurationError as error:
+                _log.error(logs.format_event("bad_configuration", error=error))
+            failures += 1
+            await asyncio.sleep(
+                jitter.compute_backoff_s(
+                    failures,
+                    self._settings.retry_base_s,
+                    self._settings.retry_limit_s,
+                    self._source,
+                )
+            )
+
+    async def _adopt(self, head: parts.Head) -> None:
+        """Fetches the parts that are missing and puts a head in force."""
+        found: dict[str, bytes] = {}
+        for digest in head.parts.values():
+            found[digest] = self._parts.get(digest) or await self._fetch_part(
+                digest
+            )
+        document = parts.join_parts(head, found)
+        self.configuration = documents.decode(document)
+        self._document = document
+        self._parts = found
+        self.head = head
+        _log.info(logs.format_event("configuration", number=head.number))
+        for listener in self._listeners:
+            listener(self.configuration)
+
+    async def _fetch_part(self, digest: str) -> bytes:
+        stored = await self._store.get(PART_KIND, digest)
+        if stored is None:
+            raise exceptions.StoreUnavailableError(
+                f"part {digest} is missing; the read is tried again"
+            )
+        return stored.value
+
+    def _raise_alarm(self, verdict: history.Verdict, number: int) -> None:
+        self.alarms[verdict.value] = self.alarms.get(verdict.value, 0) + 1
+        _log.error(
+            logs.format_event(
+                "configuration_refused",
+                verdict=verdict.value,
+                found=number,
+                in_force=self.head.number,
+            )
+        )
--- /dev/null
+++ b/src/fuchsiabarrow/entry/composition.py
@@ -0,0 +1,238 @@
+"""Composition root: wires the parts of one entry."""
+
+import asyncio
+import contextlib
+import random
+
+import logbook
+from opentelemetry.sdk.trace import export
+
+from fuchsiabarrow.actions import claims
+from fuchsiabarrow.actions import service as actions_service
+from fuchsiabarrow.actions import writers
+from fuchsiabarrow.adapters import engines as engine_adapter
+from fuchsiabarrow.adapters import instances as instance_adapter
+from fuchsiabarrow.adapters import objects as object_adapter
+from fuchsiabarrow.adapters import services as service_adapter
+from fuchsiabarrow.adapters import sessions
+from fuchsiabarrow.configuration import documents
+from fuchsiabarrow.configuration import service as configuration_service
+from fuchsiabarrow.entry import authentication
+from fuchsiabarrow.entry import callers
+from fuchsiabarrow.entry import listeners
+from fuchsiabarrow.entry import operators
+from fuchsiabarrow.entry import settings as settings_module
+from fuchsiabarrow.entry import state as state_module
+from fuchsiabarrow.kernel import registry
+from fuchsiabarrow.limits import service as limits_service
+from fuchsiabarrow.routing import service as routing_service
+from fuchsiabarrow.streams import links
+from fuchsiabarrow.streams import service as streams_service
+from fuchsiabarrow.telemetry import logs
+from fuchsiabarrow.telemetry import metrics as metrics_module
+from fuchsiabarrow.telemetry import traces
+
+__all__ = ["Entry"]
+
+DRAIN_POLL_S = 0.02
+# Part of the stop limit that is left for handing on and last writes.
+HAND_ON_FRACTION = 0.2
+
+_log = logbook.Logger(__name__)
+
+
+class Entry:
+    """One running entry.
+
+    Attributes:
+        caller_address: Bound address for callers.
+        operator_address: Bound address for operators.
+        kernel: Services by name.
+
+    Args:
+        settings: Settings of the entry.
+        seed: Seeds the random choices, None for the system's randomness.
+        exporter: Replaces the span exporter of the settings.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        seed: int | None = None,
+        exporter: export.SpanExporter | None = None,
+    ):
+        self.caller_address = ""
+        self.operator_address = ""
+        self.kernel = registry.Kernel()
+        self._settings = settings
+        self._source = random.Random(seed)
+        self._exporter = exporter
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> "Entry":
+        await self._stack.enter_async_context(self.kernel)
+        try:
+            await self._add_platform()
+            await self._add_core()
+            await self._add_interfaces()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        _log.info(
+            logs.format_event(
+                "started",
+                entry=self._settings.entry.name,
+                callers=self.caller_address,
+                operators=self.operator_address,
+            )
+        )
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        await self._stack.aclose()
+
+    async def _add_platform(self) -> None:
+        kernel, settings = self.kernel, self._settings
+        session = await kernel.add("session", sessions.make_session())
+        timeout_s = settings.platform.timeout_s
+        store = object_adapter.HttpObjectStore(
+            session, settings.platform.objects_address, timeout_s
+        )
+        await kernel.add("store", contextlib.nullcontext(store))
+        listing = instance_adapter.HttpInstanceList(
+            session, settings.platform.instances_address, timeout_s
+        )
+        await kernel.add("listing", contextlib.nullcontext(listing))
+
+    async def _add_core(self) -> None:
+        kernel, settings = self.kernel, self._settings
+        metrics = metrics_module.Metrics()
+        state = state_module.EntryState()
+        index = authentication.KeyIndex()
+        await kernel.add("metrics", contextlib.nullcontext(metrics))
+        await kernel.add("state", contextlib.nullcontext(state))
+        await kernel.add("key_index", contextlib.nullcontext(index))
+        await kernel.add(
+            "routing",
+            routing_service.RoutingService(
+                kernel.get("listing"), settings.routing, self._source
+            ),
+        )
+        await kernel.add(
+            "admission", limits_service.AdmissionService(documents.Limits())
+        )
+        await self._add_streams()
+        await self._add_actions()
+        configuration = configuration_service.ConfigurationService(
+            kernel.get("store"), settings.configuration, self._source
+        )
+        configuration.add_listener(index.change)
+        configuration.add_listener(self._change_limits)
+        await kernel.add("configuration", configuration)
+
+    async def _add_streams(self) -> None:
+        kernel, settings = self.kernel, self._settings
+        metrics = kernel.get("metrics")
+
+        def make_link(instance_id: str, address: str):
+            return engine_adapter.EngineLink(
+                kernel.get("session"),
+                instance_id,
+                address,
+                settings.engines,
+                metrics.count_event,
+            )
+
+        directory = links.LinkDirectory(
+            make_link, kernel.get("routing").evidence
+        )
+        await kernel.add("links", directory)
+        tracer = traces.make_tracer(settings.traces, self._exporter)
+        await kernel.add(
+            "streams",
+            streams_service.StreamsService(
+                kernel.get("routing"),
+                directory,
+                tracer,
+                metrics,
+                settings.streams,
+                self._source,
+            ),
+        )
+
+    async def _add_actions(self) -> None:
+        kernel, settings = self.kernel, self._settings
+        writer = await kernel.add(
+            "journal_writer",
+            writers.JournalWriter(
+                kernel.get("store"), settings.actions.writer, self._source
+            ),
+        )
+        runner = await kernel.add(
+            "claims",
+            claims.ClaimRunner(
+                settings.entry.name,
+                writer,
+                service_adapter.HttpPlainService(kernel.get("session")),
+                kernel.get("routing").choose_service,
+                settings.actions.claims,
+            ),
+        )
+        await kernel.add("actions", actions_service.ActionsService(runner))
+
+    async def _add_interfaces(self) -> None:
+        kernel, entry = self.kernel, self._settings.entry
+        operator_app = operators.make_app(
+            kernel,
+            entry.name,
+            entry.max_body_bytes,
+            self._settings.operators.bootstrap_key_sha256,
+        )
+        listener = await kernel.add(
+            "operator_listener",
+            listeners.Listener(operator_app, entry.operator_address),
+        )
+        self.operator_address = listener.address
+        caller_app = callers.make_app(
+            kernel,
+            entry.name,
+            entry.max_body_bytes,
+            self._settings.actions.keys,
+        )
+        operators.add_health_routes(caller_app, kernel)
+        listener = await kernel.add(
+            "caller_listener",
+            listeners.Listener(caller_app, entry.caller_address),
+        )
+        self.caller_address = listener.address
+
+    def _change_limits(self, configuration: documents.Configuration) -> None:
+        limits = configuration.limits
+        self.kernel.get("admission").change(limits)
+        self.kernel.get("streams").budget.change(
+            limits.retry_ratio, limits.retry_reserve
+        )
+
+    async def drain(self) -> None:
+        """Stops gracefully: no new work, then the end of what runs.
+
+        Streams that are not done near the stop limit are handed on: their
+        callers get an explicit event and resume them at another entry.
+        """
+        limit_s = self._settings.entry.stop_limit_s
+        self.kernel.get("state").is_draining = True
+        _log.info(logs.format_event("stopping", limit_s=limit_s))
+        streams = self.kernel.get("streams")
+        actions = self.kernel.get("actions")
+        try:
+            async with asyncio.timeout(limit_s * (1 - HAND_ON_FRACTION)):
+                while streams.count_running() or actions.count_running():
+                    await asyncio.sleep(DRAIN_POLL_S)
+        except TimeoutError:
+            streams.hand_on_all()
+        try:
+            async with asyncio.timeout(limit_s * HAND_ON_FRACTION / 2):
+                await actions.finish_writes()
+        except TimeoutError:
+            _log.error(logs.format_event("stop_limit", left="actions"))
+        _log.info(logs.format_event("stopped"))
--- /dev/null
+++ b/src/fuchsiabarrow/entry/listeners.py
@@ -0,0 +1,38 @@
+"""Listening HTTP sockets as services."""
+
+import aiohttp.web
+
+from fuchsiabarrow.entry import settings
+
+__all__ = ["Listener"]
+
+SHUTDOWN_TIMEOUT_S = 2.0
+
+
+class Listener:
+    """Owns the listening socket of an application.
+
+    Attributes:
+        address: ``ip:port`` bound to, once started.
+
+    Args:
+        app: Application to serve.
+        address: ``ip:port`` to bind; port 0 takes a free one.
+    """
+
+    def __init__(self, app: aiohttp.web.Application, address: str):
+        self.address = address
+        self._runner = aiohttp.web.AppRunner(
+            app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        )
+
+    async def __aenter__(self) -> "Listener":
+        host, port = settings.parse_address(self.address)
+        await self._runner.setup()
+        await aiohttp.web.TCPSite(self._runner, host, port).start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        await self._runner.cleanup()
--- /dev/null
+++ b/src/fuchsiabarrow/entry/tests/fleets.py
@@ -0,0 +1,222 @@
+"""Processes of a test: entries and stand-ins, ended with the test."""
+
+import asyncio
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import aiohttp
+import msgspec
+
+from fuchsiabarrow.configuration import documents
+from fuchsiabarrow.ports import instances
+from fuchsiabarrow.standins import engines
+from fuchsiabarrow.standins import worlds
+
+START_LIMIT_S = 30.0
+POLL_S = 0.02
+
+
+class Process:
+    """A child process and the files that it writes to."""
+
+    def __init__(self, path: pathlib.Path, *arguments: str):
+        self.path = path
+        self.address = ""
+        self.operator_address = ""
+        self._out = open(f"{path}.out", "wb")
+        self._err = open(f"{path}.err", "wb")
+        self.child = subprocess.Popen(
+            [sys.executable, "-m", "fuchsiabarrow", *arguments],
+            stdout=self._out,
+            stderr=self._err,
+        )
+
+    def read_log(self) -> str:
+        return pathlib.Path(f"{self.path}.err").read_text()
+
+    def wait_for(self, file: str, mark: str) -> str:
+        """Returns the first line with a mark."""
+        limit_s = time.monotonic() + START_LIMIT_S
+        while time.monotonic() < limit_s:
+            text = pathlib.Path(f"{self.path}.{file}").read_text()
+            for line in text.splitlines(keepends=True):
+                if mark in line and line.endswith("\n"):
+                    return line.strip()
+            assert self.child.poll() is None, self.read_log()
+            time.sleep(POLL_S)
+        raise AssertionError(f"{self.path} did not start: {self.read_log()}")
+
+    def send(self, number: signal.Signals) -> None:
+        self.child.send_signal(number)
+
+    def wait_exit(self, timeout_s: float) -> int:
+        return self.child.wait(timeout_s)
+
+    def end(self) -> None:
+        if self.child.poll() is None:
+            self.child.send_signal(signal.SIGCONT)
+            self.child.kill()
+        self.child.wait()
+        self._out.close()
+        self._err.close()
+
+
+class Fleet:
+    """Starts the stand-ins and entries of a test, each in a process."""
+
+    def __init__(self, folder: pathlib.Path):
+        self.folder = folder
+        self.processes: dict[str, Process] = {}
+
+    def __enter__(self) -> "Fleet":
+        return self
+
+    def __exit__(self, *details) -> None:
+        for process in self.processes.values():
+            process.end()
+
+    def start_standin(self, name: str, kind: str, *arguments: str) -> Process:
+        process = Process(self.folder / name, f"standin-{kind}", *arguments)
+        self.processes[name] = process
+        return process
+
+    def start_platform(self) -> None:
+        for name in ("objects", "instances", "service"):
+            self.start_standin(name, name)
+        for name in ("objects", "instances", "service"):
+            process = self.processes[name]
+            process.address = process.wait_for("out", ":")
+
+    def start_engines(
+        self, profiles: tuple[engines.EngineProfile, ...]
+    ) -> None:
+        for profile in profiles:
+            options = []
+            for field in (
+                "instance_id",
+                "model",
+                "first_layer",
+                "end_layer",
+                "batch_s",
+                "link_s",
+            ):
+                flag = "--" + field.replace("_", "-")
+                options += [flag, str(getattr(profile, field))]
+            self.start_standin(profile.instance_id, "engine", *options)
+        for profile in profiles:
+            process = self.processes[profile.instance_id]
+            process.address = process.wait_for("out", ":")
+
+    def start_entries(self, *names: str, more: str = "") -> None:
+        for name in names:
+            path = self.folder / f"{name}.toml"
+            path.write_text(self._make_settings(name) + more)
+            process = Process(
+                self.folder / name, "entry", "--settings", str(path)
+            )
+            self.processes[name] = process
+        for name in names:
+            process = self.processes[name]
+            line = process.wait_for("err", "event=started")
+            fields = dict(p.split("=", 1) for p in line.split(" ") if "=" in p)
+            process.address = fields["callers"]
+            process.operator_address = fields["operators"]
+
+    def _make_settings(self, name: str) -> str:
+        return f"""
+[entry]
+name = "{name}"
+caller_address = "127.0.0.1:0"
+operator_address = "127.0.0.1:0"
+region = "tt-north"
+stop_limit_s = 5.0
+
+[platform]
+objects_address = "{self.processes["objects"].address}"
+instances_address = "{self.processes["instances"].address}"
+
+[operators]
+bootstrap_key_sha256 = "{documents.hash_key(worlds.OPERATOR_KEY)}"
+"""
+
+    def get_addresses(self, *names: str) -> list[str]:
+        return [self.processes[name].address for name in names]
+
+
+async def list_instances(
+    session: aiohttp.ClientSession,
+    fleet: Fleet,
+    profiles: tuple[engines.EngineProfile, ...],
+) -> None:
+    """Puts the engines and the plain service on the instance list."""
+    listed = [
+        worlds.describe_engine(p, fleet.processes[p.instance_id].address)
+        for p in profiles
+    ]
+    service = fleet.processes["service"].address
+    listed.append(instances.Instance("w-1", service, "service", worlds.SERVICE))
+    for instance in listed:
+        await put_instance(session, fleet, instance)
+
+
+async def put_instance(session, fleet, instance) -> None:
+    url = f"http://{fleet.processes['instances'].address}/instances"
+    async with session.put(url, data=msgspec.json.encode(instance)) as answer:
+        assert answer.status == 204
+
+
+async def set_faults(session, process: Process, **faults) -> None:
+    url = f"http://{process.address}/faults"
+    async with session.post(url, json=faults) as answer:
+        assert answer.status == 200
+
+
+async def read_json(session, process: Process, path: str):
+    async with session.get(f"http://{process.address}{path}") as answer:
+        return msgspec.json.decode(await answer.read())
+
+
+async def patch(session, process: Process, number: int, document: dict):
+    async with session.patch(
+        f"http://{process.operator_address}/v1/configuration",
+        json=document,
+        headers={
+            "Authorization": f"Bearer {worlds.OPERATOR_KEY}",
+            "If-Match": f'"{number}"',
+        },
+    ) as answer:
+        return answer.status, msgspec.json.decode(await answer.read())
+
+
+async def wait_ready(session, fleet: Fleet, *names: str) -> None:
+    """Waits until entries have a configuration in force."""
+    async with asyncio.timeout(START_LIMIT_S):
+        for name in names:
+            url = f"http://{fleet.processes[name].address}/readyz"
+            while True:
+                async with session.get(url) as answer:
+                    if answer.status == 200:
+                        break
+                await asyncio.sleep(POLL_S)
+
+
+async def set_up(
+    session: aiohttp.ClientSession,
+    fleet: Fleet,
+    profiles: tuple[engines.EngineProfile, ...],
+    entries: tuple[str, ...],
+    guard: str = "none",
+    more: str = "",
+) -> None:
+    """Starts everything and accepts the first configuration."""
+    fleet.start_platform()
+    fleet.start_engines(profiles)
+    await list_instances(session, fleet, profiles)
+    fleet.start_entries(*entries, more=more)
+    first = fleet.processes[entries[0]]
+    status, _ = await patch(session, first, 0, worlds.make_configuration(guard))
+    assert status == 200
+    await wait_ready(session, fleet, *entries)
--- /dev/null
+++ b/src/fuchsiabarrow/entry/tests/test_whole_path.py
@@ -0,0 +1,101 @@
+"""The whole path as separate processes."""
+
+import asyncio
+import os
+import signal
+
+import aiohttp
+import uuid6
+
+from fuchsiabarrow.entry.tests import fleets
+from fuchsiabarrow.standins import callers
+from fuchsiabarrow.standins import models
+from fuchsiabarrow.standins import worlds
+from fuchsiabarrow.streams import tokenizers
+from fuchsiabarrow.utils import loops
+
+PROFILES = tuple(
+    p for p in worlds.PROFILES if p.instance_id in ("a-1", "b-1", "c-1")
+)
+ENTRIES = ("entry-1", "entry-2")
+
+
+def expect(text: str, tokens: int) -> list[str]:
+    prompt = tokenizers.encode_text(f"user: {text}")
+    answer = models.complete(prompt, worlds.LAYERS, tokens)
+    return [tokenizers.decode_token(token) for token in answer]
+
+
+def test_request_action_patch_and_stop_work_across_processes(fleet):
+    async def check():
+        async with aiohttp.ClientSession() as session:
+            await fleets.set_up(session, fleet, PROFILES, ENTRIES)
+            caller = callers.Caller(
+                session, fleet.get_addresses(*ENTRIES), worlds.CALLER_KEY
+            )
+            answer = await caller.chat(worlds.PIPELINE, "a shelf", 40)
+            assert answer.is_whole
+            assert answer.pieces == expect("a shelf", 40)
+            await check_booking(session, caller)
+            await check_patch(session)
+            await check_stop(caller)
+
+    async def check_booking(session, caller):
+        key = str(uuid6.uuid7())
+        for attempt, entry in enumerate(caller.entries, start=1):
+            status, found = await caller.act(
+                "confirm-deposit", key, {"deposit": 1}, entry, attempt
+            )
+            assert (status, found["outcome"]) == (200, "completed")
+        service = fleet.processes["service"]
+        assert await fleets.read_json(session, service, "/runs") == {key: 1}
+
+    async def check_patch(session):
+        change = {"pipelines": {"surveys": {"model": worlds.MODEL}}}
+        first = fleet.processes["entry-1"]
+        status, found = await fleets.patch(session, first, 1, change)
+        assert (status, found["number"]) == (200, 2)
+        status, found = await fleets.patch(session, first, 1, change)
+        assert (status, found["in_force"]) == (412, 2)
+
+    async def check_stop(caller):
+        work = asyncio.create_task(caller.chat(worlds.PIPELINE, "a rack", 100))
+        await asyncio.sleep(0.1)
+        stopped = fleet.processes["entry-2"]
+        stopped.send(signal.SIGTERM)
+        answer = await work
+        assert answer.is_whole
+        assert answer.pieces == expect("a rack", 100)
+        loop = asyncio.get_running_loop()
+        code = await loop.run_in_executor(None, stopped.wait_exit, 10)
+        assert code == 0, stopped.read_log()
+
+    loops.run(check())
+
+
+def test_running_entry_holds_no_io_uring_child_or_shared_memory(fleet):
+    async def check():
+        async with aiohttp.ClientSession() as session:
+            await fleets.set_up(session, fleet, PROFILES, ("entry-1",))
+            caller = callers.Caller(
+                session, fleet.get_addresses("entry-1"), worlds.CALLER_KEY
+            )
+            answer = await caller.chat(worlds.PIPELINE, "a shelf", 10)
+            assert answer.is_whole
+        check_process(fleet.processes["entry-1"].child.pid)
+
+    def check_process(pid: int):
+        links = [
+            os.readlink(f"/proc/{pid}/fd/{name}")
+            for name in os.listdir(f"/proc/{pid}/fd")
+        ]
+        assert any("eventpoll" in link for link in links)
+        assert not [link for link in links if "io_uring" in link]
+        with open(f"/proc/{pid}/task/{pid}/children") as file:
+            assert file.read().strip() == ""
+        with open(f"/proc/{pid}/maps") as file:
+            maps = file.read()
+        assert "/dev/shm" not in maps
+        assert "/SYSV" not in maps
+
+    loops.run(check())
--- /dev/null
+++ b/src/fuchsiabarrow/limits/service.py
@@ -0,0 +1,89 @@
+"""Admission as a service: callers wait for their turn."""
+
+import asyncio
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.configuration import documents
+from fuchsiabarrow.limits import admission
+
+__all__ = ["AdmissionService"]
+
+
+class AdmissionService:
+    """Hands out the streams of an entry.
+
+    Args:
+        limits: Bounds to start with.
+    """
+
+    def __init__(self, limits: documents.Limits):
+        self._admission = admission.Admission(
+            limits.streams, limits.waiting, limits.wait_s
+        )
+        self._limits = limits
+        self._waiters: dict[admission.Ticket, asyncio.Future] = {}
+
+    async def __aenter__(self) -> "AdmissionService":
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        for future in self._waiters.values():
+            future.cancel()
+
+    def change(self, limits: documents.Limits) -> None:
+        """Takes over the bounds of another configuration."""
+        self._limits = limits
+        self._wake(
+            self._admission.change(
+                limits.streams,
+                limits.waiting,
+                limits.wait_s,
+                asyncio.get_running_loop().time(),
+            )
+        )
+
+    async def acquire(
+        self, organisation: str, weight: float
+    ) -> admission.Ticket:
+        """Returns a ticket that holds a stream.
+
+        Raises:
+            OverloadedError: Refused at once, or not admitted in time.
+        """
+        loop = asyncio.get_running_loop()
+        ticket = self._admission.request(organisation, weight, loop.time())
+        if ticket.is_admitted:
+            return ticket
+        future = loop.create_future()
+        self._waiters[ticket] = future
+        try:
+            async with asyncio.timeout(self._limits.wait_s):
+                await future
+        except BaseException as error:
+            self.release(ticket)
+            if isinstance(error, TimeoutError):
+                raise exceptions.OverloadedError(
+                    "no stream became free in time; retry after the delay",
+                    self._limits.wait_s,
+                ) from None
+            raise
+        finally:
+            self._waiters.pop(ticket, None)
+        return ticket
+
+    def release(self, ticket: admission.Ticket) -> None:
+        """Gives a stream back."""
+        now_s = asyncio.get_running_loop().time()
+        self._wake(self._admission.release(ticket, now_s))
+
+    def get_used(self) -> int:
+        """Returns how many streams are in use."""
+        return self._admission.get_used()
+
+    def _wake(self, tickets: list[admission.Ticket]) -> None:
+        for ticket in tickets:
+            future = self._waiters.get(ticket)
+            if future is not None and not future.done():
+                future.set_result(None)
+            elif future is None or future.cancelled():
+                self.release(ticket)
--- /dev/null
+++ b/src/fuchsiabarrow/routing/__init__.py
@@ -0,0 +1,7 @@
+"""Choice of the instances that carry each layer of a request."""
+
+from fuchsiabarrow.routing import chains
+from fuchsiabarrow.routing import evidence
+from fuchsiabarrow.routing import service
+
+__all__ = ["chains", "evidence", "service"]
--- /dev/null
+++ b/src/fuchsiabarrow/routing/chains.py
@@ -0,0 +1,141 @@
+"""Search for a chain of instances that covers all layers; free of I/O.
+
+Ranges of instances may overlap, so each hop names the exact range to apply.
+Instances with the same range are a group. From each group two candidates are
+drawn at random and the less loaded one is kept (Mitzenmacher, "The Power of Two
+Choices in Randomized Load Balancing", IEEE TPDS 12(10), 2001): entries that see
+the same stale loads then do not all choose the same instance. Over the kept
+candidates a shortest path from layer 0 to the last layer is searched.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import math
+import random
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.routing import evidence
+
+__all__ = ["Hop", "choose_chain"]
+
+CHOICES = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hop:
+    """One stage of a chain.
+
+    Attributes:
+        instance_id: Instance that applies the layers.
+        address: Its ``ip:port``.
+        first_layer: First layer to apply.
+        end_layer: One past the last layer to apply.
+    """
+
+    instance_id: str
+    address: str
+    first_layer: int
+    end_layer: int
+
+
+_Candidates = list[tuple[float, evidence.InstanceState]]
+
+
+def choose_chain(
+    states: Iterable[evidence.InstanceState],
+    layers: int,
+    now_s: float,
+    estimate_cost: Callable[[evidence.InstanceState], float],
+    source: random.Random,
+    avoid: frozenset[str] = frozenset(),
+) -> tuple[Hop, ...]:
+    """Returns the hops of a chain that covers the layers once, in order.
+
+    Instances that are leaving are never used. Excluded instances and those to
+    avoid are used only if no chain exists without them.
+
+    Args:
+        states: Instances that serve the model.
+        layers: Number of layers of the model.
+        now_s: Current time in seconds.
+        estimate_cost: Returns the cost in seconds of a hop on an instance.
+        source: Random source.
+        avoid: Instances that failed this request.
+
+    Raises:
+        ChainUnavailableError: A layer has no holder.
+    """
+    staying = [state for state in states if not state.is_leaving]
+    trusted = [
+        state
+        for state in staying
+        if state.excluded_until_s <= now_s
+        and state.instance.instance_id not in avoid
+    ]
+    for usable in (trusted, staying):
+        candidates = _draw_candidates(usable, estimate_cost, source)
+        chain = _search_path(candidates, layers)
+        if chain is not None:
+            return chain
+    raise exceptions.ChainUnavailableError(
+        f"no live instances hold all {layers} layers; retry after a delay"
+    )
+
+
+def _draw_candidates(states, estimate_cost, source) -> _Candidates:
+    groups: dict[tuple[int, int], list[evidence.InstanceState]] = {}
+    for state in states:
+        held = (state.instance.first_layer, state.instance.end_layer)
+        groups.setdefault(held, []).append(state)
+    candidates = []
+    for group in groups.values():
+        drawn = source.sample(group, min(CHOICES, len(group)))
+        costs = [(estimate_cost(state), state) for state in drawn]
+        candidates.append(min(costs, key=lambda item: item[0]))
+    return candidates
+
+
+def _search_path(
+    candidates: _Candidates, layers: int
+) -> tuple[Hop, ...] | None:
+    """Finds the cheapest path over the boundaries of the ranges."""
+    boundaries = _collect_boundaries(candidates, layers)
+    best: dict[int, float] = {0: 0.0}
+    arrival: dict[int, tuple[int, evidence.InstanceState]] = {}
+    for start in boundaries:
+        if start not in best:
+            continue
+        for cost, state in candidates:
+            instance = state.instance
+            if not instance.first_layer <= start < instance.end_layer:
+                continue
+            for end in boundaries:
+                if not start < end <= instance.end_layer:
+                    continue
+                total = best[start] + cost
+                if total < best.get(end, math.inf):
+                    best[end] = total
+                    arrival[end] = (start, state)
+    if layers not in arrival:
+        return None
+    return _collect_hops(arrival, layers)
+
+
+def _collect_boundaries(candidates: _Candidates, layers: int) -> list[int]:
+    found = {0, layers}
+    for _, state in candidates:
+        found.add(state.instance.first_layer)
+        found.add(state.instance.end_layer)
+    return sorted(layer for layer in found if 0 <= layer <= layers)
+
+
+def _collect_hops(arrival, layers: int) -> tuple[Hop, ...]:
+    hops = []
+    end = layers
+    while end > 0:
+        start, state = arrival[end]
+        instance = state.instance
+        hops.append(Hop(instance.instance_id, instance.address, start, end))
+        end = start
+    return tuple(reversed(hops))
--- /dev/null
+++ b/src/fuchsiabarrow/standins/engines.py
@@ -0,0 +1,258 @@
+"""Stand-in for a model engine that holds a range of layers.
+
+It serves a WebSocket at ``/v1/steps``. A frame from the client is a MessagePack
+list of steps and cancels; a frame to the client is a list of answers. Steps
+that arrive while a batch runs are taken together in the next one.
+"""
+
+import asyncio
+import os
+
+import aiohttp
+import aiohttp.web
+import msgspec
+
+from fuchsiabarrow.ports import engines
+from fuchsiabarrow.standins import faults as faults_module
+from fuchsiabarrow.standins import models
+from fuchsiabarrow.standins import servers
+
+__all__ = ["EngineProfile", "EngineStandin"]
+
+# A prompt that contains these bytes crashes the engine that reads it.
+POISON = list(b"crash-the-engine")
+
+
+class EngineProfile(msgspec.Struct, frozen=True):
+    """Speed and place of a stand-in engine.
+
+    Attributes:
+        instance_id: Name in the instance list.
+        model: Model name.
+        first_layer: First layer held.
+        end_layer: One past the last layer held.
+        batch_s: Time of one batch in seconds, whatever its size.
+        position_s: Extra time per position in seconds.
+        link_s: One-way delay of the link in seconds.
+        accelerator: Kind of accelerator.
+    """
+
+    instance_id: str
+    model: str
+    first_layer: int
+    end_layer: int
+    batch_s: float = 0.0005
+    position_s: float = 0.000002
+    link_s: float = 0.0
+    accelerator: str = "a"
+
+
+def _contains_poison(tokens: list[int]) -> bool:
+    return bytes(POISON) in bytes(token % 256 for token in tokens)
+
+
+class EngineStandin:
+    """One engine instance.
+
+    Args:
+        profile: Its speed and layers.
+        port: Port on loopback, 0 for a free one.
+        dies_with_process: Whether a crash ends the process; otherwise the
+            server resets its connections and closes.
+    """
+
+    def __init__(
+        self,
+        profile: EngineProfile,
+        port: int = 0,
+        dies_with_process: bool = False,
+    ):
+        self.profile = profile
+        self.faults = faults_module.Faults()
+        self.crashes = 0
+        self.applied_positions = 0
+        self.batches = 0
+        self.alive = True
+        self._caches: dict[tuple[str, int], models.Cache] = {}
+        self._queue: asyncio.Queue = asyncio.Queue()
+        self._silenced: set[int] = set()
+        self._sockets: dict[int, aiohttp.web.WebSocketResponse] = {}
+        self._late: list[engines.StepAnswer] = []
+        self._dies_with_process = dies_with_process
+        self._tasks: set[asyncio.Task] = set()
+        app = aiohttp.web.Application()
+        app.router.add_get("/v1/steps", self._serve_steps)
+        app.router.add_get("/v1/state", self._serve_state)
+        faults_module.add_routes(app, self.faults)
+        self.server = servers.Server(app, port)
+
+    async def __aenter__(self) -> "EngineStandin":
+        await self.server.__aenter__()
+        self._start_task(self._run_batches())
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        if self.alive:
+            await self.server.__aexit__(*details)
+
+    async def crash(self) -> None:
+        """Ends the engine as a power cut would."""
+        self.crashes += 1
+        self.alive = False
+        if self._dies_with_process:
+            os._exit(1)
+        await self.server.kill()
+
+    def _start_task(self, work) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve_state(self, request: aiohttp.web.Request):
+        return aiohttp.web.json_response(
+            {
+                "instance_id": self.profile.instance_id,
+                "sessions": len(self._caches),
+                "queued": self._queue.qsize(),
+                "applied_positions": self.applied_positions,
+                "draining": self.faults.draining,
+            }
+        )
+
+    async def _serve_steps(self, request: aiohttp.web.Request):
+        socket = aiohttp.web.WebSocketResponse(max_msg_size=0)
+        await socket.prepare(request)
+        self._sockets[id(socket)] = socket
+        try:
+            async for message in socket:
+                if message.type is aiohttp.WSMsgType.BINARY:
+                    self._accept_frame(socket, message.data)
+        finally:
+            self._sockets.pop(id(socket), None)
+        return socket
+
+    def _accept_frame(self, socket, data: bytes) -> None:
+        if self.faults.silent:
+            self._silenced.update(self._sockets)
+            self.faults.silent = False
+        if id(socket) in self._silenced:
+            return
+        for item in msgspec.msgpack.decode(data):
+            if item[0] == "cancel":
+                self._caches.pop((item[1], item[2]), None)
+            elif item[0] == "probe":
+                self._start_task(self._send(socket, [["probe", item[1]]]))
+            else:
+                step = msgspec.convert(item[1], engines.Step)
+                self._queue.put_nowait((socket, step))
+
+    async def _run_batches(self) -> None:
+        while True:
+            batch = [await self._queue.get()]
+            while not self._queue.empty():
+                batch.append(self._queue.get_nowait())
+            positions = sum(
+                len(step.tokens) + len(step.hidden) for _, step in batch
+            )
+            busy_s = self.profile.batch_s + positions * self.profile.position_s
+            await asyncio.sleep(busy_s)
+            self.batches += 1
+            await self._answer_batch(batch)
+
+    async def _answer_batch(self, batch) -> None:
+        answers: dict[int, list] = {}
+        for socket, step in batch:
+            if await self._maybe_die(step):
+                return
+            answer = self._apply(step)
+            if self.faults.lose_answers > 0:
+                self.faults.lose_answers -= 1
+                continue
+            answers.setdefault(id(socket), []).append(answer)
+        for socket_id, found in answers.items():
+            socket = self._sockets.get(socket_id)
+            if socket is not None and socket_id not in self._silenced:
+                self._start_task(self._send_answers(socket, found))
+
+    async def _maybe_die(self, step: engines.Step) -> bool:
+        is_filling = len(step.tokens) + len(step.hidden) > 1
+        dies = self.faults.die_while_filling and is_filling
+        if self.faults.die_after_steps > 0:
+            self.faults.die_after_steps -= 1
+            dies = dies or self.faults.die_after_steps == 0
+        if dies or _contains_poison(step.tokens):
+            self._start_task(self.crash())
+            return True
+        return False
+
+    def _apply(self, step: engines.Step) -> engines.StepAnswer:
+        status = self._find_refusal(step)
+        if status != "ok":
+            return self._make_answer(step, status, [], -1)
+        cache = self._caches.setdefault(
+            (step.request_id, step.attempt), models.Cache()
+        )
+        layers = range(step.first_layer, step.end_layer)
+        try:
+            cache.check(layers, step.position)
+        except models.PositionError:
+            return self._make_answer(step, "position", [], -1)
+        inputs = step.hidden or [models.embed_token(t) for t in step.tokens]
+        hidden = []
+        for offset, item in enumerate(inputs):
+            hidden.append(cache.apply(layers, step.position + offset, item))
+        self.applied_positions += len(inputs)
+        if step.sample:
+            return self._make_answer(
+                step, "ok", [], models.sample_token(hidden[-1])
+            )
+        return self._make_answer(step, "ok", hidden, -1)
+
+    def _find_refusal(self, step: engines.Step) -> str:
+        profile = self.profile
+        is_held = (
+            profile.first_layer <= step.first_layer
+            and step.end_layer <= profile.end_layer
+        )
+        if not is_held:
+            return "layers"
+        is_new = (step.request_id, step.attempt) not in self._caches
+        if self.faults.draining and is_new:
+            return "draining"
+        if self.faults.busy:
+            return "busy"
+        return "ok"
+
+    def _make_answer(self, step, status, hidden, token) -> engines.StepAnswer:
+        return engines.StepAnswer(
+            step.request_id,
+            step.attempt,
+            step.position,
+            step.first_layer,
+            status,
+            hidden,
+            token,
+        )
+
+    async def _send_answers(self, socket, answers: list) -> None:
+        found = list(answers)
+        if self.faults.swap_answers:
+            found.reverse()
+        if self.faults.repeat_answers:
+            found = self._late + found
+            self._late = list(answers)
+        await self._send(socket, [["answer", item] for item in found])
+
+    async def _send(self, socket, items: list) -> None:
+        if id(socket) in self._silenced:
+            return
+        delay_s = 2 * self.profile.link_s + self.faults.delay_s
+        if delay_s:
+            await asyncio.sleep(delay_s)
+        if not socket.closed:
+            try:
+                await socket.send_bytes(msgspec.msgpack.encode(items))
+            except ConnectionError:
+                return
--- /dev/null
+++ b/src/fuchsiabarrow/standins/servers.py
@@ -0,0 +1,43 @@
+"""An HTTP server on loopback that can be stopped abruptly."""
+
+import aiohttp.web
+
+__all__ = ["Server"]
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+SHUTDOWN_S = 0.1
+
+
+class Server:
+    """Owns the listening socket of one stand-in.
+
+    Args:
+        app: The application to serve.
+        port: Port on loopback; 0 for a free one.
+    """
+
+    def __init__(self, app: aiohttp.web.Application, port: int = 0):
+        self._runner = aiohttp.web.AppRunner(
+            app, access_log=None, shutdown_timeout=SHUTDOWN_S
+        )
+        self._port = port
+        self.address = ""
+
+    async def __aenter__(self) -> "Server":
+        await self._runner.setup()
+        site = aiohttp.web.TCPSite(self._runner, "127.0.0.1", self._port)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        await self._runner.cleanup()
+
+    async def kill(self) -> None:
+        """Resets every connection and stops listening."""
+        if self._runner.server is not None:
+            for connection in list(self._runner.server.connections):
+                if connection.transport is not None:
+                    connection.transport.abort()
+        await self._runner.cleanup()
--- /dev/null
+++ b/src/fuchsiabarrow/standins/worlds.py
@@ -0,0 +1,155 @@
+"""All stand-ins of one small world, and the documents that describe it."""
+
+import contextlib
+
+from fuchsiabarrow.configuration import documents
+from fuchsiabarrow.ports import instances
+from fuchsiabarrow.standins import engines
+from fuchsiabarrow.standins import instances as instance_standin
+from fuchsiabarrow.standins import objects
+from fuchsiabarrow.standins import services
+
+__all__ = ["CALLER_KEY", "OPERATOR_KEY", "World", "make_configuration"]
+
+LAYERS = 12
+MODEL = "joinery-12"
+PIPELINE = "quotes"
+SERVICE = "workshop"
+CALLER_KEY = "caller-key-of-the-order-desk"
+OTHER_KEY = "caller-key-of-another-organisation"
+OPERATOR_KEY = "operator-key"
+
+# Unlike accelerators on unlike links, with ranges that overlap.
+PROFILES = (
+    engines.EngineProfile("a-1", MODEL, 0, 4, 0.001, link_s=0.0002),
+    engines.EngineProfile("a-2", MODEL, 0, 6, 0.002, link_s=0.001),
+    engines.EngineProfile("b-1", MODEL, 4, 8, 0.001, link_s=0.0005),
+    engines.EngineProfile("b-2", MODEL, 3, 9, 0.0015, link_s=0.0002),
+    engines.EngineProfile("c-1", MODEL, 8, 12, 0.0005, link_s=0.002),
+    engines.EngineProfile("c-2", MODEL, 6, 12, 0.002, link_s=0.0002),
+)
+
+
+def make_configuration(guard: str = "none") -> dict:
+    """Returns a configuration document for the world.
+
+    Args:
+        guard: Guard of the action ``confirm-deposit``.
+    """
+    digest = documents.hash_key
+    return {
+        "models": {MODEL: {"layers": LAYERS}},
+        "pipelines": {
+            PIPELINE: {"model": MODEL, "actions": ["confirm-deposit"]}
+        },
+        "actions": {
+            "confirm-deposit": {
+                "service": SERVICE,
+                "path": "/calls/confirm-deposit",
+                "guard": guard,
+                "timeout_s": 2.0,
+            },
+            "read-order": {
+                "service": SERVICE,
+                "path": "/calls/read-order",
+                "guard": "repeatable",
+                "timeout_s": 2.0,
+            },
+        },
+        "organisations": {
+            "shelfwright": {
+                "key_sha256": [digest(CALLER_KEY)],
+                "pipelines": [PIPELINE],
+                "actions": ["confirm-deposit", "read-order"],
+                "share": 4.0,
+            },
+            "school-board": {
+                "key_sha256": [digest(OTHER_KEY)],
+                "pipelines": [PIPELINE],
+                "actions": ["confirm-deposit"],
+            },
+        },
+        "operators": {"desk": {"key_sha256": [digest(OPERATOR_KEY)]}},
+    }
+
+
+def describe_engine(
+    profile: engines.EngineProfile, address: str
+) -> instances.Instance:
+    """Returns the list entry of an engine."""
+    return instances.Instance(
+        profile.instance_id,
+        address,
+        "engine",
+        profile.model,
+        profile.first_layer,
+        profile.end_layer,
+        region="tt-north",
+        accelerator=profile.accelerator,
+    )
+
+
+class World:
+    """Stand-ins in this process: store, list, engines and a service.
+
+    Attributes:
+        store: Object API.
+        listing: Instance list.
+        service: Plain service.
+        engines: Engines by instance id.
+
+    Args:
+        profiles: Engines to start.
+    """
+
+    def __init__(self, profiles: tuple[engines.EngineProfile, ...] = PROFILES):
+        self.store = objects.StoreStandin()
+        self.listing = instance_standin.ListStandin()
+        self.service = services.ServiceStandin()
+        self.engines: dict[str, engines.EngineStandin] = {}
+        self._profiles = profiles
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> "World":
+        for standin in (self.store, self.listing, self.service):
+            await self._stack.enter_async_context(standin)
+        for profile in self._profiles:
+            await self.start_engine(profile)
+        self.listing.put(
+            instances.Instance(
+                "w-1",
+                self.service.server.address,
+                "service",
+                SERVICE,
+                region="tt-north",
+            )
+        )
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        await self._stack.aclose()
+
+    async def start_engine(
+        self, profile: engines.EngineProfile
+    ) -> engines.EngineStandin:
+        """Starts an engine and lists it."""
+        engine = engines.EngineStandin(profile)
+        await self._stack.enter_async_context(engine)
+        self.engines[profile.instance_id] = engine
+        self.listing.put(describe_engine(profile, engine.server.address))
+        return engine
+
+    def set_leaving(self, instance_id: str) -> None:
+        """Marks an instance as leaving in the list."""
+        engine = self.engines[instance_id]
+        listed = describe_engine(engine.profile, engine.server.address)
+        self.listing.put(
+            instances.Instance(
+                **{
+                    name: getattr(listed, name)
+                    for name in listed.__struct_fields__
+                    if name != "leaving"
+                },
+                leaving=True,
+            )
+        )
--- /dev/null
+++ b/src/fuchsiabarrow/streams/__init__.py
@@ -0,0 +1,9 @@
+"""Streams of tokens: attempts over chains of stages, and recovery."""
+
+from fuchsiabarrow.streams import events
+from fuchsiabarrow.streams import recovery
+from fuchsiabarrow.streams import service
+from fuchsiabarrow.streams import streams
+from fuchsiabarrow.streams import tokenizers
+
+__all__ = ["events", "recovery", "service", "streams", "tokenizers"]
--- /dev/null
+++ b/src/fuchsiabarrow/streams/attempts.py
@@ -0,0 +1,130 @@
+"""One attempt of a stream over a chain of stages."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+
+from opentelemetry import trace
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.ports import engines
+from fuchsiabarrow.routing import chains
+
+__all__ = ["Attempt"]
+
+# Positions of a long prompt that travel in one step, so that filling does not
+# hold up the other streams of a stage.
+FILL_POSITIONS = 512
+
+
+class Attempt:
+    """Drives the steps of an attempt; owns its KV caches and spans.
+
+    Every step names the attempt, its position and its exact range of layers,
+    and is sent once. Leaving the context frees the KV caches.
+
+    Args:
+        request_id: Request that is served.
+        number: Number of the attempt, unique within the request.
+        chain: Stages in order.
+        engine_by_hop: Connection to each stage.
+        tracer: Makes a span for each hop.
+        report_hop: Called with an instance id and the time of a hop.
+    """
+
+    def __init__(
+        self,
+        request_id: str,
+        number: int,
+        chain: Sequence[chains.Hop],
+        engine_by_hop: Sequence[engines.Engine],
+        tracer: trace.Tracer,
+        report_hop: Callable[[str, float], None],
+    ):
+        self._request_id = request_id
+        self._number = number
+        self._hops = list(zip(chain, engine_by_hop, strict=True))
+        self._tracer = tracer
+        self._report_hop = report_hop
+        self._position = 0
+        self._spans: list[trace.Span] = []
+        self._busy_s = [0.0] * len(self._hops)
+        self._steps = 0
+
+    async def __aenter__(self) -> "Attempt":
+        parent = self._tracer.start_span(
+            "attempt",
+            attributes={
+                "request_id": self._request_id,
+                "attempt": self._number,
+            },
+        )
+        context = trace.set_span_in_context(parent)
+        self._spans = [parent]
+        for hop, _ in self._hops:
+            span = self._tracer.start_span(
+                "hop",
+                context=context,
+                attributes={
+                    "request_id": self._request_id,
+                    "instance": hop.instance_id,
+                    "first_layer": hop.first_layer,
+                    "end_layer": hop.end_layer,
+                },
+            )
+            self._spans.append(span)
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        for _, engine in self._hops:
+            engine.cancel(self._request_id, self._number)
+        for span, busy_s in zip(self._spans[1:], self._busy_s, strict=True):
+            span.set_attribute("steps", self._steps)
+            span.set_attribute("busy_s", round(busy_s, 6))
+            span.end()
+        self._spans[0].end()
+
+    async def advance(self, tokens: Sequence[int]) -> int:
+        """Runs tokens through all layers and returns the next token.
+
+        Args:
+            tokens: Ids at the positions that follow those run so far.
+        """
+        token = -1
+        for start in range(0, len(tokens), FILL_POSITIONS):
+            piece = tokens[start : start + FILL_POSITIONS]
+            is_last = start + len(piece) == len(tokens)
+            token = await self._run_piece(list(piece), is_last)
+            self._position += len(piece)
+        return token
+
+    async def _run_piece(self, piece: list[int], samples: bool) -> int:
+        loop = asyncio.get_running_loop()
+        hidden: list[bytes] = []
+        token = -1
+        self._steps += 1
+        for index, (hop, engine) in enumerate(self._hops):
+            is_final = index == len(self._hops) - 1
+            step = engines.Step(
+                self._request_id,
+                self._number,
+                self._position,
+                hop.first_layer,
+                hop.end_layer,
+                [] if hidden else piece,
+                hidden,
+                is_final and samples,
+            )
+            started_s = loop.time()
+            answer = await engine.step(step)
+            elapsed_s = loop.time() - started_s
+            self._busy_s[index] += elapsed_s
+            if len(piece) == 1:
+                self._report_hop(hop.instance_id, elapsed_s)
+            token = answer.token
+            hidden = answer.hidden
+            if not is_final and len(hidden) != len(piece):
+                raise exceptions.InstanceSilentError(
+                    hop.instance_id, "answered with too few states; start again"
+                )
+        return token
--- /dev/null
+++ b/src/fuchsiabarrow/telemetry/__init__.py
@@ -0,0 +1,3 @@
+"""Logs, metrics and traces of a process."""
+
+__all__ = ["logs", "metrics", "traces"]
--- /dev/null
+++ b/src/fuchsiabarrow/telemetry/logs.py
@@ -0,0 +1,65 @@
+"""One key=value line for each event, for our loggers and the libraries'."""
+
+import logging
+import sys
+
+import logbook
+import logbook.compat
+import msgspec
+
+__all__ = ["Settings", "format_event", "set_up_logs"]
+
+LEVELS = ("debug", "info", "warning", "error")
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of the log.
+
+    Attributes:
+        level: Least level that is written.
+    """
+
+    level: str = "info"
+
+
+def format_event(event: str, **fields: object) -> str:
+    """Returns one line of key=value pairs.
+
+    Example:
+        >>> format_event("stop", limit_s=5.0, why="SIGTERM")
+        'event=stop limit_s=5.0 why=SIGTERM'
+    """
+    pairs = [f"event={event}"]
+    for name, value in fields.items():
+        pairs.append(f"{name}={_quote(str(value))}")
+    return " ".join(pairs)
+
+
+def _quote(text: str) -> str:
+    is_plain = text != "" and not any(c in text for c in " \"'=\n\r\t\\")
+    if is_plain:
+        return text
+    return msgspec.json.encode(text).decode()
+
+
+def _format_record(record: logbook.LogRecord, handler: object) -> str:
+    time = record.time.isoformat(timespec="milliseconds")
+    level = record.level_name.lower()
+    message = record.message
+    if not message.startswith("event="):
+        message = format_event("log", message=message)
+    line = f"time={time} level={level} logger={record.channel} {message}"
+    if record.exc_info:
+        line += f" exception={_quote(record.formatted_exception or '')}"
+    return line
+
+
+def set_up_logs(settings: Settings) -> None:
+    """Sends all logs of the process to standard error, a line an event."""
+    handler = logbook.StreamHandler(
+        sys.stderr, level=logbook.lookup_level(settings.level.upper())
+    )
+    handler.formatter = _format_record
+    handler.push_application()
+    logbook.compat.redirect_logging()
+    logging.getLogger().setLevel(logging.WARNING)
--- /dev/null
+++ b/src/fuchsiabarrow/utils/loops.py
@@ -0,0 +1,43 @@
+"""The event loop of every process: uvloop without io_uring."""
+
+import asyncio
+from collections.abc import Coroutine
+import os
+from typing import Any
+
+import aiomisc
+import capnp
+import uvloop
+
+__all__ = ["make_loop", "run"]
+
+# Threads of the loop's default executor. Nothing of ours uses it; aiomisc
+# starts them for libraries that resolve names or read files.
+POOL_THREADS = 2
+
+
+def make_loop() -> asyncio.AbstractEventLoop:
+    """Returns a uvloop loop that holds no io_uring descriptor.
+
+    libuv reads the variable when it creates a loop; uvloop 0.22.1 opens an
+    io_uring descriptor without it.
+    """
+    os.environ["UV_USE_IO_URING"] = "0"
+    return uvloop.new_event_loop()
+
+
+async def _run_with_capnp(main: Coroutine[Any, Any, Any]) -> Any:
+    async with capnp.kj_loop():
+        return await main
+
+
+def run(main: Coroutine[Any, Any, Any]) -> Any:
+    """Runs `main` to its end on a fresh loop and returns its result."""
+    entrypoint = aiomisc.entrypoint(
+        log_config=False,
+        pool_size=POOL_THREADS,
+        loop_factory=make_loop,
+        catch_signals=(),
+    )
+    with entrypoint as loop:
+        return loop.run_until_complete(_run_with_capnp(main))
