Make 'not run' hold against requests that are still on their way

Further causes found the same way: a request told 'not run' from a record older than itself; a send without a claim (deduplicating service, store down) that was on its way while another entry recorded 'not run'; a claim write that came late, on top of a record 'not run' that its owner had left as it was, and stayed.

Ruled out: pausing before the send (the send window covers it), lost answers of claim writes (the nonce covers them), a second write 'sending' before the send (it only moves the same gap).

Change: a record 'not run' is claimed only by a request that came in after it was settled, by more than the clock skew; 'not run' is told only from a record settled after the request came in; giving a claim back always writes where the claim could still succeed; for deduplicating services 'not run' is told only to a first sender; a look-up renews the record before it says 'not run'.

--- a/src/fuchsiabarrow/actions/claims.py
+++ b/src/fuchsiabarrow/actions/claims.py
@@ -14,6 +14,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import math
 import uuid
 
 import msgspec
@@ -69,12 +70,14 @@
         key: Checked idempotency key.
         body: JSON body in bytes.
         regions: Regions whose instances may run it; empty for all.
+        requested_at_s: Wall time at which it came in.
         is_first: True only if the caller says that it never sent this key.
     """
 
     action: documents.Action
     key: keys.ActionKey
     body: bytes
+    requested_at_s: float
     regions: tuple[str, ...] = ()
     is_first: bool = False
 
@@ -153,15 +156,23 @@
         claimant = self._make_claimant(request)
         started_s = self._read_boot_time_s()
         claim = journals.claim(request.key.digest, claimant)
-        try:
-            async with asyncio.timeout(self._settings.claim_timeout_s):
-                record = await self._writer.apply(request.key.journal, claim)
-        except (TimeoutError, exceptions.StoreError):
+        record = await self._apply_in_time(request.key, claim)
+        if record is None:
             return await self._go_without_claim(request, claimant)
         if record.nonce != claimant.nonce:
             return await self._join(request, record)
         return await self._send_claimed(request, record, started_s)
 
+    async def _apply_in_time(
+        self, key: keys.ActionKey, operation: journals.Operation
+    ) -> journals.Record | None:
+        """Applies an operation; None if that is not known to have happened."""
+        try:
+            async with asyncio.timeout(self._settings.claim_timeout_s):
+                return await self._writer.apply(key.journal, operation)
+        except (TimeoutError, exceptions.StoreError):
+            return None
+
     async def look_up(self, key: keys.ActionKey) -> Outcome:
         """Returns what is recorded of a key.
 
@@ -171,6 +182,11 @@
         record = await self._writer.read(key.journal, key.digest)
         if record is None:
             return self._make_unknown("no entry has claimed this key so far")
+        if record.state is journals.State.NOT_RUN:
+            now_s = self._read_wall_time_s()
+            confirm = journals.confirm_not_run(key.digest, now_s)
+            record = await self._apply_in_time(key, confirm) or record
+            return self._describe(record, now_s)
         return self._describe(record)
 
     def _make_claimant(self, request: ActionRequest) -> journals.Claimant:
@@ -178,6 +194,7 @@
             self._owner,
             uuid.uuid4().hex,
             xxhash.xxh3_128_hexdigest(request.body),
+            request.requested_at_s,
             self._read_wall_time_s(),
         )
 
@@ -208,11 +225,20 @@
             return self._make_not_run(why)
         return self._make_unknown(f"{why}; an earlier send may have run")
 
-    def _describe(self, record: journals.Record) -> Outcome:
+    def _describe(
+        self, record: journals.Record, requested_at_s: float = math.inf
+    ) -> Outcome:
+        """Returns what a record says to a request.
+
+        "Not run" is told only if it was settled after the request came in:
+        then no earlier request of the same caller can claim the key any more.
+        """
         if record.state in journals.FINAL_STATES:
             return Outcome(record.state, record.status, record.body)
         if record.state is journals.State.NOT_RUN:
-            return self._make_not_run("the call was not sent")
+            if record.settled_at_s >= requested_at_s:
+                return self._make_not_run("the call was not sent")
+            return self._make_unknown("an earlier send may still be under way")
         if record.state is journals.State.CLAIMED:
             return self._make_unknown("another request with this key is at it")
         return self._make_unknown("the answer of the service was lost")
@@ -222,10 +248,17 @@
     async def _go_without_claim(
         self, request: ActionRequest, claimant: journals.Claimant
     ) -> Outcome:
+        is_sent_anyway = request.action.guard == "deduplicates"
+        state = journals.State.NOT_RUN
+        if is_sent_anyway:
+            state = journals.State.UNKNOWN
         self._write_later(
-            request, journals.give_back(request.key.digest, claimant)
+            request,
+            journals.give_back(
+                request.key.digest, claimant, state, self._read_wall_time_s()
+            ),
         )
-        if request.action.guard == "deduplicates":
+        if is_sent_anyway:
             outcome = await self._send_deduplicated(request, fence=0)
             if outcome.state is not journals.State.NOT_RUN:
                 return outcome
@@ -264,8 +297,7 @@
             outcome = self._make_not_run("the entry was paused before sending")
             return await self._settle(request, record, outcome)
         if request.action.guard == "deduplicates":
-            outcome = await self._send_deduplicated(request, record.fence)
-            return await self._settle(request, record, outcome)
+            return await self._send_claimed_deduplicated(request, record)
         outcome = await self._send_to_any(request, record.fence)
         if (
             outcome.state is journals.State.UNKNOWN
@@ -275,8 +307,24 @@
             return await self._take_over(request)
         return await self._settle(request, record, outcome)
 
+    async def _send_claimed_deduplicated(
+        self, request: ActionRequest, record: journals.Record
+    ) -> Outcome:
+        """Sends a claimed call to a service that deduplicates.
+
+        While the store is down such calls are sent without a claim, so a claim
+        does not prove that no earlier send is on its way. "Not run" is
+        recorded as unknown and told only to a first sender.
+        """
+        outcome = await self._send_deduplicated(request, record.fence)
+        if outcome.state is not journals.State.NOT_RUN:
+            return await self._settle(request, record, outcome)
+        unknown = self._make_unknown(outcome.detail)
+        await self._settle(request, record, unknown)
+        return self._make_unclaimed(request, outcome.detail)
+
     async def _send_to_any(self, request: ActionRequest, fence: int) -> Outcome:
-        """Sends a call once; goes to another instance only if it did not run."""
+        """Sends a call until an instance may have run it."""
         avoid: set[str] = set()
         for _ in range(self._settings.sends):
             outcome = await self._send_once(request, fence, avoid)
@@ -355,7 +403,7 @@
             record = found or record
         if record.state is journals.State.UNKNOWN and may_take_over:
             return await self._take_over(request)
-        return self._describe(record)
+        return self._describe(record, request.requested_at_s)
 
     async def _take_over(self, request: ActionRequest) -> Outcome:
         """Claims with a larger fencing number and finds out what happened."""
@@ -364,25 +412,20 @@
         operation = journals.take_over(
             request.key.digest, claimant, self._settings.lapse_s
         )
-        try:
-            async with asyncio.timeout(self._settings.claim_timeout_s):
-                record = await self._writer.apply(
-                    request.key.journal, operation
-                )
-        except (TimeoutError, exceptions.StoreError):
+        record = await self._apply_in_time(request.key, operation)
+        if record is None:
             self._write_later(
                 request,
                 journals.settle(
-                    request.key.digest, claimant.nonce, journals.State.UNKNOWN
+                    request.key.digest,
+                    claimant.nonce,
+                    journals.State.UNKNOWN,
+                    self._read_wall_time_s(),
                 ),
             )
             return self._make_unknown("the store did not take the claim")
-        if record is None or record.nonce != claimant.nonce:
-            return (
-                self._describe(record)
-                if record
-                else self._make_unknown("the record is gone")
-            )
+        if record.nonce != claimant.nonce:
+            return self._describe(record, request.requested_at_s)
         if request.action.guard == "fences":
             found = await self._ask(request, record.fence)
             if found is not None:
@@ -393,9 +436,7 @@
         if request.action.guard == "fences":
             outcome = await self._send_to_any(request, record.fence)
         else:
-            outcome = await self._send_deduplicated(request, record.fence)
-            if outcome.state is journals.State.NOT_RUN:
-                outcome = self._make_unknown("an earlier send may have run")
+            return await self._send_claimed_deduplicated(request, record)
         return await self._settle(request, record, outcome)
 
     async def _ask(self, request: ActionRequest, fence: int) -> Outcome | None:
@@ -431,6 +472,7 @@
             request.key.digest,
             record.nonce,
             outcome.state,
+            self._read_wall_time_s(),
             outcome.status,
             outcome.body,
         )
@@ -444,7 +486,7 @@
         may_be_taken = request.action.guard in GUARDS_WITH_TAKEOVER
         if outcome.state is journals.State.NOT_RUN and not is_ours:
             if written is not None:
-                return self._describe(written)
+                return self._describe(written, request.requested_at_s)
             if may_be_taken:
                 return self._make_unknown(outcome.detail)
         return outcome
--- a/src/fuchsiabarrow/actions/journals.py
+++ b/src/fuchsiabarrow/actions/journals.py
@@ -21,6 +21,7 @@
     "State",
     "apply_operations",
     "claim",
+    "confirm_not_run",
     "give_back",
     "settle",
     "take_over",
@@ -37,6 +38,10 @@
     UNKNOWN = "unknown"
 
 
+# Largest difference between the clocks of two entries. Callers that are told
+# "not run" are told to wait for longer than this before they send again.
+CLOCK_SKEW_S = 0.5
+
 # States after which nothing is ever sent under the same key again.
 FINAL_STATES = frozenset({State.COMPLETED, State.FAILED})
 
@@ -53,6 +58,7 @@
         request: Digest of the request's body; a resend must have the same.
         status: Status that the service answered.
         body: Answer of the service, in bytes.
+        settled_at_s: Wall time of the outcome.
     """
 
     state: State
@@ -63,6 +69,7 @@
     request: str = ""
     status: int = 0
     body: bytes = b""
+    settled_at_s: float = 0.0
 
 
 class Journal(msgspec.Struct, frozen=True):
@@ -83,12 +90,14 @@
         owner: Name of the entry.
         nonce: Unique to one execution of one request.
         request: Digest of the request's body.
-        now_s: Wall time in seconds.
+        requested_at_s: Wall time at which the request came in.
+        now_s: Wall time of the claim.
     """
 
     owner: str
     nonce: str
     request: str
+    requested_at_s: float
     now_s: float
 
 
@@ -119,19 +128,25 @@
         fence,
         claimant.now_s,
         claimant.request,
+        settled_at_s=claimant.now_s,
     )
 
 
 def claim(digest: str, claimant: Claimant) -> Operation:
     """Claims a key that nobody holds, or whose call was given back unrun.
 
-    Applying it again after a lost answer finds the same nonce and changes
-    nothing.
+    A caller that was told "not run" may rely on it, so a request that was on
+    its way before that may no longer claim the key; only one that came in
+    later may. Applying the operation again after a lost answer finds the same
+    nonce and changes nothing.
     """
 
     def change(found: Record | None) -> Record | None:
-        is_free = found is None or found.state is State.NOT_RUN
-        if not is_free or (found is not None and found.nonce == claimant.nonce):
+        if found is None:
+            return _make_record(State.CLAIMED, claimant, found)
+        is_later = claimant.requested_at_s > found.settled_at_s + CLOCK_SKEW_S
+        is_free = found.state is State.NOT_RUN and is_later
+        if not is_free or found.nonce == claimant.nonce:
             return found
         return _make_record(State.CLAIMED, claimant, found)
 
@@ -159,25 +174,60 @@
     return Operation(digest, change)
 
 
-def give_back(digest: str, claimant: Claimant) -> Operation:
+def give_back(
+    digest: str, claimant: Claimant, state: State, now_s: float
+) -> Operation:
     """Ends a claim whose write may or may not have taken effect.
 
-    Without a record it writes one, so that the conditional write in doubt can
-    no longer succeed.
+    Where the claim could still succeed (no record, or a call given back unrun)
+    it writes a record, so that the conditional write in doubt fails.
+
+    Args:
+        digest: Key digest.
+        claimant: Who claimed it.
+        state: ``NOT_RUN`` if nothing was sent, else ``UNKNOWN``.
+        now_s: Wall time in seconds.
     """
 
     def change(found: Record | None) -> Record | None:
         if found is None:
-            return _make_record(State.NOT_RUN, claimant, found)
+            record = _make_record(state, claimant, found)
+            return msgspec.structs.replace(record, settled_at_s=now_s)
+        if found.state is State.NOT_RUN:
+            return _renew(found, state, now_s)
         if found.nonce != claimant.nonce or found.state is not State.CLAIMED:
             return found
-        return msgspec.structs.replace(found, state=State.NOT_RUN)
+        return _renew(found, state, now_s)
 
     return Operation(digest, change)
 
 
+def confirm_not_run(digest: str, now_s: float) -> Operation:
+    """Makes "not run" hold against all requests that came in before now."""
+
+    def change(found: Record | None) -> Record | None:
+        if found is None or found.state is not State.NOT_RUN:
+            return found
+        return _renew(found, State.NOT_RUN, now_s)
+
+    return Operation(digest, change)
+
+
+def _renew(found: Record, state: State, now_s: float) -> Record:
+    """Returns the record with a state that holds from now on."""
+    settled_at_s = max(now_s, found.settled_at_s)
+    return msgspec.structs.replace(
+        found, state=state, settled_at_s=settled_at_s
+    )
+
+
 def settle(
-    digest: str, nonce: str, state: State, status: int = 0, body: bytes = b""
+    digest: str,
+    nonce: str,
+    state: State,
+    now_s: float,
+    status: int = 0,
+    body: bytes = b"",
 ) -> Operation:
     """Records the outcome of a claim that still stands under a nonce."""
 
@@ -187,7 +237,7 @@
         if found.state not in (State.CLAIMED, State.UNKNOWN):
             return found
         return msgspec.structs.replace(
-            found, state=state, status=status, body=body
+            found, state=state, status=status, body=body, settled_at_s=now_s
         )
 
     return Operation(digest, change)
--- /dev/null
+++ b/src/fuchsiabarrow/actions/tests/schedules.py
@@ -0,0 +1,248 @@
+"""Seeded schedules of resends, pauses, deaths, outages and lost answers."""
+
+import asyncio
+import dataclasses
+import random
+
+from fuchsiabarrow.actions import claims
+from fuchsiabarrow.actions import journals
+from fuchsiabarrow.actions import keys
+from fuchsiabarrow.actions import writers
+from fuchsiabarrow.actions.tests import fakes
+from fuchsiabarrow.configuration import documents
+from fuchsiabarrow.ports import instances
+from fuchsiabarrow.utils.tests import virtual_time
+
+ENTRIES = 3
+KEYS = 4
+SENDS = 4
+DURATION_S = 20.0
+QUIET_S = 120.0
+INSTANCE = instances.Instance("w-1", "10.0.0.1:1", "service", "workshop")
+
+
+@dataclasses.dataclass
+class Received:
+    """An answer that a caller received.
+
+    Attributes:
+        key: Key that it is about.
+        sent_at_s: When the request was sent.
+        at_s: When the answer came.
+        state: Outcome told.
+    """
+
+    key: str
+    sent_at_s: float
+    at_s: float
+    state: journals.State
+
+
+@dataclasses.dataclass
+class Result:
+    """What a schedule led to.
+
+    Attributes:
+        received: Answers that callers received.
+        sent_at_s: Keys and times of all requests.
+        runs: Times, keys and senders of all runs.
+        final: Outcome told to a last request after all trouble, by key.
+        causes: Causes that leave an unknown outcome where nothing guards.
+    """
+
+    received: list[Received]
+    sent_at_s: list[tuple[str, float]]
+    runs: list[tuple[float, str, str]]
+    final: dict[str, journals.State]
+    causes: set[str]
+
+
+class Entry:
+    """One entry's claim runner behind a gate."""
+
+    def __init__(self, name, store, service, source):
+        loop = asyncio.get_running_loop()
+        self.gate = fakes.Gate()
+        self.is_alive = True
+        self.tasks: set[asyncio.Task] = set()
+        self.writer = writers.JournalWriter(
+            fakes.GatedStore(store, self.gate), writers.Settings(), source
+        )
+        self.runner = claims.ClaimRunner(
+            name,
+            self.writer,
+            fakes.GatedService(service, self.gate, name),
+            lambda service, regions, avoid: (
+                None if INSTANCE.instance_id in avoid else INSTANCE
+            ),
+            claims.Settings(),
+            loop.time,
+            loop.time,
+        )
+
+    def send(self, request) -> asyncio.Task:
+        task = asyncio.create_task(self.runner.run(request))
+        self.tasks.add(task)
+        return task
+
+    async def die(self) -> None:
+        self.is_alive = False
+        for task in self.tasks:
+            task.cancel()
+        await self.runner.__aexit__(None, None, None)
+        await self.writer.__aexit__(None, None, None)
+
+
+class Schedule:
+    """Runs one seeded schedule."""
+
+    def __init__(self, seed: int, guard: str):
+        self._source = random.Random(seed)
+        self._guard = guard
+        self._action = documents.Action("workshop", "/x", guard, 1.0)
+        self._received: list[Received] = []
+        self._sent: list[tuple[str, float]] = []
+        self._causes: set[str] = set()
+
+    async def run(self) -> Result:
+        source = self._source
+        store = fakes.FakeStore(source)
+        service = fakes.FakeService(source, self._guard)
+        self._entries = [
+            Entry(f"entry-{n}", store, service, source) for n in range(ENTRIES)
+        ]
+        settings = keys.Settings()
+        found = [
+            keys.make_key(f"key-{n}", "org", "act", 0.0, settings)
+            for n in range(KEYS)
+        ]
+        troubles = asyncio.create_task(self._make_trouble(store, service))
+        await asyncio.gather(*(self._act_as_caller(key) for key in found))
+        await troubles
+        for entry in self._entries:
+            entry.gate.resume()
+        await asyncio.sleep(QUIET_S)
+        store.heal()
+        service.heal()
+        final = {key.text: await self._resend(key) for key in found}
+        for entry in self._entries:
+            await entry.die()
+        return Result(
+            self._received, self._sent, service.runs, final, self._causes
+        )
+
+    async def _resend(self, key: keys.ActionKey) -> journals.State:
+        """Sends once more after all trouble and returns the outcome."""
+        entry = next(e for e in self._entries if e.is_alive)
+        now_s = asyncio.get_running_loop().time()
+        self._sent.append((key.text, now_s))
+        request = claims.ActionRequest(self._action, key, b"{}", now_s)
+        return (await entry.send(request)).state
+
+    async def _act_as_caller(self, key: keys.ActionKey) -> None:
+        """Sends until the outcome is final, each time to another entry."""
+        source = self._source
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(source.uniform(0, DURATION_S / 2))
+        for number in range(SENDS):
+            entry = source.choice(self._entries)
+            if not entry.is_alive:
+                await asyncio.sleep(0.1)
+                continue
+            sent_at_s = loop.time()
+            self._sent.append((key.text, sent_at_s))
+            task = entry.send(
+                claims.ActionRequest(
+                    self._action, key, b"{}", sent_at_s, is_first=number == 0
+                )
+            )
+            patience_s = source.choice([0.05, 0.5, 3.0, 30.0])
+            done, _ = await asyncio.wait({task}, timeout=patience_s)
+            if not done or task.cancelled():
+                continue
+            outcome = task.result()
+            self._received.append(
+                Received(key.text, sent_at_s, loop.time(), outcome.state)
+            )
+            if outcome.state in journals.FINAL_STATES:
+                return
+            await asyncio.sleep(source.uniform(0.9, 3.0))
+
+    async def _make_trouble(self, store, service) -> None:
+        source = self._source
+        service.refuse_rate = source.choice([0, 0, 0.3])
+        service.not_sent_rate = source.choice([0, 0, 0.3])
+        service.lose_answer_rate = source.choice([0, 0.3])
+        service.slow_rate = source.choice([0, 0, 0.2])
+        store.lose_answer_rate = source.choice([0, 0.2])
+        store.late_write_rate = source.choice([0, 0, 0.2])
+        if service.lose_answer_rate or service.slow_rate:
+            self._causes.add("answer lost")
+        limit_s = asyncio.get_running_loop().time() + DURATION_S
+        while asyncio.get_running_loop().time() < limit_s:
+            await asyncio.sleep(source.uniform(0.2, 2.0))
+            trouble = source.choice(["outage", "slow", "pause", "death"])
+            await self._cause_one(trouble, store)
+
+    async def _cause_one(self, trouble: str, store) -> None:
+        source = self._source
+        entry = source.choice(self._entries)
+        if trouble == "outage":
+            store.is_down = True
+            await asyncio.sleep(source.uniform(0.1, 4.0))
+            store.is_down = False
+        elif trouble == "slow":
+            store.delay_s = source.choice([0.002, 0.2, 1.0])
+        elif trouble == "pause":
+            entry.gate.pause()
+            await asyncio.sleep(source.uniform(0.1, 15.0))
+            entry.gate.resume()
+        elif sum(e.is_alive for e in self._entries) > 1:
+            self._causes.add("entry died")
+            await entry.die()
+
+
+def run_schedule(seed: int, guard: str) -> Result:
+    """Runs one schedule on virtual time."""
+    return virtual_time.run(Schedule(seed, guard).run())
+
+
+def find_doubles(result: Result) -> list[str]:
+    """Returns the keys that ran more than once."""
+    ran = [key for _, key, _ in result.runs]
+    return sorted({key for key in ran if ran.count(key) > 1})
+
+
+def find_false_not_run(result: Result) -> list[Received]:
+    """Returns the answers "not run" that were or became untrue.
+
+    A run after the answer is allowed only if a request for the key was sent
+    after the answer was received.
+    """
+    false = []
+    for answer in result.received:
+        if answer.state is not journals.State.NOT_RUN:
+            continue
+        for at_s, key, _ in result.runs:
+            if key != answer.key:
+                continue
+            resent = any(
+                sent_key == key and answer.at_s <= sent_at_s <= at_s
+                for sent_key, sent_at_s in result.sent_at_s
+            )
+            if at_s <= answer.at_s or not resent:
+                false.append(answer)
+    return false
+
+
+def find_false_completed(result: Result) -> list[Received]:
+    """Returns the answers "completed" of calls that had not run."""
+    return [
+        answer
+        for answer in result.received
+        if answer.state is journals.State.COMPLETED
+        and not any(
+            key == answer.key and at_s <= answer.at_s
+            for at_s, key, _ in result.runs
+        )
+    ]
--- a/src/fuchsiabarrow/entry/callers.py
+++ b/src/fuchsiabarrow/entry/callers.py
@@ -288,6 +288,7 @@
     async def _read_action(
         self, request, name: str, organisation: documents.Organisation
     ) -> claims.ActionRequest:
+        requested_at_s = clocks.read_wall_time_s()
         action_name = request.match_info["action"]
         action = self._find_action(action_name, organisation)
         text = request.headers.get("Idempotency-Key")
@@ -316,7 +317,12 @@
             ) from None
         is_first = request.headers.get("Idempotency-Attempt") == "1"
         return claims.ActionRequest(
-            action, key, body, tuple(organisation.regions), is_first
+            action,
+            key,
+            body,
+            requested_at_s,
+            tuple(organisation.regions),
+            is_first,
         )
 
     def _find_action(
