--- a/src/fuchsiabarrow/adapters/engines.py
+++ b/src/fuchsiabarrow/adapters/engines.py
@@ -15,6 +15,7 @@
 
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.ports import engines
+from fuchsiabarrow.utils import deadlines
 
 __all__ = ["EngineLink", "Settings"]
 
@@ -190,7 +191,7 @@
             return
         await socket.close()
         self._fail_pending(
-            exceptions.InstanceUnreachableError(
+            exceptions.InstanceDiedError(
                 self._instance_id, "closed its connection; use another"
             )
         )
@@ -233,13 +234,17 @@
         entry.future.set_result(answer)
 
     async def _watch_silence(self) -> None:
-        """Returns once steps are outstanding and no frame has come."""
+        """Returns once steps are outstanding and no frame has come.
+
+        After a pause of this process the frames are still to be read.
+        """
         limit_s = self._settings.silence_timeout_s
         loop = asyncio.get_running_loop()
+        guard = deadlines.StallGuard(limit_s / 4)
         while True:
             await asyncio.sleep(limit_s / 4)
             oldest_s = self._find_oldest_s()
-            if oldest_s is None:
+            if guard.was_stalled() or oldest_s is None:
                 continue
             if loop.time() - max(oldest_s, self._last_frame_s) > limit_s:
                 return
--- a/src/fuchsiabarrow/adapters/objects.py
+++ b/src/fuchsiabarrow/adapters/objects.py
@@ -1,7 +1,6 @@
 """Adapter to the platform's object API over HTTP."""
 
 import base64
-from collections.abc import AsyncIterator
 
 import aiohttp
 import msgspec
@@ -11,17 +10,13 @@
 
 __all__ = ["HttpObjectStore"]
 
-HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_PRECONDITION_FAILED = 412
 HTTP_SERVER_ERROR = 500
-# A watch without an event or bookmark for this long is silent.
-WATCH_SILENCE_S = 5.0
 
 
 class _Listing(msgspec.Struct, frozen=True):
     items: list[tuple[str, str, int]]
-    at: int
 
 
 class HttpObjectStore:
@@ -30,7 +25,7 @@
     Args:
         session: HTTP session, owned by the caller.
         address: ``ip:port`` of the object API.
-        timeout_s: Bound on a call other than a watch.
+        timeout_s: Bound on a call.
     """
 
     def __init__(
@@ -47,15 +42,14 @@
             return None
         return objects.Stored(name, body, int(headers["ETag"]))
 
-    async def list(self, kind: str) -> tuple[list[objects.Stored], int]:
+    async def list(self, kind: str) -> list[objects.Stored]:
         """Implements `fuchsiabarrow.ports.objects.ObjectStore.list`."""
         _, body, _ = await self._read(f"{self._base}/{kind}")
         listing = msgspec.json.decode(body, type=_Listing)
-        found = [
+        return [
             objects.Stored(name, base64.b64decode(value), version)
             for name, value, version in listing.items
         ]
-        return found, listing.at
 
     async def put(
         self, kind: str, name: str, value: bytes, expected_version: int
@@ -84,20 +78,14 @@
             raise _make_unavailable(f"status {response.status}")
         return int(response.headers["ETag"])
 
-    async def watch(
-        self, kind: str, since_version: int
-    ) -> AsyncIterator[objects.Event]:
-        """Implements `fuchsiabarrow.ports.objects.ObjectStore.watch`."""
-        url = f"{self._base}/{kind}?watch={since_version}"
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=WATCH_SILENCE_S, sock_read=WATCH_SILENCE_S
-        )
+    async def delete(self, kind: str, name: str) -> None:
+        """Implements `fuchsiabarrow.ports.objects.ObjectStore.delete`."""
+        url = f"{self._base}/{kind}/{name}"
         try:
-            async with self._session.get(url, timeout=timeout) as response:
-                if response.status != HTTP_OK:
-                    raise _make_unavailable(f"status {response.status}")
-                async for line in response.content:
-                    yield msgspec.json.decode(line, type=objects.Event)
+            async with self._session.delete(
+                url, timeout=self._timeout
+            ) as response:
+                await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
             raise _make_unavailable(error) from error
 
--- a/src/fuchsiabarrow/adapters/services.py
+++ b/src/fuchsiabarrow/adapters/services.py
@@ -4,12 +4,15 @@
 
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.ports import services
+from fuchsiabarrow.utils import deadlines
 
 __all__ = ["HttpPlainService"]
 
 HTTP_OK = 200
 HTTP_NO_CONTENT = 204
 MAX_ANSWER_BYTES = 256 * 1024
+# The deadline of a call is kept here, not by the library.
+NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 
 
 class HttpPlainService:
@@ -27,19 +30,8 @@
 
     async def call(self, call: services.Call) -> services.CallAnswer:
         """Implements `fuchsiabarrow.ports.services.PlainService.call`."""
-        url = f"http://{call.address}{call.path}"
-        headers = {
-            "Idempotency-Key": call.key,
-            "Fencing-Token": str(call.fence),
-            "Content-Type": "application/json",
-            "Connection": "close",
-        }
-        timeout = aiohttp.ClientTimeout(total=call.timeout_s)
         try:
-            async with self._session.post(
-                url, data=call.body, headers=headers, timeout=timeout
-            ) as response:
-                body = await response.content.read(MAX_ANSWER_BYTES)
+            return await deadlines.wait_for(self._post(call), call.timeout_s)
         except aiohttp.ClientConnectorError as error:
             raise exceptions.ServiceNotSentError(
                 f"no connection to {call.address}; try another instance"
@@ -49,6 +41,21 @@
                 f"the answer of {call.address} was lost"
                 f" ({type(error).__name__}); ask for the outcome by its key"
             ) from error
+
+    async def _post(self, call: services.Call) -> services.CallAnswer:
+        headers = {
+            "Idempotency-Key": call.key,
+            "Fencing-Token": str(call.fence),
+            "Content-Type": "application/json",
+            "Connection": "close",
+        }
+        async with self._session.post(
+            f"http://{call.address}{call.path}",
+            data=call.body,
+            headers=headers,
+            timeout=NO_TIMEOUT,
+        ) as response:
+            body = await _read_body(response)
         did_not_run = response.headers.get("Did-Not-Run") == "true"
         return services.CallAnswer(response.status, body, did_not_run)
 
@@ -61,7 +68,7 @@
             async with self._session.get(
                 url, headers=headers, timeout=timeout
             ) as response:
-                body = await response.content.read(MAX_ANSWER_BYTES)
+                body = await _read_body(response)
         except (aiohttp.ClientError, TimeoutError) as error:
             raise exceptions.ServiceError(
                 f"{call.address} did not answer a question; ask again"
@@ -74,3 +81,17 @@
                 f" {response.status}; mark its guard as none"
             )
         return services.CallAnswer(response.status, body, False)
+
+
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Returns the whole body.
+
+    Raises:
+        ClientPayloadError: It was cut off, or is too large.
+    """
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            raise aiohttp.ClientPayloadError("the answer is too large")
+    return bytes(body)
--- a/src/fuchsiabarrow/configuration/service.py
+++ b/src/fuchsiabarrow/configuration/service.py
@@ -14,6 +14,7 @@
 from fuchsiabarrow.configuration import history
 from fuchsiabarrow.configuration import parts
 from fuchsiabarrow.configuration import patches
+from fuchsiabarrow.peers import service as peers_service
 from fuchsiabarrow.ports import objects
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import jitter
@@ -22,6 +23,10 @@
 
 HEAD_KIND = "configuration"
 HEAD_NAME = "head"
+# Entries tell each other the head under this key.
+ITEM_KIND = "configuration"
+ITEM_KEY = f"{ITEM_KIND}/{HEAD_NAME}"
+ITEM_LIFETIME_S = 10 * 365 * 86400.0
 PART_KIND = "configuration-part"
 
 _log = logbook.Logger(__name__)
@@ -31,13 +36,15 @@
     """Settings of the configuration service.
 
     Attributes:
-        retry_base_s: Delay scale after a failed read or watch.
-        retry_limit_s: Largest delay after a failed read or watch.
+        poll_rate_per_s: Reads of the head by all entries together.
+        poll_least_s: Smallest time between reads by one entry.
+        retry_base_s: Delay between tries of a write.
         patch_timeout_s: Bound on finding out whether a patch was accepted.
     """
 
-    retry_base_s: float = 0.2
-    retry_limit_s: float = 2.0
+    poll_rate_per_s: float = 5.0
+    poll_least_s: float = 0.2
+    retry_base_s: float = 0.1
     patch_timeout_s: float = 5.0
 
 
@@ -51,6 +58,7 @@
 
     Args:
         store: The object API.
+        peers: Other entries.
         settings: Delays and timeouts.
         source: Random source for delays.
     """
@@ -58,6 +66,7 @@
     def __init__(
         self,
         store: objects.ObjectStore,
+        peers: peers_service.PeersService,
         settings: Settings,
         source: random.Random,
     ):
@@ -68,19 +77,29 @@
         self._parts: dict[str, bytes] = {}
         self._head_version = objects.ABSENT_VERSION
         self._store = store
+        self._peers = peers
         self._settings = settings
         self._source = source
         self._listeners: list[Callable[[documents.Configuration], None]] = []
         self._adoption = asyncio.Lock()
-        self._task: asyncio.Task | None = None
+        self._news = asyncio.Event()
+        self._tasks: list[asyncio.Task] = []
 
     async def __aenter__(self) -> "ConfigurationService":
-        self._task = asyncio.create_task(self._follow())
+        self._peers.add_listener(ITEM_KIND, lambda item: self._news.set())
+        self._news.set()
+        works = (self._follow_store(), self._follow_peers())
+        self._tasks = [asyncio.create_task(work) for work in works]
         return self
 
     async def __aexit__(self, *details) -> None:
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def get_part(self, digest: str) -> bytes:
+        """Returns a part of what is in force, empty if it is none."""
+        return self._parts.get(digest, b"")
 
     def get_document(self) -> dict[str, Any]:
         """Returns the configuration in force as builtin types."""
@@ -93,25 +112,45 @@
         self._listeners.append(listener)
 
     async def refresh(self) -> None:
-        """Reads the head from the store and adopts it if it is newer."""
+        """Reads the head from the store and adopts it if it is newer.
+
+        A store that was restored from a copy gets the head in force back. If
+        the read was only stale, that conditional write fails.
+        """
         stored = await self._store.get(HEAD_KIND, HEAD_NAME)
-        if stored is None:
-            if self.head.number > 0:
-                self._raise_alarm(history.Verdict.ALARM_REVERTED, 0)
-            return
-        await self.consider(stored.value, stored.version)
+        found, version = parts.EMPTY_HEAD, objects.ABSENT_VERSION
+        if stored is not None:
+            found = msgspec.json.decode(stored.value, type=parts.Head)
+            version = stored.version
+        verdict = await self._consider(found, is_from_store=True)
+        if verdict is history.Verdict.ALARM_REVERTED:
+            await self._restore_store(version)
+        elif verdict is not history.Verdict.ALARM_DIVERGED:
+            self._head_version = version
+
+    async def _restore_store(self, version: int) -> None:
+        for digest, part in self._parts.items():
+            await self._write_part(digest, part)
+        value = msgspec.json.encode(self.head)
+        try:
+            self._head_version = await self._store.put(
+                HEAD_KIND, HEAD_NAME, value, version
+            )
+        except exceptions.StoreConflictError:
+            return  # The read was stale, or another entry was faster.
+        _log.error(logs.format_event("store_restored", number=self.head.number))
 
-    async def consider(self, value: bytes, version: int) -> None:
-        """Adopts an encoded head if it is newer than the one in force."""
+    async def _consider(
+        self, found: parts.Head, is_from_store: bool
+    ) -> history.Verdict:
+        """Adopts a head if it is newer than the one in force."""
         async with self._adoption:
-            found = msgspec.json.decode(value, type=parts.Head)
             verdict = history.judge_head(self.head, found)
             if verdict is history.Verdict.ADOPT:
-                await self._adopt(found)
+                await self._adopt(found, is_from_store)
             elif verdict is not history.Verdict.KEEP:
                 self._raise_alarm(verdict, found.number)
-                return
-            self._head_version = version
+            return verdict
 
     async def patch(
         self, patch: object, expected_number: int, author: str
@@ -144,18 +183,21 @@
     async def _write_parts(self, split: dict[str, bytes]) -> None:
         for part in split.values():
             digest = parts.compute_digest(part)
-            if digest in self._parts:
-                continue
-            try:
-                await self._store.put(
-                    PART_KIND, digest, part, objects.ABSENT_VERSION
-                )
-            except exceptions.StoreConflictError:
-                continue  # The same content was written before.
-            except exceptions.StoreUncertainError as error:
-                raise exceptions.StoreUnavailableError(
-                    "the store lost a part of the patch; send it again"
-                ) from error
+            if digest not in self._parts:
+                await self._write_part(digest, part)
+
+    async def _write_part(self, digest: str, part: bytes) -> None:
+        try:
+            await self._store.put(
+                PART_KIND, digest, part, objects.ABSENT_VERSION
+            )
+        except exceptions.StoreConflictError:
+            return  # The same content was written before.
+        except exceptions.StoreUncertainError as error:
+            raise exceptions.StoreUnavailableError(
+                "the store lost a part of the configuration; send the patch"
+                " again"
+            ) from error
 
     async def _write_head(self, head: parts.Head, version: int) -> None:
         """Writes a head, and finds out what happened if the answer is lost.
@@ -195,40 +237,45 @@
             )
         found = msgspec.json.decode(stored.value, type=parts.Head)
         if found.recent.get(head.number) != head.nonce:
-            await self.consider(stored.value, stored.version)
+            await self._consider(found, is_from_store=True)
             raise exceptions.VersionMismatchError(self.head.number)
 
-    async def _follow(self) -> None:
-        failures = 0
+    async def _follow_store(self) -> None:
+        """Polls the head, at a rate that all entries share."""
         while True:
             try:
                 await self.refresh()
-                failures = 0
-                async for event in self._store.watch(
-                    HEAD_KIND, self._head_version
-                ):
-                    if not event.is_bookmark and event.value is not None:
-                        await self.consider(event.value, event.version)
             except exceptions.StoreError as error:
                 _log.warning(logs.format_event("store_down", error=error))
             except exceptions.ConfigurationError as error:
                 _log.error(logs.format_event("bad_configuration", error=error))
-            failures += 1
-            await asyncio.sleep(
-                jitter.compute_backoff_s(
-                    failures,
-                    self._settings.retry_base_s,
-                    self._settings.retry_limit_s,
-                    self._source,
-                )
+            period_s = self._peers.get_period_s(
+                self._settings.poll_rate_per_s, self._settings.poll_least_s
             )
+            await asyncio.sleep(jitter.spread_period_s(period_s, self._source))
 
-    async def _adopt(self, head: parts.Head) -> None:
+    async def _follow_peers(self) -> None:
+        """Adopts the heads that other entries tell."""
+        while True:
+            await self._news.wait()
+            self._news.clear()
+            item = self._peers.get_item(ITEM_KEY)
+            if item is None or item.version <= self.head.number:
+                continue
+            found = msgspec.json.decode(item.value, type=parts.Head)
+            try:
+                await self._consider(found, is_from_store=False)
+            except exceptions.FuchsiabarrowError as error:
+                _log.warning(logs.format_event("head_delayed", error=error))
+                await asyncio.sleep(self._settings.retry_base_s)
+                self._news.set()
+
+    async def _adopt(self, head: parts.Head, is_from_store: bool) -> None:
         """Fetches the parts that are missing and puts a head in force."""
         found: dict[str, bytes] = {}
         for digest in head.parts.values():
             found[digest] = self._parts.get(digest) or await self._fetch_part(
-                digest
+                digest, is_from_store
             )
         document = parts.join_parts(head, found)
         self.configuration = documents.decode(document)
@@ -238,8 +285,15 @@
         _log.info(logs.format_event("configuration", number=head.number))
         for listener in self._listeners:
             listener(self.configuration)
-
-    async def _fetch_part(self, digest: str) -> bytes:
+        value = msgspec.json.encode(head)
+        self._peers.publish(ITEM_KEY, head.number, value, ITEM_LIFETIME_S)
+
+    async def _fetch_part(self, digest: str, is_from_store: bool) -> bytes:
+        """Fetches a part, first from where its head came."""
+        if not is_from_store:
+            content = await self._peers.fetch_part(digest)
+            if content:
+                return content
         stored = await self._store.get(PART_KIND, digest)
         if stored is None:
             raise exceptions.StoreUnavailableError(
--- a/src/fuchsiabarrow/entry/composition.py
+++ b/src/fuchsiabarrow/entry/composition.py
@@ -19,18 +19,20 @@
 from fuchsiabarrow.configuration import service as configuration_service
 from fuchsiabarrow.entry import authentication
 from fuchsiabarrow.entry import callers
-from fuchsiabarrow.entry import listeners
 from fuchsiabarrow.entry import operators
 from fuchsiabarrow.entry import settings as settings_module
 from fuchsiabarrow.entry import state as state_module
 from fuchsiabarrow.kernel import registry
 from fuchsiabarrow.limits import service as limits_service
+from fuchsiabarrow.peers import members
+from fuchsiabarrow.peers import service as peers_service
 from fuchsiabarrow.routing import service as routing_service
 from fuchsiabarrow.streams import links
 from fuchsiabarrow.streams import service as streams_service
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.telemetry import metrics as metrics_module
 from fuchsiabarrow.telemetry import traces
+from fuchsiabarrow.utils import listeners
 
 __all__ = ["Entry"]
 
@@ -73,8 +75,10 @@
         await self._stack.enter_async_context(self.kernel)
         try:
             await self._add_platform()
+            await self._add_peers()
             await self._add_core()
             await self._add_interfaces()
+            await self.kernel.get("peers").join(self.operator_address)
         except BaseException:
             await self._stack.aclose()
             raise
@@ -104,6 +108,31 @@
         )
         await kernel.add("listing", contextlib.nullcontext(listing))
 
+    async def _add_peers(self) -> None:
+        kernel, entry = self.kernel, self._settings.entry
+        own = members.Member(
+            entry.name,
+            self._settings.peers.address,
+            entry.operator_address,
+            entry.region,
+            entry.failure_domain,
+        )
+
+        def get_part(digest: str) -> bytes:
+            return kernel.get("configuration").get_part(digest)
+
+        await kernel.add(
+            "peers",
+            peers_service.PeersService(
+                kernel.get("session"),
+                own,
+                kernel.get("store"),
+                self._settings.peers,
+                self._source,
+                get_part,
+            ),
+        )
+
     async def _add_core(self) -> None:
         kernel, settings = self.kernel, self._settings
         metrics = metrics_module.Metrics()
@@ -115,7 +144,10 @@
         await kernel.add(
             "routing",
             routing_service.RoutingService(
-                kernel.get("listing"), settings.routing, self._source
+                kernel.get("listing"),
+                kernel.get("peers"),
+                settings.routing,
+                self._source,
             ),
         )
         await kernel.add(
@@ -124,7 +156,10 @@
         await self._add_streams()
         await self._add_actions()
         configuration = configuration_service.ConfigurationService(
-            kernel.get("store"), settings.configuration, self._source
+            kernel.get("store"),
+            kernel.get("peers"),
+            settings.configuration,
+            self._source,
         )
         configuration.add_listener(index.change)
         configuration.add_listener(self._change_limits)
@@ -153,6 +188,7 @@
             streams_service.StreamsService(
                 kernel.get("routing"),
                 directory,
+                kernel.get("peers"),
                 tracer,
                 metrics,
                 settings.streams,
@@ -235,4 +271,5 @@
                 await actions.finish_writes()
         except TimeoutError:
             _log.error(logs.format_event("stop_limit", left="actions"))
+        await self.kernel.get("peers").leave()
         _log.info(logs.format_event("stopped"))
--- a/src/fuchsiabarrow/entry/operators.py
+++ b/src/fuchsiabarrow/entry/operators.py
@@ -33,6 +33,7 @@
         self._actions = kernel.get("actions")
         self._metrics = kernel.get("metrics")
         self._state = kernel.get("state")
+        self._peers = kernel.get("peers")
 
     def add_routes(self, app: aiohttp.web.Application) -> None:
         """Adds the routes of the interface."""
@@ -119,6 +120,13 @@
                 "is_draining": self._state.is_draining,
                 "streams": self._streams.count_running(),
                 "actions": self._actions.count_running(),
+                "members": [
+                    {
+                        **msgspec.to_builtins(member),
+                        "status": member.status.name.lower(),
+                    }
+                    for member in self._peers.members.get_all()
+                ],
                 "instances": instances,
             }
         )
--- a/src/fuchsiabarrow/entry/settings.py
+++ b/src/fuchsiabarrow/entry/settings.py
@@ -1,6 +1,5 @@
 """Settings of an entry, read from a TOML file."""
 
-import ipaddress
 import pathlib
 import tomllib
 
@@ -10,22 +9,21 @@
 from fuchsiabarrow.actions import service as actions_service
 from fuchsiabarrow.adapters import engines as engine_adapter
 from fuchsiabarrow.configuration import service as configuration_service
+from fuchsiabarrow.peers import service as peers_service
 from fuchsiabarrow.routing import service as routing_service
 from fuchsiabarrow.streams import service as streams_service
 from fuchsiabarrow.telemetry import logs as logs_module
 from fuchsiabarrow.telemetry import traces as traces_module
+from fuchsiabarrow.utils import addresses as addresses_module
 
 __all__ = [
     "EntrySettings",
     "PlatformSettings",
     "Settings",
     "convert",
-    "parse_address",
     "read_file",
 ]
 
-MAX_PORT = 65535
-
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Place and addresses of the entry.
@@ -81,6 +79,7 @@
         entry: Place and addresses.
         platform: Addresses of the platform.
         operators: Access before the first configuration.
+        peers: Messages between entries.
         engines: Connections to engines.
         routing: Choice of instances.
         streams: Streams.
@@ -93,6 +92,7 @@
     entry: EntrySettings
     platform: PlatformSettings
     operators: OperatorSettings = OperatorSettings()
+    peers: peers_service.Settings = peers_service.Settings()
     engines: engine_adapter.Settings = engine_adapter.Settings()
     routing: routing_service.Settings = routing_service.Settings()
     streams: streams_service.Settings = streams_service.Settings()
@@ -141,30 +141,17 @@
     return found
 
 
-def parse_address(text: str) -> tuple[str, int]:
-    """Returns the IP number and port of ``ip:port``.
-
-    Raises:
-        ValueError: It is not an IP number and a port.
-    """
-    host, _, port = text.rpartition(":")
-    host = host.strip("[]")
-    ipaddress.ip_address(host)
-    if not port.isdecimal() or int(port) > MAX_PORT:
-        raise ValueError(f"{text!r} has no port from 0 to {MAX_PORT}")
-    return host, int(port)
-
-
 def _check(found: Settings) -> None:
     addresses = {
         "entry.caller_address": found.entry.caller_address,
         "entry.operator_address": found.entry.operator_address,
+        "peers.address": found.peers.address,
         "platform.objects_address": found.platform.objects_address,
         "platform.instances_address": found.platform.instances_address,
     }
     for path, address in addresses.items():
         try:
-            parse_address(address)
+            addresses_module.parse_address(address)
         except ValueError as error:
             raise ValueError(f"$.{path}: {error}; write ip:port") from None
     if found.logs.level not in logs_module.LEVELS:
--- /dev/null
+++ b/src/fuchsiabarrow/entry/tests/test_process_failures.py
@@ -0,0 +1,334 @@
+"""Kills, freezes, outages and races, against separate processes."""
+
+import asyncio
+import signal
+
+import aiohttp
+import pytest
+import uuid6
+
+from fuchsiabarrow.entry.tests import fleets
+from fuchsiabarrow.standins import callers
+from fuchsiabarrow.standins import engines
+from fuchsiabarrow.standins import worlds
+from fuchsiabarrow.streams.tests import worlds as expected
+from fuchsiabarrow.utils import loops
+
+MODEL = worlds.MODEL
+RANGES = ((0, 4), (4, 8), (8, 12))
+REPLICAS = 3
+PROFILES = tuple(
+    engines.EngineProfile(f"s{first}-{n}", MODEL, first, end, 0.001)
+    for first, end in RANGES
+    for n in range(REPLICAS)
+)
+ENTRIES = ("entry-1", "entry-2")
+CALLERS = 64
+TOKENS = 60
+KILLS = 6
+KILL_PERIOD_S = 0.3
+PATIENCE_S = 10
+
+
+def run(fleet, check, entries=ENTRIES, profiles=PROFILES, **options):
+    """Runs a check against a fleet that is set up."""
+
+    async def main():
+        async with aiohttp.ClientSession() as session:
+            await fleets.set_up(session, fleet, profiles, entries, **options)
+            addresses = fleet.get_addresses(*entries)
+            caller = callers.Caller(session, addresses, worlds.CALLER_KEY)
+            await check(session, caller)
+
+    loops.run(main())
+
+
+async def start_replacement(session, fleet, profile, number: int) -> None:
+    """Starts an engine anew under another name and lists it."""
+    loop = asyncio.get_running_loop()
+    name = f"{profile.instance_id}-r{number}"
+    replacement = engines.EngineProfile(
+        name, MODEL, profile.first_layer, profile.end_layer, 0.001
+    )
+    await loop.run_in_executor(None, fleet.start_engines, (replacement,))
+    address = fleet.processes[name].address
+    listed = worlds.describe_engine(replacement, address)
+    await fleets.put_instance(session, fleet, listed)
+
+
+def test_64_callers_get_their_answers_while_stages_are_killed(fleet):
+    async def check(session, caller):
+        for profile in PROFILES:
+            process = fleet.processes[profile.instance_id]
+            await fleets.set_faults(
+                session, process, swap_answers=True, repeat_answers=True
+            )
+        prompts = [f"caller {number}" for number in range(CALLERS)]
+        works = await expected.chat_all(caller, prompts, TOKENS)
+        spares = []
+        for number in range(KILLS):
+            await asyncio.sleep(KILL_PERIOD_S)
+            profile = PROFILES[(4 * number) % len(PROFILES)]
+            fleet.processes[profile.instance_id].send(signal.SIGKILL)
+            work = start_replacement(session, fleet, profile, number)
+            spares.append(asyncio.create_task(work))
+            more = [f"late {number}-{n}" for n in range(CALLERS // 8)]
+            prompts += more
+            works += await expected.chat_all(caller, more, TOKENS)
+        await asyncio.gather(*spares)
+        await expected.check_answers(prompts, works, TOKENS)
+
+    run(fleet, check)
+
+
+def test_frozen_stages_are_replaced(fleet):
+    async def check(session, caller):
+        prompts = [f"caller {number}" for number in range(16)]
+        works = await expected.chat_all(caller, prompts, TOKENS)
+        await asyncio.sleep(0.1)
+        for name in ("s0-0", "s8-1"):
+            fleet.processes[name].send(signal.SIGSTOP)
+        await expected.check_answers(prompts, works, TOKENS)
+
+    run(fleet, check)
+
+
+def test_paused_entry_goes_on_with_its_streams_on_the_same_connections(fleet):
+    async def check(session, caller):
+        caller.entries = caller.entries[:1]
+        paused = fleet.processes["entry-1"]
+        prompts = [f"caller {number}" for number in range(16)]
+        works = await expected.chat_all(caller, prompts, 200)
+        await asyncio.sleep(0.2)
+        paused.send(signal.SIGSTOP)
+        await asyncio.sleep(1.5)
+        paused.send(signal.SIGCONT)
+        await expected.check_answers(prompts, works, 200)
+        async with session.get(
+            f"http://{paused.operator_address}/metrics"
+        ) as answer:
+            assert "silent_connection" not in await answer.text()
+
+    run(fleet, check)
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+def test_streams_of_a_lost_entry_are_resumed_at_another(fleet, number):
+    async def check(session, caller):
+        caller.entries = caller.entries[:1]
+        prompts = [f"caller {number}" for number in range(8)]
+        works = await expected.chat_all(caller, prompts, 200)
+        await asyncio.sleep(0.3)
+        lost = fleet.processes["entry-1"]
+        caller.entries = fleet.get_addresses("entry-2")
+        lost.send(number)
+        unfinished = [not work.done() for work in works]
+        assert any(unfinished)
+        if number is signal.SIGSTOP:
+            # The callers' side notices a frozen entry by its own time-out.
+            await asyncio.sleep(0.2)
+            lost.send(signal.SIGKILL)
+        answers = await expected.check_answers(prompts, works, 200)
+        for answer, was_cut in zip(answers, unfinished, strict=True):
+            assert len(answer.entries) > was_cut
+
+    run(fleet, check)
+
+
+def test_paused_entry_with_a_claim_cannot_make_a_deposit_run_twice(fleet):
+    async def check(session, caller):
+        key, body = str(uuid6.uuid7()), {"deposit": 1}
+        service = fleet.processes["service"]
+        await fleets.set_faults(session, service, delay_s=1.0)
+        first, second = caller.entries
+        work = asyncio.create_task(
+            caller.act("confirm-deposit", key, body, first)
+        )
+        await asyncio.sleep(0.3)
+        fleet.processes["entry-1"].send(signal.SIGSTOP)
+        status, found = await caller.act(
+            "confirm-deposit", key, body, second, attempt=2
+        )
+        assert (status, found["outcome"]) == (409, "unknown")
+        assert found["key"] == key
+        fleet.processes["entry-1"].send(signal.SIGCONT)
+        assert (await work)[1]["outcome"] == "completed"
+        async with asyncio.timeout(PATIENCE_S):
+            while found["outcome"] != "completed":
+                status, found = await caller.act(
+                    "confirm-deposit", key, body, second, attempt=3
+                )
+        assert await fleets.read_json(session, service, "/runs") == {key: 1}
+
+    run(fleet, check, profiles=())
+
+
+def test_deposit_whose_entry_is_killed_is_unknown_and_never_repeated(fleet):
+    async def check(session, caller):
+        key, body = str(uuid6.uuid7()), {"deposit": 1}
+        service = fleet.processes["service"]
+        await fleets.set_faults(session, service, delay_s=1.0)
+        first, second = caller.entries
+        work = asyncio.create_task(
+            caller.act("confirm-deposit", key, body, first)
+        )
+        await asyncio.sleep(0.3)
+        fleet.processes["entry-1"].send(signal.SIGKILL)
+        with pytest.raises(aiohttp.ClientError):
+            await work
+        caller.entries = [second]
+        for attempt in (2, 3):
+            _, found = await caller.act(
+                "confirm-deposit", key, body, second, attempt
+            )
+            assert found["outcome"] == "unknown"
+        _, found = await caller.ask("confirm-deposit", key)
+        assert found["outcome"] == "unknown"
+        assert await fleets.read_json(session, service, "/runs") == {key: 1}
+
+    run(fleet, check, profiles=())
+
+
+def test_fencing_service_resolves_a_deposit_whose_entry_was_killed(fleet):
+    async def check(session, caller):
+        key, body = str(uuid6.uuid7()), {"deposit": 1}
+        service = fleet.processes["service"]
+        await fleets.set_faults(session, service, delay_s=1.0, check_fence=True)
+        first, second = caller.entries
+        work = asyncio.create_task(
+            caller.act("confirm-deposit", key, body, first)
+        )
+        await asyncio.sleep(0.3)
+        fleet.processes["entry-1"].send(signal.SIGKILL)
+        with pytest.raises(aiohttp.ClientError):
+            await work
+        found = {"outcome": "unknown"}
+        async with asyncio.timeout(PATIENCE_S):
+            while found["outcome"] == "unknown":
+                _, found = await caller.act(
+                    "confirm-deposit", key, body, second, attempt=2
+                )
+        assert found["outcome"] == "completed"
+        assert await fleets.read_json(session, service, "/runs") == {key: 1}
+
+    more = "\n[actions.claims]\nlapse_s = 1.0\n"
+    run(fleet, check, profiles=(), guard="fences", more=more)
+
+
+def test_store_outage_stops_deposits_but_not_streams(fleet):
+    async def check(session, caller):
+        store = fleet.processes["objects"]
+        await fleets.set_faults(session, store, down=True)
+        key, body = str(uuid6.uuid7()), {"deposit": 1}
+        _, found = await caller.act("confirm-deposit", key, body)
+        assert found["outcome"] == "not_run"
+        work = await expected.chat_all(caller, ["a shelf"], 20)
+        await expected.check_answers(["a shelf"], work, 20)
+        _, found = await caller.act(
+            "read-order", str(uuid6.uuid7()), {"order": 1}
+        )
+        assert found["outcome"] == "completed"
+        await fleets.set_faults(session, store, down=False)
+        async with asyncio.timeout(PATIENCE_S):
+            while found.get("key") != key or found["outcome"] != "completed":
+                _, found = await caller.act(
+                    "confirm-deposit", key, body, attempt=2
+                )
+                await asyncio.sleep(0.2)
+        service = fleet.processes["service"]
+        runs = await fleets.read_json(session, service, "/runs")
+        assert runs[key] == 1
+
+    run(fleet, check)
+
+
+def test_of_racing_patches_one_wins_and_the_rest_learn_the_number(fleet):
+    async def check(session, caller):
+        store = fleet.processes["objects"]
+        # One writer's answer is lost after its write took effect.
+        await fleets.set_faults(session, store, lose_answers=1)
+        results = await asyncio.gather(
+            *(
+                fleets.patch(
+                    session,
+                    fleet.processes[ENTRIES[number % 2]],
+                    1,
+                    {"pipelines": {f"p{number}": {"model": MODEL}}},
+                )
+                for number in range(8)
+            )
+        )
+        statuses = sorted(status for status, _ in results)
+        assert statuses.count(200) == 1
+        assert set(statuses) <= {200, 412, 503}
+        losers = [found for status, found in results if status == 412]
+        assert losers
+        assert all(found["in_force"] == 2 for found in losers)
+        winner = next(n for n, (s, _) in enumerate(results) if s == 200)
+        await check_in_force(session, 2, f"p{winner}")
+
+    async def check_in_force(session, number, pipeline):
+        for name in ENTRIES:
+            async with asyncio.timeout(PATIENCE_S):
+                while True:
+                    found, document = await read_configuration(
+                        session, fleet.processes[name]
+                    )
+                    if found == number:
+                        break
+                    await asyncio.sleep(0.05)
+            added = set(document["pipelines"]) - {worlds.PIPELINE}
+            assert added == {pipeline}
+
+    run(fleet, check, profiles=())
+
+
+async def read_configuration(session, process):
+    async with session.get(
+        f"http://{process.operator_address}/v1/configuration",
+        headers={"Authorization": f"Bearer {worlds.OPERATOR_KEY}"},
+    ) as answer:
+        number = int(answer.headers["ETag"].strip('"'))
+        return number, await answer.json()
+
+
+def test_callers_lose_nothing_when_an_entry_stops(fleet):
+    async def check(session, caller):
+        prompts = [f"caller {number}" for number in range(16)]
+        works = await expected.chat_all(caller, prompts, TOKENS)
+        await asyncio.sleep(0.2)
+        stopped = fleet.processes["entry-1"]
+        stopped.send(signal.SIGTERM)
+        keys = []
+        for number in range(20):
+            key = str(uuid6.uuid7())
+            keys.append(key)
+            await send_until_completed(caller, key)
+            more = f"during the stop {number}"
+            prompts.append(more)
+            works += await expected.chat_all(caller, [more], TOKENS)
+        await expected.check_answers(prompts, works, TOKENS)
+        loop = asyncio.get_running_loop()
+        code = await loop.run_in_executor(None, stopped.wait_exit, 10)
+        assert code == 0
+        service = fleet.processes["service"]
+        runs = await fleets.read_json(session, service, "/runs")
+        assert runs == dict.fromkeys(keys, 1)
+
+    run(fleet, check)
+
+
+async def send_until_completed(caller, key):
+    attempt = 0
+    async with asyncio.timeout(PATIENCE_S):
+        while True:
+            attempt += 1
+            try:
+                _, found = await caller.act(
+                    "confirm-deposit", key, {"deposit": 1}, attempt=attempt
+                )
+            except aiohttp.ClientError:
+                continue
+            if found["outcome"] == "completed":
+                return
+            await asyncio.sleep(0.05)
--- a/src/fuchsiabarrow/exceptions.py
+++ b/src/fuchsiabarrow/exceptions.py
@@ -7,6 +7,7 @@
     "ChainUnavailableError",
     "ConfigurationError",
     "FuchsiabarrowError",
+    "InstanceDiedError",
     "InstanceError",
     "InstanceRefusedError",
     "InstanceSilentError",
@@ -14,6 +15,7 @@
     "KeyFormatError",
     "KeyExpiredError",
     "OverloadedError",
+    "PeerError",
     "ServiceError",
     "ServiceNotSentError",
     "ServiceUncertainError",
@@ -87,6 +89,10 @@
     """The connection was refused or reset; another instance is needed."""
 
 
+class InstanceDiedError(InstanceUnreachableError):
+    """The connection was lost while the instance had a step to run."""
+
+
 class InstanceSilentError(InstanceError):
     """A new connection made no progress either; the instance is suspect."""
 
@@ -135,6 +141,10 @@
         self.retry_after_s = retry_after_s
 
 
+class PeerError(FuchsiabarrowError):
+    """Another entry did not answer."""
+
+
 class ServiceError(FuchsiabarrowError):
     """A call to a plain service did not complete."""
 
--- a/src/fuchsiabarrow/ports/objects.py
+++ b/src/fuchsiabarrow/ports/objects.py
@@ -1,10 +1,9 @@
 """Port to the platform's object API."""
 
-from collections.abc import AsyncIterator
 import dataclasses
 from typing import Protocol
 
-__all__ = ["ABSENT_VERSION", "Event", "ObjectStore", "Stored"]
+__all__ = ["ABSENT_VERSION", "ObjectStore", "Stored"]
 
 # Expected version of an object that must not exist yet.
 ABSENT_VERSION = 0
@@ -25,25 +24,8 @@
     version: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Event:
-    """A change seen by a watch.
-
-    Attributes:
-        name: Name of the object; empty for a bookmark.
-        value: New content, None when the object was deleted.
-        version: Version of the object, or of the bookmark.
-        is_bookmark: True when no object changed.
-    """
-
-    name: str
-    value: bytes | None
-    version: int
-    is_bookmark: bool = False
-
-
 class ObjectStore(Protocol):
-    """Versioned objects with conditional updates and watches.
+    """Versioned objects with conditional updates.
 
     Every method raises ``StoreUnavailableError`` when the call had no effect
     and ``StoreUncertainError`` when a write may have taken effect.
@@ -64,8 +46,8 @@
             StoreConflictError: The object has another version.
         """
 
-    async def list(self, kind: str) -> tuple[list[Stored], int]:
-        """Returns the objects of a kind and the version of the list."""
+    async def list(self, kind: str) -> list[Stored]:
+        """Returns the objects of a kind."""
 
-    def watch(self, kind: str, since_version: int) -> AsyncIterator[Event]:
-        """Yields the changes after a version until the stream ends."""
+    async def delete(self, kind: str, name: str) -> None:
+        """Deletes an object; it need not exist."""
--- a/src/fuchsiabarrow/routing/evidence.py
+++ b/src/fuchsiabarrow/routing/evidence.py
@@ -3,7 +3,7 @@
 The platform's list lags, so an entry's own evidence goes before it: a refused
 or reset connection, silence, a drain answer. Evidence of death ends by itself,
 so that an instance that came back is tried again; evidence of leaving stays
-until the instance has left the list.
+until the instance has left the list, or was not renewed for a while.
 """
 
 from collections.abc import Iterable
@@ -24,6 +24,7 @@
         suspicion_base_s: First exclusion after a failure.
         suspicion_limit_s: Largest exclusion.
         busy_s: Exclusion after a busy answer.
+        drain_hold_s: A drain answer counts for this long; the list may lag.
         prior_hop_s: Assumed time of a hop that was never measured.
         hop_weight: Weight of a new measurement in the average, 0 to 1.
         hop_half_life_s: An unused measurement moves to the prior this fast.
@@ -32,6 +33,7 @@
     suspicion_base_s: float = 0.5
     suspicion_limit_s: float = 10.0
     busy_s: float = 0.1
+    drain_hold_s: float = 60.0
     prior_hop_s: float = 0.001
     hop_weight: float = 0.1
     hop_half_life_s: float = 10.0
@@ -71,9 +73,11 @@
     def __init__(self, settings: Settings):
         self._settings = settings
         self._states: dict[str, InstanceState] = {}
-        self._drained: set[str] = set()
+        self._drained: dict[str, float] = {}
 
-    def update_list(self, listed: Iterable[instances.Instance]) -> None:
+    def update_list(
+        self, listed: Iterable[instances.Instance], now_s: float
+    ) -> None:
         """Takes over a fresh list; instances not on it are forgotten."""
         found = {}
         for instance in listed:
@@ -82,12 +86,14 @@
             is_new = state is None or state.instance.address != instance.address
             if is_new:
                 state = InstanceState(instance)
-                self._drained.discard(name)
+                self._drained.pop(name, None)
             state.instance = instance
-            state.is_leaving = instance.leaving or name in self._drained
+            is_drained = now_s < self._drained.get(name, -math.inf)
+            state.is_leaving = instance.leaving or is_drained
             found[name] = state
         self._states = found
-        self._drained &= set(found)
+        for name in set(self._drained) - set(found):
+            del self._drained[name]
 
     def get_states(self) -> Iterable[InstanceState]:
         """Returns the states of all listed instances."""
@@ -140,12 +146,13 @@
                 state.excluded_until_s, now_s + self._settings.busy_s
             )
 
-    def record_leaving(self, instance_id: str) -> None:
+    def record_leaving(self, instance_id: str, now_s: float) -> None:
         """Notes a drain answer, before the list shows it."""
         state = self._states.get(instance_id)
         if state is not None:
             state.is_leaving = True
-            self._drained.add(instance_id)
+            until_s = now_s + self._settings.drain_hold_s
+            self._drained[instance_id] = until_s
 
     def estimate_hop_s(self, state: InstanceState, now_s: float) -> float:
         """Returns the expected time of a hop.
--- a/src/fuchsiabarrow/routing/service.py
+++ b/src/fuchsiabarrow/routing/service.py
@@ -7,14 +7,20 @@
 import msgspec
 
 from fuchsiabarrow import exceptions
+from fuchsiabarrow.peers import items
+from fuchsiabarrow.peers import service as peers_service
 from fuchsiabarrow.ports import instances
 from fuchsiabarrow.routing import chains
 from fuchsiabarrow.routing import evidence as evidence_module
 from fuchsiabarrow.telemetry import logs
+from fuchsiabarrow.utils import clocks
 from fuchsiabarrow.utils import jitter
 
 __all__ = ["RoutingService", "Settings"]
 
+# Entries tell each other which instances leave.
+LEAVING_KIND = "leaving"
+
 _log = logbook.Logger(__name__)
 
 
@@ -22,12 +28,14 @@
     """Settings of the routing service.
 
     Attributes:
-        list_period_s: Mean time between reads of the instance list.
+        list_rate_per_s: Reads of the instance list by all entries together.
+        list_least_s: Smallest time between reads by one entry.
         load_weight: Relative cost of each stream that uses an instance.
         evidence: Times and weights of the evidence.
     """
 
-    list_period_s: float = 0.5
+    list_rate_per_s: float = 20.0
+    list_least_s: float = 0.5
     load_weight: float = 0.1
     evidence: evidence_module.Settings = evidence_module.Settings()
 
@@ -40,6 +48,7 @@
 
     Args:
         listing: The platform's list.
+        peers: Other entries.
         settings: Periods and weights.
         source: Random source.
     """
@@ -47,16 +56,19 @@
     def __init__(
         self,
         listing: instances.InstanceList,
+        peers: peers_service.PeersService,
         settings: Settings,
         source: random.Random,
     ):
         self.evidence = evidence_module.Evidence(settings.evidence)
         self._listing = listing
+        self._peers = peers
         self._settings = settings
         self._source = source
         self._task: asyncio.Task | None = None
 
     async def __aenter__(self) -> "RoutingService":
+        self._peers.add_listener(LEAVING_KIND, self._accept_leaving)
         await self._read_list()
         self._task = asyncio.create_task(self._follow())
         return self
@@ -116,11 +128,10 @@
 
     async def _follow(self) -> None:
         while True:
-            await asyncio.sleep(
-                jitter.spread_period_s(
-                    self._settings.list_period_s, self._source
-                )
+            period_s = self._peers.get_period_s(
+                self._settings.list_rate_per_s, self._settings.list_least_s
             )
+            await asyncio.sleep(jitter.spread_period_s(period_s, self._source))
             await self._read_list()
 
     async def _read_list(self) -> None:
@@ -129,4 +140,40 @@
         except exceptions.StoreError as error:
             _log.warning(logs.format_event("list_down", error=error))
             return
-        self.evidence.update_list(listed)
+        now_s = asyncio.get_running_loop().time()
+        self.evidence.update_list(listed, now_s)
+        for instance in listed:
+            if instance.leaving:
+                self._tell_leaving(instance)
+                continue
+            item = self._peers.get_item(
+                f"{LEAVING_KIND}/{instance.instance_id}"
+            )
+            if item is not None:
+                self._accept_leaving(item)
+
+    def record_leaving(self, instance_id: str) -> None:
+        """Notes a drain answer and tells the other entries."""
+        state = self.evidence.find(instance_id)
+        if state is not None:
+            now_s = asyncio.get_running_loop().time()
+            self.evidence.record_leaving(instance_id, now_s)
+            self._tell_leaving(state.instance)
+
+    def _tell_leaving(self, instance: instances.Instance) -> None:
+        key = f"{LEAVING_KIND}/{instance.instance_id}"
+        known = self._peers.get_item(key)
+        address = instance.address.encode()
+        if known is not None and known.value == address:
+            return
+        version = int(clocks.read_wall_time_s())
+        self._peers.publish(
+            key, version, address, self._settings.evidence.drain_hold_s
+        )
+
+    def _accept_leaving(self, item: items.Item) -> None:
+        """Takes over from another entry that an instance leaves."""
+        state = self.evidence.find(item.name)
+        if state is not None and state.instance.address == item.value.decode():
+            now_s = asyncio.get_running_loop().time()
+            self.evidence.record_leaving(item.name, now_s)
--- a/src/fuchsiabarrow/standins/engines.py
+++ b/src/fuchsiabarrow/standins/engines.py
@@ -183,6 +183,8 @@
             self.faults.die_after_steps -= 1
             dies = dies or self.faults.die_after_steps == 0
         if dies or _contains_poison(step.tokens):
+            if self.faults.die_applies:
+                self._apply(step)
             self._start_task(self.crash())
             return True
         return False
--- a/src/fuchsiabarrow/standins/faults.py
+++ b/src/fuchsiabarrow/standins/faults.py
@@ -23,6 +23,7 @@
         check_fence: Refuse calls with an old fencing number.
         stale_reads: Answer reads from the first version of each object.
         die_after_steps: Die after this many more steps; 0 is off.
+        die_applies: Whether the last step is applied before the death.
         die_while_filling: Die at the first step of more than one position.
     """
 
@@ -38,6 +39,7 @@
     check_fence: bool = False
     stale_reads: bool = False
     die_after_steps: int = 0
+    die_applies: bool = False
     die_while_filling: bool = False
 
 
--- a/src/fuchsiabarrow/standins/objects.py
+++ b/src/fuchsiabarrow/standins/objects.py
@@ -1,15 +1,14 @@
 """Stand-in for the platform's object API.
 
-``GET/PUT/DELETE /objects/{kind}/{name}``, ``GET /objects/{kind}`` for a list
-and ``GET /objects/{kind}?watch=VERSION`` for a stream of changes. One counter
-gives all versions. Every call counts, and so does a waiting watch.
+``GET/PUT/DELETE /objects/{kind}/{name}`` and ``GET /objects/{kind}`` for a
+list. One counter gives all versions. Every call counts. The platform also has
+watches; no entry uses them (docs/configuration.md).
 """
 
 import asyncio
 import base64
 
 import aiohttp.web
-import msgspec
 
 from fuchsiabarrow.ports import objects
 from fuchsiabarrow.standins import faults as faults_module
@@ -17,8 +16,6 @@
 
 __all__ = ["StoreStandin"]
 
-BOOKMARK_PERIOD_S = 1.0
-
 
 class StoreStandin:
     """Keeps objects in memory.
@@ -29,16 +26,14 @@
 
     def __init__(self, port: int = 0):
         self.faults = faults_module.Faults()
-        self.counts = {"read": 0, "write": 0, "list": 0, "watch": 0}
+        self.counts = {"read": 0, "write": 0, "list": 0}
         self.version = 0
         self.objects: dict[tuple[str, str], objects.Stored] = {}
         self._first: dict[tuple[str, str], objects.Stored] = {}
-        self._history: list[tuple[str, objects.Event]] = []
-        self._changed = asyncio.Event()
-        self._tasks: set[asyncio.Task] = set()
         app = aiohttp.web.Application(client_max_size=servers.MAX_BODY_BYTES)
         app.router.add_get("/objects/{kind}", self._serve_list)
         app.router.add_get("/objects/{kind}/{name}", self._serve_get)
+        app.router.add_delete("/objects/{kind}/{name}", self._serve_delete)
         app.router.add_put("/objects/{kind}/{name}", self._serve_put)
         app.router.add_get("/counts", self._serve_counts)
         faults_module.add_routes(app, self.faults)
@@ -49,8 +44,6 @@
         return self
 
     async def __aexit__(self, *details) -> None:
-        for task in list(self._tasks):
-            task.cancel()
         await self.server.__aexit__(*details)
 
     def write(
@@ -65,10 +58,6 @@
         stored = objects.Stored(name, value, self.version)
         self.objects[(kind, name)] = stored
         self._first.setdefault((kind, name), stored)
-        event = objects.Event(name, value, self.version)
-        self._history.append((kind, event))
-        self._changed.set()
-        self._changed = asyncio.Event()
         return self.version
 
     async def _meet_faults(self) -> None:
@@ -105,6 +94,13 @@
             raise aiohttp.web.HTTPPreconditionFailed()
         return aiohttp.web.Response(headers={"ETag": str(version)})
 
+    async def _serve_delete(self, request: aiohttp.web.Request):
+        self.counts["write"] += 1
+        await self._meet_faults()
+        key = (request.match_info["kind"], request.match_info["name"])
+        self.objects.pop(key, None)
+        return aiohttp.web.Response(status=204)
+
     def _write_unseen(self, kind, name, value, expected) -> None:
         if not self.faults.delay_write_s:
             self.write(kind, name, value, expected)
@@ -116,35 +112,10 @@
     async def _serve_list(self, request: aiohttp.web.Request):
         await self._meet_faults()
         kind = request.match_info["kind"]
-        if "watch" in request.query:
-            self.counts["watch"] += 1
-            return await self._stream(request, kind)
         self.counts["list"] += 1
         found = [v for (k, _), v in self.objects.items() if k == kind]
         body = [(s.name, _encode(s.value), s.version) for s in found]
-        return aiohttp.web.json_response({"items": body, "at": self.version})
-
-    async def _stream(self, request: aiohttp.web.Request, kind: str):
-        response = aiohttp.web.StreamResponse()
-        await response.prepare(request)
-        since = int(request.query["watch"])
-        index = 0
-        while not self.faults.down:
-            changed = self._changed
-            lines = []
-            for event_kind, event in self._history[index:]:
-                if event_kind == kind and event.version > since:
-                    lines.append(_encode_event(event))
-            index = len(self._history)
-            if lines:
-                await response.write(b"".join(lines))
-            try:
-                async with asyncio.timeout(BOOKMARK_PERIOD_S):
-                    await changed.wait()
-            except TimeoutError:
-                mark = objects.Event("", None, self.version, is_bookmark=True)
-                await response.write(_encode_event(mark))
-        return response
+        return aiohttp.web.json_response({"items": body})
 
     async def _serve_counts(self, request: aiohttp.web.Request):
         return aiohttp.web.json_response(self.counts)
@@ -152,7 +123,3 @@
 
 def _encode(value: bytes) -> str:
     return base64.b64encode(value).decode()
-
-
-def _encode_event(event: objects.Event) -> bytes:
-    return msgspec.json.encode(event) + b"\n"
--- a/src/fuchsiabarrow/streams/recovery.py
+++ b/src/fuchsiabarrow/streams/recovery.py
@@ -12,13 +12,14 @@
 
 from fuchsiabarrow import exceptions
 
-__all__ = ["Cause", "Decision", "decide", "find_cause"]
+__all__ = ["FAILURES", "Cause", "Decision", "decide", "find_cause"]
 
 
 class Cause(enum.Enum):
     """Why an attempt ended early."""
 
     DIED = "died"
+    UNREACHABLE = "unreachable"
     SILENT = "silent"
     DRAINING = "draining"
     BUSY = "busy"
@@ -41,6 +42,9 @@
     costs_retry: bool
 
 
+# Causes that count against the instance.
+FAILURES = frozenset({Cause.DIED, Cause.UNREACHABLE, Cause.SILENT})
+
 _CAUSES = {"draining": Cause.DRAINING, "busy": Cause.BUSY}
 
 
@@ -52,7 +56,9 @@
         return Cause.POSITION
     if isinstance(error, exceptions.InstanceSilentError):
         return Cause.SILENT
-    return Cause.DIED
+    if isinstance(error, exceptions.InstanceDiedError):
+        return Cause.DIED
+    return Cause.UNREACHABLE
 
 
 def decide(cause: Cause, attempts: int, attempt_limit: int) -> Decision:
--- a/src/fuchsiabarrow/streams/service.py
+++ b/src/fuchsiabarrow/streams/service.py
@@ -11,6 +11,8 @@
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.limits import budgets
 from fuchsiabarrow.limits import suspects as suspects_module
+from fuchsiabarrow.peers import items
+from fuchsiabarrow.peers import service as peers_service
 from fuchsiabarrow.routing import chains
 from fuchsiabarrow.routing import service as routing_service
 from fuchsiabarrow.streams import attempts
@@ -19,10 +21,13 @@
 from fuchsiabarrow.streams import streams
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.telemetry import metrics as metrics_module
+from fuchsiabarrow.utils import clocks
 
 __all__ = ["Settings", "StreamsService"]
 
 END_TOKEN = 0
+# Entries tell each other which requests crash their upstreams.
+BLOCKED_KIND = "blocked"
 
 _log = logbook.Logger(__name__)
 
@@ -58,6 +63,7 @@
     Args:
         routing: Chooses chains and keeps the evidence.
         directory: Connections to engines.
+        peers: Other entries.
         tracer: Makes spans.
         metrics: Metrics of the entry.
         settings: Limits and delays.
@@ -68,6 +74,7 @@
         self,
         routing: routing_service.RoutingService,
         directory: links.LinkDirectory,
+        peers: peers_service.PeersService,
         tracer: trace.Tracer,
         metrics: metrics_module.Metrics,
         settings: Settings,
@@ -77,6 +84,7 @@
         self.budget = budgets.RetryBudget(ratio=0.2, reserve=1024)
         self._routing = routing
         self._directory = directory
+        self._peers = peers
         self._tracer = tracer
         self._metrics = metrics
         self._settings = settings
@@ -86,6 +94,7 @@
         self._sweeper: asyncio.Task | None = None
 
     async def __aenter__(self) -> "StreamsService":
+        self._peers.add_listener(BLOCKED_KIND, self._accept_blocked)
         self._sweeper = asyncio.create_task(self._sweep())
         return self
 
@@ -207,14 +216,15 @@
         now_s = asyncio.get_running_loop().time()
         evidence = self._routing.evidence
         if cause is recovery.Cause.DIED:
-            evidence.record_failure(error.instance_id, now_s)
-            self.suspects.record_crash(
+            is_given_up = self.suspects.record_crash(
                 error.instance_id, request.fingerprint, now_s
             )
-        elif cause is recovery.Cause.SILENT:
+            if is_given_up:
+                self._tell_blocked(request.fingerprint)
+        if cause in recovery.FAILURES:
             evidence.record_failure(error.instance_id, now_s)
         elif cause is recovery.Cause.DRAINING:
-            evidence.record_leaving(error.instance_id)
+            self._routing.record_leaving(error.instance_id)
         elif cause is recovery.Cause.BUSY:
             evidence.record_busy(error.instance_id, now_s)
         _log.info(
@@ -298,6 +308,21 @@
                 if self._should_move(chain, request):
                     return
 
+    def _tell_blocked(self, fingerprint: str) -> None:
+        """Tells the other entries to refuse a request."""
+        self._peers.publish(
+            f"{BLOCKED_KIND}/{fingerprint}",
+            int(clocks.read_wall_time_s()),
+            b"",
+            self._settings.suspects.block_s,
+        )
+
+    def _accept_blocked(self, item: items.Item) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if not self.suspects.is_blocked(item.name, now_s):
+            limit = self._settings.suspects.strike_limit
+            self.suspects.add_strikes(item.name, limit, now_s)
+
     def _report_hop(self, instance_id: str, hop_s: float) -> None:
         now_s = asyncio.get_running_loop().time()
         self._routing.evidence.record_success(instance_id, hop_s, now_s)
--- /dev/null
+++ b/src/fuchsiabarrow/streams/tests/test_failures.py
@@ -0,0 +1,200 @@
+"""Each layer runs once for each token, in order, whatever fails."""
+
+import asyncio
+
+import pytest
+
+from fuchsiabarrow.standins import engines
+from fuchsiabarrow.standins import worlds as world_standins
+from fuchsiabarrow.streams.tests import worlds
+from fuchsiabarrow.utils import loops
+
+STREAMS = 8
+TOKENS = 40
+PROMPTS = [f"shelf {number}" for number in range(STREAMS)]
+MODEL = world_standins.MODEL
+
+
+def run_streams(cause_faults, profiles=world_standins.PROFILES, **sections):
+    """Runs streams, causes faults while they run and checks the answers."""
+
+    async def check():
+        async with worlds.start(profiles, **sections) as (
+            world,
+            (entry,),
+            caller,
+        ):
+            works = await worlds.chat_all(caller, PROMPTS, TOKENS)
+            await cause_faults(world, entry)
+            await worlds.check_answers(PROMPTS, works, TOKENS)
+
+    loops.run(check())
+
+
+def find_busy(world, first_layer: int) -> engines.EngineStandin:
+    """Returns the engine that applies a layer for most streams now."""
+    holders = [
+        engine
+        for engine in world.engines.values()
+        if engine.alive
+        and engine.profile.first_layer <= first_layer < engine.profile.end_layer
+    ]
+    return max(holders, key=lambda engine: engine.applied_positions)
+
+
+async def wait_for_steps(world, steps: int) -> None:
+    """Waits until the engines have applied a number of positions."""
+    while sum(e.applied_positions for e in world.engines.values()) < steps:
+        await asyncio.sleep(0.002)
+
+
+@pytest.mark.parametrize("layer", [0, 5, 11])
+def test_stage_killed_between_steps(layer):
+    async def kill(world, entry):
+        await wait_for_steps(world, 600)
+        await find_busy(world, layer).crash()
+
+    run_streams(kill)
+
+
+@pytest.mark.parametrize("applies", [False, True])
+@pytest.mark.parametrize("layer", [0, 5, 11])
+def test_stage_dies_during_a_step(layer, applies):
+    async def die(world, entry):
+        await wait_for_steps(world, 600)
+        faults = find_busy(world, layer).faults
+        faults.die_applies = applies
+        faults.die_after_steps = 3
+
+    run_streams(die)
+
+
+@pytest.mark.parametrize("layer", [0, 5, 11])
+def test_answers_of_applied_steps_are_lost(layer):
+    async def lose(world, entry):
+        await wait_for_steps(world, 600)
+        find_busy(world, layer).faults.lose_answers = 3
+
+    run_streams(lose, engines={"step_timeout_s": 0.5})
+
+
+def test_two_stages_die_together():
+    async def kill(world, entry):
+        await wait_for_steps(world, 600)
+        first, last = find_busy(world, 0), find_busy(world, 11)
+        await asyncio.gather(first.crash(), last.crash())
+
+    run_streams(kill)
+
+
+def test_stage_dies_while_its_replacement_is_filled():
+    spare = engines.EngineProfile("b-3", MODEL, 4, 8, 0.001)
+    profiles = (*world_standins.PROFILES, spare)
+
+    async def kill(world, entry):
+        await wait_for_steps(world, 600)
+        busy = find_busy(world, 5)
+        for engine in world.engines.values():
+            holds = engine.profile.first_layer <= 5 < engine.profile.end_layer
+            if (
+                holds
+                and engine is not busy
+                and engine is not world.engines["b-3"]
+            ):
+                engine.faults.die_while_filling = True
+        await busy.crash()
+
+    run_streams(kill, profiles)
+
+
+def test_answers_cross_and_come_twice():
+    async def cross(world, entry):
+        for engine in world.engines.values():
+            engine.faults.swap_answers = True
+            engine.faults.repeat_answers = True
+
+    run_streams(cross)
+
+
+def test_silent_connection_is_replaced_and_the_instance_not_blamed():
+    async def silence(world, entry):
+        await wait_for_steps(world, 600)
+        engine = find_busy(world, 5)
+        engine.faults.silent = True
+        state = entry.kernel.get("routing").evidence.find(
+            engine.profile.instance_id
+        )
+        registry = entry.kernel.get("metrics").registry
+        name = "fuchsiabarrow_events_total"
+        labels = {"event": "silent_connection"}
+        while not registry.get_sample_value(name, labels):
+            await asyncio.sleep(0.01)
+            assert state.failures == 0
+        assert state.failures == 0
+
+    run_streams(silence)
+
+
+def test_instance_joins_while_streams_run_and_gets_work():
+    joining = engines.EngineProfile("b-9", MODEL, 4, 8, 0.0005)
+
+    async def check():
+        async with worlds.start() as (world, _, caller):
+            works = await worlds.chat_all(caller, PROMPTS, TOKENS)
+            engine = await world.start_engine(joining)
+            for turn in range(40):
+                works += await worlds.chat_all(caller, [f"t {turn}"], TOKENS)
+                await asyncio.sleep(0.05)
+                if engine.applied_positions:
+                    break
+            assert engine.applied_positions
+            await asyncio.gather(*works)
+
+    loops.run(check())
+
+
+@pytest.mark.parametrize("says", ["list", "drain answer"])
+def test_leaving_instance_gets_no_new_work_and_its_streams_move(says):
+    async def check():
+        async with worlds.start() as (world, (entry,), caller):
+            works = await worlds.chat_all(caller, PROMPTS, 200)
+            await wait_for_steps(world, 600)
+            leaving = find_busy(world, 5)
+            name = leaving.profile.instance_id
+            if says == "list":
+                world.set_leaving(name)
+            else:
+                leaving.faults.draining = True
+            evidence = entry.kernel.get("routing").evidence
+            async with asyncio.timeout(30):
+                while not evidence.is_leaving(name):
+                    works += await worlds.chat_all(caller, ["new"], 200)
+                    await asyncio.sleep(0.01)
+            async with asyncio.timeout(3):
+                while evidence.find(name).in_flight:
+                    await asyncio.sleep(0.01)
+            before = leaving.applied_positions
+            works += await worlds.chat_all(caller, ["late"], 20)
+            await asyncio.gather(*works)
+            assert leaving.applied_positions == before
+            await worlds.check_answers(PROMPTS, works[:STREAMS], 200)
+
+    loops.run(check())
+
+
+def test_stream_without_any_chain_ends_in_an_explicit_error_event():
+    async def check():
+        limits = {"no_chain_limit_s": 0.3}
+        async with worlds.start(streams=limits) as (world, _, caller):
+            work = asyncio.create_task(
+                caller.chat(world_standins.PIPELINE, "x", 400, tries=1)
+            )
+            await wait_for_steps(world, 60)
+            for engine in world.engines.values():
+                await engine.crash()
+            answer = await work
+            assert not answer.is_whole
+            assert answer.errors[-1]["outcome"] == "failed"
+            assert answer.errors[-1]["retry_after_s"] > 0
+
+    loops.run(check())
--- /dev/null
+++ b/src/fuchsiabarrow/streams/tests/test_poison.py
@@ -0,0 +1,68 @@
+"""A request that crashes its upstreams is given up; its neighbours are not."""
+
+import asyncio
+
+from fuchsiabarrow.standins import engines
+from fuchsiabarrow.standins import worlds as world_standins
+from fuchsiabarrow.streams.tests import worlds
+from fuchsiabarrow.utils import loops
+
+FIRST_STAGES = 6
+STRIKE_LIMIT = 3
+TOKENS = 120
+NEIGHBOURS = [f"rack {number}" for number in range(12)]
+POISON = "please crash-the-engine now"
+MODEL = world_standins.MODEL
+PROFILES = (
+    *(
+        engines.EngineProfile(f"a-{n}", MODEL, 0, 6, 0.001)
+        for n in range(FIRST_STAGES)
+    ),
+    engines.EngineProfile("b-1", MODEL, 6, 12, 0.001),
+)
+
+
+def test_poison_crashes_few_upstreams_and_neighbours_are_answered():
+    async def check():
+        async with worlds.start(PROFILES, entries=2) as (
+            world,
+            entries,
+            caller,
+        ):
+            works = await worlds.chat_all(caller, NEIGHBOURS, TOKENS)
+            await asyncio.sleep(0.1)
+            first, second = (entry.caller_address for entry in entries)
+            caller.entries = [first]
+            answer = await caller.chat(
+                world_standins.PIPELINE, POISON, TOKENS, tries=4
+            )
+            assert not answer.is_whole
+            crashes = sum(e.crashes for e in world.engines.values())
+            assert 1 <= crashes <= STRIKE_LIMIT
+            assert answer.errors[0]["outcome"] == "failed"
+            # Later sends to the same entry are refused before any step.
+            assert answer.errors[-1]["type"].endswith("request-blocked")
+            await worlds.check_answers(NEIGHBOURS, works, TOKENS)
+
+    loops.run(check())
+
+
+def test_poison_sent_again_through_another_entry_crashes_nothing_more():
+    async def check():
+        async with worlds.start(PROFILES, entries=2) as (
+            world,
+            entries,
+            caller,
+        ):
+            first, second = (entry.caller_address for entry in entries)
+            caller.entries = [first]
+            await caller.chat(world_standins.PIPELINE, POISON, TOKENS, tries=1)
+            crashes = sum(e.crashes for e in world.engines.values())
+            caller.entries = [second]
+            answer = await caller.chat(
+                world_standins.PIPELINE, POISON, TOKENS, tries=2
+            )
+            assert not answer.is_whole
+            assert sum(e.crashes for e in world.engines.values()) == crashes
+
+    loops.run(check())
--- /dev/null
+++ b/src/fuchsiabarrow/streams/tests/worlds.py
@@ -0,0 +1,64 @@
+"""One entry before in-process stand-ins."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+
+from fuchsiabarrow.commands import demonstration
+from fuchsiabarrow.entry import composition
+from fuchsiabarrow.standins import callers
+from fuchsiabarrow.standins import models
+from fuchsiabarrow.standins import worlds
+from fuchsiabarrow.streams import tokenizers
+
+SEED = 11
+LIMIT_S = 60
+
+
+def expect(text: str, tokens: int) -> list[str]:
+    """Returns the pieces of an undisturbed answer."""
+    prompt = tokenizers.encode_text(f"user: {text}")
+    answer = models.complete(prompt, worlds.LAYERS, tokens)
+    return [tokenizers.decode_token(token) for token in answer]
+
+
+@contextlib.asynccontextmanager
+async def start(profiles=worlds.PROFILES, entries=1, guard="none", **sections):
+    """Yields (world, entries, caller) with a configuration in force."""
+    async with contextlib.AsyncExitStack() as stack:
+        world = await stack.enter_async_context(worlds.World(profiles))
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        started = []
+        for number in range(1, entries + 1):
+            settings = demonstration.make_settings(
+                world, f"entry-{number}", **sections
+            )
+            entry = composition.Entry(settings, seed=SEED + number)
+            started.append(await stack.enter_async_context(entry))
+        service = started[0].kernel.get("configuration")
+        await service.patch(worlds.make_configuration(guard), 0, "test")
+        async with asyncio.timeout(LIMIT_S):
+            for entry in started:
+                while entry.kernel.get("configuration").head.number < 1:
+                    await asyncio.sleep(0.005)
+            addresses = [entry.caller_address for entry in started]
+            caller = callers.Caller(session, addresses, worlds.CALLER_KEY)
+            yield world, started, caller
+
+
+async def chat_all(caller, prompts, tokens):
+    """Starts one stream for each prompt; returns the tasks."""
+    return [
+        asyncio.create_task(caller.chat(worlds.PIPELINE, prompt, tokens))
+        for prompt in prompts
+    ]
+
+
+async def check_answers(prompts, works, tokens):
+    """Checks that every answer equals an undisturbed run."""
+    answers = await asyncio.gather(*works)
+    for prompt, answer in zip(prompts, answers, strict=True):
+        assert answer.is_whole, answer.errors
+        assert answer.pieces == expect(prompt, tokens), prompt
+    return answers
--- a/src/fuchsiabarrow/utils/__init__.py
+++ b/src/fuchsiabarrow/utils/__init__.py
@@ -1,3 +1,10 @@
 """Small helpers without a subject of their own: clocks, jitter, event loop."""
 
-__all__ = ["clocks", "jitter", "loops"]
+__all__ = [
+    "addresses",
+    "clocks",
+    "deadlines",
+    "jitter",
+    "listeners",
+    "loops",
+]
--- a/src/fuchsiabarrow/entry/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -2,7 +2,7 @@
 
 import aiohttp.web
 
-from fuchsiabarrow.entry import settings
+from fuchsiabarrow.utils import addresses
 
 __all__ = ["Listener"]
 
@@ -27,7 +27,7 @@
         )
 
     async def __aenter__(self) -> "Listener":
-        host, port = settings.parse_address(self.address)
+        host, port = addresses.parse_address(self.address)
         await self._runner.setup()
         await aiohttp.web.TCPSite(self._runner, host, port).start()
         host, port = self._runner.addresses[0][:2]
--- a/src/fuchsiabarrow/utils/loops.py
+++ b/src/fuchsiabarrow/utils/loops.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import aiomisc
-import capnp
 import uvloop
 
 __all__ = ["make_loop", "run"]
@@ -26,11 +25,6 @@
     return uvloop.new_event_loop()
 
 
-async def _run_with_capnp(main: Coroutine[Any, Any, Any]) -> Any:
-    async with capnp.kj_loop():
-        return await main
-
-
 def run(main: Coroutine[Any, Any, Any]) -> Any:
     """Runs `main` to its end on a fresh loop and returns its result."""
     entrypoint = aiomisc.entrypoint(
@@ -40,4 +34,4 @@
         catch_signals=(),
     )
     with entrypoint as loop:
-        return loop.run_until_complete(_run_with_capnp(main))
+        return loop.run_until_complete(main)
