Measure an entry's cost and a chain's rate against its engines' bound

Cause: nothing showed how far the path is from what the engines allow.

Failed try, reverted: with one entry all streams gather in one batch that walks from stage to stage while the others idle.

Conclusion: with the 6 to 9 entries of today, and with some 20 entries before each engine at 400, the engines' own batching does best; no window.

--- /dev/null
+++ b/benchmarks/streams_cost.py
@@ -0,0 +1,104 @@
+"""Processor time and memory of an entry, by tokens, hops and streams.
+
+Engines, the entry and the callers are processes of their own. The entry's time
+is read from /proc, so what the load costs does not count.
+"""
+
+import asyncio
+import os
+import pathlib
+import sys
+import tempfile
+import time
+
+import aiohttp
+import defopt
+
+from fuchsiabarrow.entry.tests import fleets
+from fuchsiabarrow.standins import callers
+from fuchsiabarrow.standins import engines
+from fuchsiabarrow.standins import worlds
+from fuchsiabarrow.utils import loops
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+def read_cpu_s(pid: int) -> float:
+    """Returns the processor time of a process in seconds."""
+    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def read_memory_bytes(pid: int) -> int:
+    """Returns the resident memory of a process in bytes."""
+    text = pathlib.Path(f"/proc/{pid}/statm").read_text()
+    return int(text.split()[1]) * PAGE_BYTES
+
+
+def make_profiles(stages: int) -> tuple[engines.EngineProfile, ...]:
+    """Returns one engine for each of a number of equal stages."""
+    step = worlds.LAYERS // stages
+    return tuple(
+        engines.EngineProfile(
+            f"s{n}", worlds.MODEL, n * step, (n + 1) * step, 0.002
+        )
+        for n in range(stages)
+    )
+
+
+async def measure(folder: str, stages: int, streams: int, tokens: int) -> dict:
+    """Returns the entry's cost of one load."""
+    with fleets.Fleet(pathlib.Path(folder)) as fleet:
+        async with aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        ) as session:
+            await fleets.set_up(
+                session, fleet, make_profiles(stages), ("entry-1",)
+            )
+            entry = fleet.processes["entry-1"]
+            caller = callers.Caller(session, [entry.address], worlds.CALLER_KEY)
+            await caller.chat(worlds.PIPELINE, "warm up", 20)
+            pid = entry.child.pid
+            idle_bytes = read_memory_bytes(pid)
+            cpu_s, started_s = read_cpu_s(pid), time.monotonic()
+            works = [
+                asyncio.create_task(
+                    caller.chat(worlds.PIPELINE, f"prompt {n}", tokens)
+                )
+                for n in range(streams)
+            ]
+            answers = await asyncio.gather(*works)
+            wall_s = time.monotonic() - started_s
+            used_s = read_cpu_s(pid) - cpu_s
+            count = sum(len(answer.pieces) for answer in answers)
+            whole = sum(answer.is_whole for answer in answers)
+            return {
+                "stages": stages,
+                "streams": streams,
+                "whole": whole,
+                "tokens": count,
+                "tokens_per_s": round(count / wall_s),
+                "cpu_us_per_token": round(1e6 * used_s / count, 1),
+                "cores": round(used_s / wall_s, 2),
+                "idle_mb": round(idle_bytes / 1e6, 1),
+                "loaded_mb": round(read_memory_bytes(pid) / 1e6, 1),
+            }
+
+
+def main(*, streams: int = 64, tokens: int = 200) -> None:
+    """Measure an entry before 1 to 4 stages.
+
+    Args:
+        streams: Streams at once.
+        tokens: Tokens of each answer.
+    """
+    for stages in (1, 2, 3, 4):
+        with tempfile.TemporaryDirectory() as folder:
+            print(loops.run(measure(folder, stages, streams, tokens)))
+            sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/benchmarks/throughput.py
@@ -0,0 +1,152 @@
+"""Tokens a second through a chain of stages against the bound of its engines.
+
+A stage with a fixed time b for a batch and a time p for each position in it,
+that holds n of N streams, gives n / (b + p n) tokens a second. The bound is the
+largest rate that all stages can give at once while they hold N streams
+together; it assumes links and routers that cost no time.
+"""
+
+import asyncio
+import pathlib
+import sys
+import tempfile
+import time
+
+import aiohttp
+import defopt
+from hdrh import histogram
+
+from fuchsiabarrow.entry.tests import fleets
+from fuchsiabarrow.standins import callers
+from fuchsiabarrow.standins import engines
+from fuchsiabarrow.standins import worlds
+from fuchsiabarrow.utils import loops
+
+MAX_GAP_US = 60_000_000
+SHAPES = {
+    "balanced": ((0.002, 0.0001),) * 4,
+    "one slow stage": (
+        (0.001, 0.0001),
+        (0.010, 0.0001),
+        (0.001, 0.0001),
+        (0.001, 0.0001),
+    ),
+    "unlike accelerators": (
+        (0.001, 0.00005),
+        (0.004, 0.0002),
+        (0.002, 0.0001),
+        (0.008, 0.0001),
+    ),
+}
+
+
+def compute_bound(shape: tuple, streams: int) -> float:
+    """Returns the largest rate in tokens a second."""
+    low, high = 0.0, 1 / max(p for _, p in shape)
+    for _ in range(60):
+        rate = (low + high) / 2
+        held = sum(b * rate / (1 - p * rate) for b, p in shape)
+        low, high = (rate, high) if held <= streams else (low, rate)
+    return low
+
+
+def make_profiles(shape: tuple, replicas: int):
+    """Returns engines of equal layer ranges with these speeds."""
+    step = worlds.LAYERS // len(shape)
+    return tuple(
+        engines.EngineProfile(
+            f"s{n}-{k}", worlds.MODEL, n * step, (n + 1) * step, b, p
+        )
+        for n, (b, p) in enumerate(shape)
+        for k in range(replicas)
+    )
+
+
+async def _follow(caller, number: int, tokens: int, gaps) -> int:
+    """Runs one stream and records the times between its tokens."""
+    answer = await caller.chat(
+        worlds.PIPELINE, f"prompt {number}", tokens, gaps=gaps
+    )
+    return len(answer.pieces)
+
+
+async def measure(
+    folder: str, name: str, streams: int, tokens: int, entries: int
+) -> dict:
+    """Returns the rate of one shape with a constant number of streams."""
+    shape = SHAPES[name]
+    names = tuple(f"entry-{n}" for n in range(entries))
+    with fleets.Fleet(pathlib.Path(folder)) as fleet:
+        async with aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        ) as session:
+            profiles = make_profiles(shape, 1)
+            await fleets.set_up(session, fleet, profiles, names)
+            caller = callers.Caller(
+                session, fleet.get_addresses(*names), worlds.CALLER_KEY
+            )
+            gaps = histogram.HdrHistogram(1, MAX_GAP_US, 3)
+            limit_s = time.monotonic() + 8.0
+            count = 0
+
+            async def keep_busy(number: int) -> None:
+                nonlocal count
+                turn = 0
+                while time.monotonic() < limit_s:
+                    turn += 1
+                    pieces = await _follow(
+                        caller, 1000 * number + turn, tokens, gaps
+                    )
+                    count += pieces
+
+            started_s = time.monotonic()
+            await asyncio.gather(*(keep_busy(n) for n in range(streams)))
+            rate = count / (time.monotonic() - started_s)
+            bound = compute_bound(shape, streams)
+            states = [
+                await fleets.read_json(
+                    session, fleet.processes[p.instance_id], "/v1/state"
+                )
+                for p in profiles
+            ]
+            wall_s = time.monotonic() - started_s
+            return {
+                "shape": name,
+                "entries": entries,
+                "streams": streams,
+                "tokens_per_s": round(rate),
+                "bound": round(bound),
+                "share_of_bound": round(rate / bound, 2),
+                "busy": [round(s["busy_s"] / wall_s, 2) for s in states],
+                "batch": [
+                    round(s["applied_positions"] / s["batches"], 1)
+                    for s in states
+                ],
+                "batch_ms": [
+                    round(1000 * s["busy_s"] / s["batches"], 1) for s in states
+                ],
+                "gap_ms_p50": gaps.get_value_at_percentile(50) / 1000,
+                "gap_ms_p95": gaps.get_value_at_percentile(95) / 1000,
+            }
+
+
+def main(
+    *, streams: int = 64, tokens: int = 100, entries: list[int] | None = None
+) -> None:
+    """Measure each shape before a number of entries.
+
+    Args:
+        streams: Streams at once.
+        tokens: Tokens of each answer.
+        entries: Numbers of entries.
+    """
+    for name in SHAPES:
+        for count in entries or [1, 3]:
+            with tempfile.TemporaryDirectory() as folder:
+                work = measure(folder, name, streams, tokens, count)
+                print(loops.run(work))
+                sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/src/fuchsiabarrow/entry/tests/fleets.py
+++ b/src/fuchsiabarrow/entry/tests/fleets.py
@@ -101,6 +101,7 @@
                 "first_layer",
                 "end_layer",
                 "batch_s",
+                "position_s",
                 "link_s",
             ):
                 flag = "--" + field.replace("_", "-")
--- a/src/fuchsiabarrow/standins/callers.py
+++ b/src/fuchsiabarrow/standins/callers.py
@@ -10,6 +10,7 @@
 
 RESEND_DELAY_S = 0.05
 HTTP_OK = 200
+MICROSECONDS_PER_S = 1e6
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,6 +24,7 @@
         entries: Entries that served it, in order.
         last_id: Id of the last event received.
         first_piece_s: Time to the first token in seconds.
+        gaps: Histogram of the times between tokens, in microseconds.
     """
 
     pieces: list[str] = dataclasses.field(default_factory=list)
@@ -31,6 +33,7 @@
     entries: list[str] = dataclasses.field(default_factory=list)
     last_id: str = ""
     first_piece_s: float = 0.0
+    gaps: object = None
 
 
 class Caller:
@@ -55,10 +58,24 @@
         return self.entries[self._turn % len(self.entries)]
 
     async def chat(
-        self, model: str, text: str, max_tokens: int, tries: int = 20
+        self,
+        model: str,
+        text: str,
+        max_tokens: int,
+        tries: int = 20,
+        gaps=None,
     ) -> Answer:
-        """Asks for a streamed answer and resumes it until it is whole."""
-        answer = Answer()
+        """Asks for a streamed answer and resumes it until it is whole.
+
+        Args:
+            model: Pipeline to ask for.
+            text: Content of the user's message.
+            max_tokens: Largest answer in tokens.
+            tries: Most requests sent.
+            gaps: Histogram that takes the times between tokens, in
+                microseconds.
+        """
+        answer = Answer(gaps=gaps)
         body = {
             "model": model,
             "messages": [{"role": "user", "content": text}],
@@ -81,7 +98,7 @@
         headers = dict(self._headers)
         if answer.last_id:
             headers["Last-Event-ID"] = answer.last_id
-        started_s = asyncio.get_running_loop().time()
+        started_s = last_s = asyncio.get_running_loop().time()
         async with self._session.post(
             f"http://{entry}/v1/chat/completions", json=body, headers=headers
         ) as response:
@@ -99,9 +116,13 @@
                     answer.is_whole = True
                 elif line.startswith("data: "):
                     self._take_data(answer, event, event_id, line[6:])
+                    now_s = asyncio.get_running_loop().time()
                     if not answer.first_piece_s:
-                        now_s = asyncio.get_running_loop().time()
                         answer.first_piece_s = now_s - started_s
+                    elif answer.gaps is not None:
+                        gap_us = MICROSECONDS_PER_S * (now_s - last_s)
+                        answer.gaps.record_value(max(1, int(gap_us)))
+                    last_s = now_s
 
     def _take_data(self, answer, event: str, event_id: str, data: str):
         found = msgspec.json.decode(data)
--- a/src/fuchsiabarrow/standins/engines.py
+++ b/src/fuchsiabarrow/standins/engines.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import os
+import time
 
 import aiohttp
 import aiohttp.web
@@ -72,6 +73,7 @@
         self.crashes = 0
         self.applied_positions = 0
         self.batches = 0
+        self.busy_s = 0.0
         self.alive = True
         self._caches: dict[tuple[str, int], models.Cache] = {}
         self._queue: asyncio.Queue = asyncio.Queue()
@@ -117,6 +119,8 @@
                 "sessions": len(self._caches),
                 "queued": self._queue.qsize(),
                 "applied_positions": self.applied_positions,
+                "batches": self.batches,
+                "busy_s": self.busy_s,
                 "draining": self.faults.draining,
             }
         )
@@ -157,9 +161,11 @@
                 len(step.tokens) + len(step.hidden) for _, step in batch
             )
             busy_s = self.profile.batch_s + positions * self.profile.position_s
+            started_s = time.monotonic()
             await asyncio.sleep(busy_s)
             self.batches += 1
             await self._answer_batch(batch)
+            self.busy_s += time.monotonic() - started_s
 
     async def _answer_batch(self, batch) -> None:
         answers: dict[int, list] = {}
