--- /dev/null
+++ b/benchmarks/recovery.py
@@ -0,0 +1,113 @@
+"""Time without tokens that callers see when a stage fails.
+
+The longest time between two tokens of each stream that was under way, for
+stages that are killed, frozen or whose connections go silent, and for a planned
+withdrawal. Engines, entries and callers are processes of their own.
+"""
+
+import asyncio
+import pathlib
+import signal
+import statistics
+import sys
+import tempfile
+
+import aiohttp
+import defopt
+import msgspec
+from hdrh import histogram
+
+from fuchsiabarrow.entry.tests import fleets
+from fuchsiabarrow.standins import callers
+from fuchsiabarrow.standins import engines
+from fuchsiabarrow.standins import worlds
+from fuchsiabarrow.utils import loops
+
+MAX_GAP_US = 60_000_000
+RANGES = ((0, 4), (4, 8), (8, 12))
+REPLICAS = 2
+PROFILES = tuple(
+    engines.EngineProfile(
+        f"s{first}-{n}", worlds.MODEL, first, end, 0.002, 0.00001
+    )
+    for first, end in RANGES
+    for n in range(REPLICAS)
+)
+ENTRIES = ("entry-1", "entry-2")
+FAILED = "s4-0"
+
+
+async def cause_failure(session, fleet, kind: str) -> None:
+    """Brings about one failure of the stage in the middle."""
+    process = fleet.processes[FAILED]
+    if kind == "kill":
+        process.send(signal.SIGKILL)
+    elif kind == "freeze":
+        process.send(signal.SIGSTOP)
+    elif kind == "silence":
+        await fleets.set_faults(session, process, silent=True)
+    elif kind == "withdraw":
+        profile = next(p for p in PROFILES if p.instance_id == FAILED)
+        listed = worlds.describe_engine(profile, process.address)
+        leaving = msgspec.structs.replace(listed, leaving=True)
+        await fleets.put_instance(session, fleet, leaving)
+
+
+async def measure(folder, kind: str, streams: int, tokens: int) -> dict:
+    """Returns the longest gaps of the streams around one failure."""
+    with fleets.Fleet(pathlib.Path(folder)) as fleet:
+        async with aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        ) as session:
+            await fleets.set_up(session, fleet, PROFILES, ENTRIES)
+            caller = callers.Caller(
+                session, fleet.get_addresses(*ENTRIES), worlds.CALLER_KEY
+            )
+            await caller.chat(worlds.PIPELINE, "warm up", 20)
+            series = [
+                histogram.HdrHistogram(1, MAX_GAP_US, 3) for _ in range(streams)
+            ]
+            works = [
+                asyncio.create_task(
+                    caller.chat(
+                        worlds.PIPELINE, f"prompt {n}", tokens, gaps=gaps
+                    )
+                )
+                for n, gaps in enumerate(series)
+            ]
+            await asyncio.sleep(1.0)
+            running = [not work.done() for work in works]
+            await cause_failure(session, fleet, kind)
+            answers = await asyncio.gather(*works)
+            longest = sorted(
+                gaps.get_max_value() / 1000
+                for gaps, was_running in zip(series, running, strict=True)
+                if was_running
+            )
+            return {
+                "failure": kind,
+                "running": len(longest),
+                "whole": sum(answer.is_whole for answer in answers),
+                "longest_gap_ms_p50": round(statistics.median(longest), 1),
+                "longest_gap_ms_p95": round(
+                    longest[int(0.95 * (len(longest) - 1))], 1
+                ),
+                "longest_gap_ms_max": round(longest[-1], 1),
+            }
+
+
+def main(*, streams: int = 48, tokens: int = 300) -> None:
+    """Measure each kind of failure once.
+
+    Args:
+        streams: Streams at once.
+        tokens: Tokens of each answer.
+    """
+    for kind in ("none", "kill", "freeze", "silence", "withdraw"):
+        with tempfile.TemporaryDirectory() as folder:
+            print(loops.run(measure(folder, kind, streams, tokens)))
+            sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/src/fuchsiabarrow/adapters/engines.py
+++ b/src/fuchsiabarrow/adapters/engines.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import dataclasses
 
 import aiohttp
@@ -22,6 +23,8 @@
 
 # A silent peer does not answer a closing handshake either.
 CLOSE_TIMEOUT_S = 0.05
+# Answered by an engine at once, whatever it is busy with.
+PROBE = ["probe", 0]
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -30,12 +33,15 @@
     Attributes:
         connect_timeout_s: Bound on opening and probing a connection.
         silence_timeout_s: A connection with steps outstanding and no frame
-            for this long is replaced.
+            for this long is probed, and a new one beside it.
+        probe_grace_s: Once the new connection answered, the old one has this
+            long to answer as well.
         step_timeout_s: Bound on one step; covers filling a long prompt.
     """
 
-    connect_timeout_s: float = 0.4
-    silence_timeout_s: float = 0.4
+    connect_timeout_s: float = 0.3
+    silence_timeout_s: float = 0.1
+    probe_grace_s: float = 0.05
     step_timeout_s: float = 10.0
 
 
@@ -148,32 +154,46 @@
 
     async def _run(self) -> None:
         """Keeps a connection while there is work, and replaces it."""
+        socket = None
         while True:
-            await self._wakeup.wait()
-            try:
-                await self._open()
-            except (aiohttp.ClientError, TimeoutError, OSError) as error:
-                self._give_up(error)
-                continue
-            await self._serve_connection()
-
-    async def _open(self) -> None:
+            if socket is None:
+                await self._wakeup.wait()
+                try:
+                    socket = await self._open()
+                except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                    self._give_up(error)
+                    continue
+            socket = await self._serve_connection(socket)
+
+    async def _open(self) -> aiohttp.ClientWebSocketResponse:
         """Opens a connection and waits for the answer to a probe."""
-        async with asyncio.timeout(self._settings.connect_timeout_s):
+        async with (
+            asyncio.timeout(self._settings.connect_timeout_s),
+            contextlib.AsyncExitStack() as stack,
+        ):
             socket = await self._session.ws_connect(
                 self._url,
                 max_msg_size=0,
                 timeout=aiohttp.ClientWSTimeout(ws_close=CLOSE_TIMEOUT_S),
             )
-            await socket.send_bytes(msgspec.msgpack.encode([["probe", 0]]))
+            stack.push_async_callback(socket.close)
+            await socket.send_bytes(msgspec.msgpack.encode([PROBE]))
             await socket.receive_bytes()
+            stack.pop_all()
+        return socket
+
+    async def _serve_connection(
+        self, socket: aiohttp.ClientWebSocketResponse
+    ) -> aiohttp.ClientWebSocketResponse | None:
+        """Sends and receives until the connection ends or goes silent.
+
+        Returns:
+            The connection that replaces a silent one, else None.
+        """
         self._socket = socket
         self._last_frame_s = asyncio.get_running_loop().time()
-
-    async def _serve_connection(self) -> None:
-        """Sends and receives until the connection ends or goes silent."""
-        reader = asyncio.ensure_future(self._receive())
-        writer = asyncio.ensure_future(self._write())
+        reader = asyncio.ensure_future(self._receive(socket))
+        writer = asyncio.ensure_future(self._write(socket))
         watcher = asyncio.ensure_future(self._watch_silence())
         works = (reader, writer, watcher)
         try:
@@ -181,20 +201,25 @@
         finally:
             for work in works:
                 work.cancel()
-            await asyncio.gather(*works, return_exceptions=True)
-        was_silent = not watcher.cancelled() and watcher.done()
-        socket, self._socket = self._socket, None
-        if was_silent:
-            self._count("silent_connection")
+            results = await asyncio.gather(*works, return_exceptions=True)
+            self._socket = None
             await socket.close()
+        replacement = results[-1]
+        if isinstance(replacement, aiohttp.ClientWebSocketResponse):
+            self._count("silent_connection")
             self._resend_pending()
-            return
-        await socket.close()
+            return replacement
+        if isinstance(
+            replacement, (aiohttp.ClientError, TimeoutError, OSError)
+        ):
+            self._give_up(replacement)
+            return None
         self._fail_pending(
             exceptions.InstanceDiedError(
                 self._instance_id, "closed its connection; use another"
             )
         )
+        return None
 
     def _resend_pending(self) -> None:
         """Queues the outstanding steps for the new connection.
@@ -207,17 +232,17 @@
         ]
         self._wakeup.set()
 
-    async def _write(self) -> None:
+    async def _write(self, socket: aiohttp.ClientWebSocketResponse) -> None:
         while True:
             await self._wakeup.wait()
             self._wakeup.clear()
             items, self._outbox = self._outbox, []
             if items:
-                await self._socket.send_bytes(msgspec.msgpack.encode(items))
+                await socket.send_bytes(msgspec.msgpack.encode(items))
 
-    async def _receive(self) -> None:
+    async def _receive(self, socket: aiohttp.ClientWebSocketResponse) -> None:
         loop = asyncio.get_running_loop()
-        async for message in self._socket:
+        async for message in socket:
             if message.type is not aiohttp.WSMsgType.BINARY:
                 return
             self._last_frame_s = loop.time()
@@ -233,10 +258,14 @@
             return
         entry.future.set_result(answer)
 
-    async def _watch_silence(self) -> None:
-        """Returns once steps are outstanding and no frame has come.
+    async def _watch_silence(self) -> aiohttp.ClientWebSocketResponse:
+        """Returns a replacement once the connection proved to be silent.
 
         After a pause of this process the frames are still to be read.
+
+        Raises:
+            TimeoutError: A new connection made no progress either.
+            aiohttp.ClientError: No new connection could be opened.
         """
         limit_s = self._settings.silence_timeout_s
         loop = asyncio.get_running_loop()
@@ -247,7 +276,34 @@
             if guard.was_stalled() or oldest_s is None:
                 continue
             if loop.time() - max(oldest_s, self._last_frame_s) > limit_s:
-                return
+                replacement = await self._compare_connections()
+                if replacement is not None:
+                    return replacement
+                guard = deadlines.StallGuard(limit_s / 4)
+
+    async def _compare_connections(
+        self,
+    ) -> aiohttp.ClientWebSocketResponse | None:
+        """Probes the connection and a new one beside it.
+
+        An engine that is busy with a long batch answers on both. Returns the
+        new connection if only that one answers, None if the old one does.
+        """
+        last_frame_s = self._last_frame_s
+        self._send(PROBE)
+        try:
+            replacement = await self._open()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            if self._last_frame_s != last_frame_s:
+                return None
+            raise
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(replacement.close)
+            await asyncio.sleep(self._settings.probe_grace_s)
+            if self._last_frame_s == last_frame_s:
+                stack.pop_all()
+                return replacement
+        return None
 
     def _find_oldest_s(self) -> float | None:
         for entry in self._pending.values():
--- a/src/fuchsiabarrow/streams/tests/test_failures.py
+++ b/src/fuchsiabarrow/streams/tests/test_failures.py
@@ -135,6 +135,22 @@
     run_streams(silence)
 
 
+def test_engine_busy_with_a_long_batch_is_not_taken_for_silent():
+    slow = engines.EngineProfile("b-1", MODEL, 0, 12, batch_s=0.6)
+
+    async def check():
+        async with worlds.start((slow,)) as (_, (entry,), caller):
+            works = await worlds.chat_all(caller, PROMPTS, 3)
+            await worlds.check_answers(PROMPTS, works, 3)
+            assert (
+                entry.kernel.get("routing").evidence.find("b-1").failures == 0
+            )
+            metrics = entry.kernel.get("metrics").encode().decode()
+            assert "silent_connection" not in metrics
+
+    loops.run(check())
+
+
 def test_instance_joins_while_streams_run_and_gets_work():
     joining = engines.EngineProfile("b-9", MODEL, 4, 8, 0.0005)
 
