--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -2,6 +2,7 @@
 
 import aiohttp.web
 
+from fuchsiabarrow import exceptions
 from fuchsiabarrow.utils import addresses
 
 __all__ = ["Listener"]
@@ -18,6 +19,9 @@
     Args:
         app: Application to serve.
         address: ``ip:port`` to bind; port 0 takes a free one.
+
+    Raises:
+        SettingsError: On entering, if the address cannot be bound.
     """
 
     def __init__(self, app: aiohttp.web.Application, address: str):
@@ -29,7 +33,14 @@
     async def __aenter__(self) -> "Listener":
         host, port = addresses.parse_address(self.address)
         await self._runner.setup()
-        await aiohttp.web.TCPSite(self._runner, host, port).start()
+        try:
+            await aiohttp.web.TCPSite(self._runner, host, port).start()
+        except OSError as error:
+            await self._runner.cleanup()
+            raise exceptions.SettingsError(
+                f"cannot listen on {self.address} ({error.strerror}); give the"
+                " entry a free address of this instance"
+            ) from error
         host, port = self._runner.addresses[0][:2]
         self.address = f"{host}:{port}"
         return self
