--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,321 @@
+"""Cost of control by the number of entries, instances and organisations."""
+
+import asyncio
+import contextlib
+import gc
+import math
+import os
+import pathlib
+import random
+import time
+import tracemalloc
+
+import defopt
+import msgspec
+
+from fuchsiabarrow.actions import journals
+from fuchsiabarrow.actions import writers
+from fuchsiabarrow.actions.tests import fakes
+from fuchsiabarrow.adapters import sessions
+from fuchsiabarrow.configuration import documents
+from fuchsiabarrow.configuration import parts
+from fuchsiabarrow.entry import authentication
+from fuchsiabarrow.limits import suspects
+from fuchsiabarrow.peers import members
+from fuchsiabarrow.peers import service as peers_service
+from fuchsiabarrow.ports import instances
+from fuchsiabarrow.routing import chains
+from fuchsiabarrow.routing import evidence
+from fuchsiabarrow.utils import loops
+
+SEED = 5
+MEASURE_S = 6.0
+
+
+class Store(fakes.FakeStore):
+    """A store that lists the entries."""
+
+    async def list(self, kind):
+        """Returns the objects of a kind."""
+        return [v for (k, _), v in self.objects.items() if k == kind]
+
+    async def delete(self, kind, name):
+        """Deletes an object."""
+        self.objects.pop((kind, name), None)
+
+
+async def measure_peers(count: int) -> dict:
+    """Returns the cost of membership for one of a number of entries."""
+    source = random.Random(SEED)
+    store = Store(source)
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(sessions.make_session())
+        found = []
+        for number in range(count):
+            peers = peers_service.PeersService(
+                session,
+                members.Member(f"entry-{number}", ""),
+                store,
+                peers_service.Settings(timeout_s=5.0, suspicion_s=30.0),
+                random.Random(number),
+            )
+            await stack.enter_async_context(peers)
+            await peers.join("10.0.0.1:8081")
+            found.append(peers)
+        joined_s = await _time(_wait_agreed(found))
+        heard = []
+        for peers in found:
+            peers.add_listener("k", lambda item: heard.append(1))
+        found[0].publish("k/news", 1, b"x" * 200, 60.0)
+        spread_s = await _time(_wait_heard(heard, count))
+        calls = sum(p.client.calls for p in found)
+        sent = sum(p.client.sent_bytes for p in found)
+        cpu_s = time.process_time()
+        await asyncio.sleep(MEASURE_S)
+        share = 1 / (count * MEASURE_S)
+        return {
+            "entries": count,
+            "cpu_percent_of_core": round(
+                100 * (time.process_time() - cpu_s) * share, 3
+            ),
+            "calls_per_s": round(
+                (sum(p.client.calls for p in found) - calls) * share, 2
+            ),
+            "body_bytes_per_s": round(
+                (sum(p.client.sent_bytes for p in found) - sent) * share
+            ),
+            "agree_s": round(joined_s, 2),
+            "news_to_all_ms": round(1000 * spread_s),
+        }
+
+
+async def _time(work) -> float:
+    started_s = time.monotonic()
+    await work
+    return time.monotonic() - started_s
+
+
+async def _wait_agreed(found) -> None:
+    while len({p.get_table_digest() for p in found}) > 1:
+        await asyncio.sleep(0.02)
+
+
+async def _wait_heard(heard: list, count: int) -> None:
+    async with asyncio.timeout(60):
+        while len(heard) < count:
+            await asyncio.sleep(0.002)
+
+
+def measure_memory(make) -> tuple[float, object]:
+    """Returns the bytes that an object takes, and the object."""
+    gc.collect()
+    tracemalloc.start()
+    made = make()
+    gc.collect()
+    size_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return size_bytes, made
+
+
+def measure_members(count: int) -> dict:
+    """Returns the memory that other entries take."""
+
+    def make():
+        found = members.MemberList(
+            members.Member("own", ""), random.Random(SEED)
+        )
+        for number in range(count):
+            member = members.Member(
+                f"entry-{number}", f"10.0.0.{number}:1", f"10.0.0.{number}:2"
+            )
+            item = members.make_item(member, 1.0)
+            found.update(members.decode_member(item), 0.0)
+        return found
+
+    size_bytes, _ = measure_memory(make)
+    return {"members": count, "bytes_each": round(size_bytes / count)}
+
+
+def make_instances(count: int, models: int, layers: int) -> list:
+    """Returns runners of equal layer ranges, four stages a model."""
+    step = layers // 4
+    return [
+        instances.Instance(
+            f"runner-{n}",
+            f"10.{n % 4}.0.{n}:9000",
+            "engine",
+            f"model-{n % models}",
+            (n // models) % 4 * step,
+            ((n // models) % 4 + 1) * step,
+            region=f"region-{n % 4}",
+            failure_domain=f"domain-{n % 9}",
+            accelerator=f"kind-{n % 6}",
+        )
+        for n in range(count)
+    ]
+
+
+def measure_routing(count: int) -> dict:
+    """Returns the cost of choosing a chain among runners of 12 models."""
+    models = 12 if count >= 12 * 16 else 1
+    listed = make_instances(count, models, 80)
+
+    def make():
+        found = evidence.Evidence(evidence.Settings())
+        found.update_list(listed, 0.0)
+        return found
+
+    size_bytes, found = measure_memory(make)
+    states = [s for s in found.get_states() if s.instance.serves == "model-0"]
+    source = random.Random(SEED)
+    turns = 300
+    started_s = time.process_time()
+    for _ in range(turns):
+        chains.choose_chain(
+            states,
+            80,
+            0.0,
+            lambda state: found.estimate_hop_s(state, 0.0),
+            source,
+        )
+    choose_us = 1e6 * (time.process_time() - started_s) / turns
+    body = msgspec.json.encode(listed)
+    started_s = time.process_time()
+    for _ in range(10):
+        decoded = msgspec.json.decode(body, type=list[instances.Instance])
+        found.update_list(decoded, 0.0)
+    list_ms = 1000 * (time.process_time() - started_s) / 10
+    return {
+        "instances": count,
+        "choose_chain_us": round(choose_us),
+        "read_list_ms": round(list_ms, 2),
+        "list_bytes": len(body),
+        "state_bytes_each": round(size_bytes / count),
+    }
+
+
+def measure_configuration(count: int) -> dict:
+    """Returns the cost of a configuration with many organisations."""
+    document = {
+        "models": {f"m{n}": {"layers": 80} for n in range(12)},
+        "pipelines": {f"p{n}": {"model": f"m{n}"} for n in range(12)},
+        "organisations": {
+            f"organisation-{n}": {
+                "key_sha256": [documents.hash_key(str(n))],
+                "pipelines": ["p1", "p2", "p3"],
+                "share": 1.0,
+            }
+            for n in range(count)
+        },
+    }
+    split = parts.split_document(document)
+    head = parts.make_head(parts.EMPTY_HEAD, split, "nonce", "desk")
+    by_digest = {parts.compute_digest(p): p for p in split.values()}
+
+    def adopt():
+        joined = parts.join_parts(head, by_digest)
+        configuration = documents.decode(joined)
+        index = authentication.KeyIndex()
+        index.change(configuration)
+        return joined, configuration, index
+
+    started_s = time.process_time()
+    adopt()
+    adopt_ms = 1000 * (time.process_time() - started_s)
+    size_bytes, _ = measure_memory(adopt)
+    return {
+        "organisations": count,
+        "adopt_ms": round(adopt_ms, 1),
+        "memory_mb": round(size_bytes / 1e6, 2),
+        "head_bytes": len(msgspec.json.encode(head)),
+        "largest_part_bytes": max(len(part) for part in split.values()),
+        "all_parts_bytes": sum(len(part) for part in split.values()),
+    }
+
+
+async def measure_claims(rate_per_s: int, entries: int) -> dict:
+    """Returns the store's writes and the delay of claims at a rate."""
+    source = random.Random(SEED)
+    store = fakes.FakeStore(source)
+    found = [
+        writers.JournalWriter(store, writers.Settings(), random.Random(n))
+        for n in range(entries)
+    ]
+    delays = []
+    limit = int(rate_per_s * 3)
+    cpu_s, started_s = time.process_time(), time.monotonic()
+
+    async def act(number: int) -> None:
+        await asyncio.sleep(number / rate_per_s)
+        writer = found[number % entries]
+        claimant = journals.Claimant("e", f"n{number}", "r", 1.0, 1.0)
+        digest = f"{source.getrandbits(128):032x}"
+        journal = f"0-{number % 16}"
+        begun_s = time.monotonic()
+        await writer.apply(journal, journals.Claim(digest, claimant, math.inf))
+        delays.append(time.monotonic() - begun_s)
+        await writer.apply(
+            journal,
+            journals.Settle(
+                digest,
+                claimant.nonce,
+                journals.State.COMPLETED,
+                1.0,
+                200,
+                b"x" * 60,
+            ),
+        )
+
+    await asyncio.gather(*(act(n) for n in range(limit)))
+    wall_s = time.monotonic() - started_s
+    delays.sort()
+    sizes = [len(s.value) for s in store.objects.values()]
+    return {
+        "actions_per_s": round(limit / wall_s),
+        "entries": entries,
+        "store_writes_per_s": round(store.writes / wall_s),
+        "conflicts_per_s": round(sum(w.conflicts for w in found) / wall_s),
+        "claim_ms_p50": round(1000 * delays[len(delays) // 2], 1),
+        "claim_ms_p95": round(1000 * delays[int(0.95 * len(delays))], 1),
+        "cpu_us_per_action": round(1e6 * (time.process_time() - cpu_s) / limit),
+        "record_bytes": round(sum(sizes) / limit),
+    }
+
+
+def measure_suspects() -> dict:
+    """Returns the memory of the table of crash suspects when it is full."""
+    settings = suspects.Settings()
+
+    def make():
+        found = suspects.Suspects(settings)
+        for number in range(settings.block_limit):
+            found.add_strikes(f"{number:032x}", 3, 0.0)
+        return found
+
+    size_bytes, _ = measure_memory(make)
+    return {"suspects": settings.block_limit, "bytes": size_bytes}
+
+
+def read_resident_mb() -> float:
+    """Returns the resident memory of this process in megabytes."""
+    fields = pathlib.Path("/proc/self/statm").read_text().split()
+    return int(fields[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def main() -> None:
+    """Measure the cost of control."""
+    print({"process_with_libraries_mb": round(read_resident_mb(), 1)})
+    for count in (9, 25, 50, 100):
+        print(loops.run(measure_peers(count)))
+    print(measure_members(400))
+    for count in (30, 250, 1000):
+        print(measure_routing(count))
+    for count in (10, 1000, 8900):
+        print(measure_configuration(count))
+    for rate, entries in ((50, 1), (200, 1), (400, 1), (800, 1), (200, 9), (400, 9)):
+        print(loops.run(measure_claims(rate, entries)))
+    print(measure_suspects())
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/src/fuchsiabarrow/actions/__init__.py
+++ b/src/fuchsiabarrow/actions/__init__.py
@@ -1,9 +1,10 @@
 """Actions on plain services, run at most once where repeats do harm."""
 
 from fuchsiabarrow.actions import claims
+from fuchsiabarrow.actions import forwarding
 from fuchsiabarrow.actions import journals
 from fuchsiabarrow.actions import keys
 from fuchsiabarrow.actions import service
 from fuchsiabarrow.actions import writers
 
-__all__ = ["claims", "journals", "keys", "service", "writers"]
+__all__ = ["claims", "forwarding", "journals", "keys", "service", "writers"]
--- a/src/fuchsiabarrow/actions/claims.py
+++ b/src/fuchsiabarrow/actions/claims.py
@@ -155,11 +155,19 @@
             return await self._send_repeatable(request)
         claimant = self._make_claimant(request)
         started_s = self._read_boot_time_s()
-        claim = journals.claim(request.key.digest, claimant)
+        valid_until_s = (
+            claimant.now_s
+            + self._settings.claim_timeout_s
+            + journals.CLOCK_SKEW_S
+        )
+        claim = journals.Claim(request.key.digest, claimant, valid_until_s)
         record = await self._apply_in_time(request.key, claim)
+        is_doubtful = self._writer.take_doubt(claimant.nonce)
         if record is None:
             return await self._go_without_claim(request, claimant)
         if record.nonce != claimant.nonce:
+            if is_doubtful:
+                self._give_back_later(request, claimant)
             return await self._join(request, record)
         return await self._send_claimed(request, record, started_s)
 
@@ -184,7 +192,7 @@
             return self._make_unknown("no entry has claimed this key so far")
         if record.state is journals.State.NOT_RUN:
             now_s = self._read_wall_time_s()
-            confirm = journals.confirm_not_run(key.digest, now_s)
+            confirm = journals.ConfirmNotRun(key.digest, now_s)
             record = await self._apply_in_time(key, confirm) or record
             return self._describe(record, now_s)
         return self._describe(record)
@@ -248,16 +256,8 @@
     async def _go_without_claim(
         self, request: ActionRequest, claimant: journals.Claimant
     ) -> Outcome:
+        self._give_back_later(request, claimant)
         is_sent_anyway = request.action.guard == "deduplicates"
-        state = journals.State.NOT_RUN
-        if is_sent_anyway:
-            state = journals.State.UNKNOWN
-        self._write_later(
-            request,
-            journals.give_back(
-                request.key.digest, claimant, state, self._read_wall_time_s()
-            ),
-        )
         if is_sent_anyway:
             outcome = await self._send_deduplicated(request, fence=0)
             if outcome.state is not journals.State.NOT_RUN:
@@ -265,6 +265,30 @@
             return self._make_unclaimed(request, outcome.detail)
         return self._make_unclaimed(request, "the claim could not be written")
 
+    def _give_back_later(
+        self, request: ActionRequest, claimant: journals.Claimant
+    ) -> None:
+        """Gives a claim back once nobody applies it any more."""
+        state = journals.State.NOT_RUN
+        if request.action.guard == "deduplicates":
+            state = journals.State.UNKNOWN
+        delay_s = self._settings.claim_timeout_s + 2 * journals.CLOCK_SKEW_S
+
+        async def give_back() -> None:
+            await asyncio.sleep(
+                max(0.0, claimant.now_s + delay_s - self._read_wall_time_s())
+            )
+            operation = journals.GiveBack(
+                request.key.digest, claimant, state, self._read_wall_time_s()
+            )
+            await self._writer.apply(request.key.journal, operation)
+
+        self._keep_task(asyncio.create_task(give_back()))
+
+    def _keep_task(self, task: asyncio.Task) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _send_repeatable(self, request: ActionRequest) -> Outcome:
         return await self._send_deduplicated(request, fence=0)
 
@@ -409,14 +433,14 @@
         """Claims with a larger fencing number and finds out what happened."""
         claimant = self._make_claimant(request)
         started_s = self._read_boot_time_s()
-        operation = journals.take_over(
+        operation = journals.TakeOver(
             request.key.digest, claimant, self._settings.lapse_s
         )
         record = await self._apply_in_time(request.key, operation)
         if record is None:
             self._write_later(
                 request,
-                journals.settle(
+                journals.Settle(
                     request.key.digest,
                     claimant.nonce,
                     journals.State.UNKNOWN,
@@ -468,7 +492,7 @@
         If the claim was taken over meanwhile, "not run" is no longer this
         entry's to say.
         """
-        operation = journals.settle(
+        operation = journals.Settle(
             request.key.digest,
             record.nonce,
             outcome.state,
@@ -497,6 +521,5 @@
         task = asyncio.create_task(
             self._writer.apply(request.key.journal, operation)
         )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._keep_task(task)
         return task
--- a/src/fuchsiabarrow/actions/journals.py
+++ b/src/fuchsiabarrow/actions/journals.py
@@ -6,25 +6,23 @@
 runs the call.
 """
 
-from collections.abc import Callable
-import dataclasses
 import enum
 
 import msgspec
 
 __all__ = [
     "FINAL_STATES",
+    "Claim",
     "Claimant",
+    "ConfirmNotRun",
+    "GiveBack",
     "Journal",
     "Operation",
     "Record",
+    "Settle",
     "State",
+    "TakeOver",
     "apply_operations",
-    "claim",
-    "confirm_not_run",
-    "give_back",
-    "settle",
-    "take_over",
 ]
 
 
@@ -82,8 +80,7 @@
     records: dict[str, Record] = {}
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Claimant:
+class Claimant(msgspec.Struct, frozen=True, array_like=True):
     """Who claims a key.
 
     Attributes:
@@ -101,161 +98,195 @@
     now_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Operation:
-    """One change of one record.
-
-    Attributes:
-        digest: Key digest.
-        change: Returns the new record for the old one; the same object when
-            nothing changes.
-        is_claim: Whether it may add a record.
-    """
-
+class _Operation(msgspec.Struct, frozen=True, array_like=True, tag=True):
     digest: str
-    change: Callable[[Record | None], Record | None]
-    is_claim: bool = False
-
-
-def _make_record(
-    state: State, claimant: Claimant, found: Record | None
-) -> Record:
-    fence = found.fence + 1 if found is not None else 1
-    return Record(
-        state,
-        claimant.owner,
-        claimant.nonce,
-        fence,
-        claimant.now_s,
-        claimant.request,
-        settled_at_s=claimant.now_s,
-    )
 
 
-def claim(digest: str, claimant: Claimant) -> Operation:
+class Claim(_Operation):
     """Claims a key that nobody holds, or whose call was given back unrun.
 
     A caller that was told "not run" may rely on it, so a request that was on
     its way before that may no longer claim the key; only one that came in
     later may. Applying the operation again after a lost answer finds the same
     nonce and changes nothing.
+
+    An operation that lay with an entry that was paused is not applied after
+    its time: its sender may have given up by then.
+
+    Attributes:
+        digest: Key digest.
+        claimant: Who claims it.
+        valid_until_s: Wall time from which it is not applied any more.
     """
 
-    def change(found: Record | None) -> Record | None:
+    claimant: Claimant
+    valid_until_s: float
+
+    def change(self, found: Record | None, now_s: float) -> Record | None:
+        """Returns the record that replaces the one found."""
+        if now_s > self.valid_until_s:
+            return found
         if found is None:
-            return _make_record(State.CLAIMED, claimant, found)
-        is_later = claimant.requested_at_s > found.settled_at_s + CLOCK_SKEW_S
+            return _make_record(State.CLAIMED, self.claimant, found)
+        settled_at_s = found.settled_at_s + CLOCK_SKEW_S
+        is_later = self.claimant.requested_at_s > settled_at_s
         is_free = found.state is State.NOT_RUN and is_later
-        if not is_free or found.nonce == claimant.nonce:
+        if not is_free or found.nonce == self.claimant.nonce:
             return found
-        return _make_record(State.CLAIMED, claimant, found)
-
-    return Operation(digest, change, is_claim=True)
+        return _make_record(State.CLAIMED, self.claimant, found)
 
 
-def take_over(digest: str, claimant: Claimant, lapse_s: float) -> Operation:
+class TakeOver(_Operation):
     """Claims a key whose claim lapsed, or ended in an unknown outcome.
 
     Only for services that check fencing numbers or deduplicate by key: the
     former holder may still wake and send.
+
+    Attributes:
+        digest: Key digest.
+        claimant: Who claims it.
+        lapse_s: Age from which a claim without an outcome has lapsed.
     """
 
-    def change(found: Record | None) -> Record | None:
-        if found is None or found.nonce == claimant.nonce:
+    claimant: Claimant
+    lapse_s: float
+
+    def change(self, found: Record | None, now_s: float) -> Record | None:
+        """Returns the record that replaces the one found."""
+        if found is None or found.nonce == self.claimant.nonce:
             return found
         has_lapsed = (
             found.state is State.CLAIMED
-            and claimant.now_s - found.claimed_at_s >= lapse_s
+            and self.claimant.now_s - found.claimed_at_s >= self.lapse_s
         )
         if not has_lapsed and found.state is not State.UNKNOWN:
             return found
-        return _make_record(State.CLAIMED, claimant, found)
+        return _make_record(State.CLAIMED, self.claimant, found)
 
-    return Operation(digest, change)
 
-
-def give_back(
-    digest: str, claimant: Claimant, state: State, now_s: float
-) -> Operation:
+class GiveBack(_Operation):
     """Ends a claim whose write may or may not have taken effect.
 
-    Where the claim could still succeed (no record, or a call given back unrun)
-    it writes a record, so that the conditional write in doubt fails.
+    It always writes, so that a conditional write that is in doubt fails, and
+    is to be applied only when the claim is no longer valid.
 
-    Args:
+    Attributes:
         digest: Key digest.
         claimant: Who claimed it.
         state: ``NOT_RUN`` if nothing was sent, else ``UNKNOWN``.
         now_s: Wall time in seconds.
     """
 
-    def change(found: Record | None) -> Record | None:
+    claimant: Claimant
+    state: State
+    now_s: float
+
+    def change(self, found: Record | None, now_s: float) -> Record | None:
+        """Returns the record that replaces the one found."""
         if found is None:
-            record = _make_record(state, claimant, found)
-            return msgspec.structs.replace(record, settled_at_s=now_s)
-        if found.state is State.NOT_RUN:
-            return _renew(found, state, now_s)
-        if found.nonce != claimant.nonce or found.state is not State.CLAIMED:
-            return found
-        return _renew(found, state, now_s)
+            record = _make_record(self.state, self.claimant, found)
+            return msgspec.structs.replace(record, settled_at_s=self.now_s)
+        is_own = found.nonce == self.claimant.nonce
+        is_own_claim = is_own and found.state is State.CLAIMED
+        if is_own_claim or found.state is State.NOT_RUN:
+            return _renew(found, self.state, self.now_s)
+        return msgspec.structs.replace(found)
 
-    return Operation(digest, change)
 
+class ConfirmNotRun(_Operation):
+    """Makes "not run" hold against all requests that came in before now.
 
-def confirm_not_run(digest: str, now_s: float) -> Operation:
-    """Makes "not run" hold against all requests that came in before now."""
+    Attributes:
+        digest: Key digest.
+        now_s: Wall time in seconds.
+    """
+
+    now_s: float
 
-    def change(found: Record | None) -> Record | None:
+    def change(self, found: Record | None, now_s: float) -> Record | None:
+        """Returns the record that replaces the one found."""
         if found is None or found.state is not State.NOT_RUN:
             return found
-        return _renew(found, State.NOT_RUN, now_s)
+        return _renew(found, State.NOT_RUN, self.now_s)
 
-    return Operation(digest, change)
 
+class Settle(_Operation):
+    """Records the outcome of a claim that still stands under a nonce.
 
-def _renew(found: Record, state: State, now_s: float) -> Record:
-    """Returns the record with a state that holds from now on."""
-    settled_at_s = max(now_s, found.settled_at_s)
-    return msgspec.structs.replace(
-        found, state=state, settled_at_s=settled_at_s
-    )
-
+    Attributes:
+        digest: Key digest.
+        nonce: Nonce of the claim.
+        state: Outcome.
+        now_s: Wall time in seconds.
+        status: Status that the service answered.
+        body: Answer of the service in bytes.
+    """
 
-def settle(
-    digest: str,
-    nonce: str,
-    state: State,
-    now_s: float,
-    status: int = 0,
-    body: bytes = b"",
-) -> Operation:
-    """Records the outcome of a claim that still stands under a nonce."""
+    nonce: str
+    state: State
+    now_s: float
+    status: int = 0
+    body: bytes = b""
 
-    def change(found: Record | None) -> Record | None:
-        if found is None or found.nonce != nonce:
+    def change(self, found: Record | None, now_s: float) -> Record | None:
+        """Returns the record that replaces the one found."""
+        if found is None or found.nonce != self.nonce:
             return found
         if found.state not in (State.CLAIMED, State.UNKNOWN):
             return found
         return msgspec.structs.replace(
-            found, state=state, status=status, body=body, settled_at_s=now_s
+            found,
+            state=self.state,
+            status=self.status,
+            body=self.body,
+            settled_at_s=self.now_s,
         )
 
-    return Operation(digest, change)
+
+Operation = Claim | TakeOver | GiveBack | ConfirmNotRun | Settle
+
+
+def _make_record(
+    state: State, claimant: Claimant, found: Record | None
+) -> Record:
+    fence = found.fence + 1 if found is not None else 1
+    return Record(
+        state,
+        claimant.owner,
+        claimant.nonce,
+        fence,
+        claimant.now_s,
+        claimant.request,
+        settled_at_s=claimant.now_s,
+    )
+
+
+def _renew(found: Record, state: State, now_s: float) -> Record:
+    """Returns the record with a state that holds from now on."""
+    settled_at_s = max(now_s, found.settled_at_s)
+    return msgspec.structs.replace(
+        found, state=state, settled_at_s=settled_at_s
+    )
 
 
 def apply_operations(
-    journal: Journal, operations: list[Operation]
+    journal: Journal, operations: list[Operation], now_s: float
 ) -> tuple[Journal, list[Record | None]]:
     """Returns the changed journal and the record after each operation.
 
     The same journal object is returned when nothing changed.
+
+    Args:
+        journal: Journal as stored.
+        operations: Operations in order.
+        now_s: Wall time in seconds.
     """
     records = dict(journal.records)
     results = []
     is_changed = False
     for operation in operations:
         before = records.get(operation.digest)
-        after = operation.change(before)
+        after = operation.change(before, now_s)
         results.append(after)
         if after is not before:
             records[operation.digest] = after
--- a/src/fuchsiabarrow/actions/tests/schedules.py
+++ b/src/fuchsiabarrow/actions/tests/schedules.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+from fuchsiabarrow import exceptions
 from fuchsiabarrow.actions import claims
 from fuchsiabarrow.actions import journals
 from fuchsiabarrow.actions import keys
@@ -18,6 +19,9 @@
 SENDS = 4
 DURATION_S = 20.0
 QUIET_S = 120.0
+FORWARD_TIMEOUT_S = 0.5
+# Share of the schedules in which entries send operations to the first.
+FORWARDING_RATE = 0.5
 INSTANCE = instances.Instance("w-1", "10.0.0.1:1", "service", "workshop")
 
 
@@ -66,8 +70,13 @@
         self.is_alive = True
         self.tasks: set[asyncio.Task] = set()
         self.writer = writers.JournalWriter(
-            fakes.GatedStore(store, self.gate), writers.Settings(), source
+            fakes.GatedStore(store, self.gate),
+            writers.Settings(),
+            source,
+            self._forward,
+            loop.time,
         )
+        self.others: list[Entry] = []
         self.runner = claims.ClaimRunner(
             name,
             self.writer,
@@ -80,6 +89,26 @@
             loop.time,
         )
 
+    async def _forward(self, journal, operation):
+        """Lets the first other entry commit, if it answers in time."""
+        await self.gate.wait()
+        owner = self.others[0] if self.others else self
+        if owner is self or not owner.is_alive:
+            return None
+        work = asyncio.create_task(owner.commit_forwarded(journal, operation))
+        owner.tasks.add(work)
+        done, _ = await asyncio.wait({work}, timeout=FORWARD_TIMEOUT_S)
+        await self.gate.wait()
+        if not done or work.cancelled() or work.exception():
+            raise exceptions.PeerError("no answer; commit it here")
+        return (work.result(),)
+
+    async def commit_forwarded(self, journal, operation):
+        await self.gate.wait()
+        record = await self.writer.commit(journal, operation)
+        await self.gate.wait()
+        return record
+
     def send(self, request) -> asyncio.Task:
         task = asyncio.create_task(self.runner.run(request))
         self.tasks.add(task)
@@ -112,6 +141,9 @@
             Entry(f"entry-{n}", store, service, source) for n in range(ENTRIES)
         ]
         settings = keys.Settings()
+        if source.random() < FORWARDING_RATE:
+            for entry in self._entries[1:]:
+                entry.others = self._entries[:1]
         found = [
             keys.make_key(f"key-{n}", "org", "act", 0.0, settings)
             for n in range(KEYS)
--- a/src/fuchsiabarrow/actions/writers.py
+++ b/src/fuchsiabarrow/actions/writers.py
@@ -1,11 +1,16 @@
 """Group commit of journal operations through the object API.
 
-Operations on the same journal that arrive while a write is under way share the
-next write. An entry needs no right to a journal: a write that was overtaken
-conflicts, and its operations are applied again to what is there now.
+Operations on the same journal that arrive while a write is under way, or sooner
+after one than the fleet's write rate allows, share the next write. So that they
+meet, the entries send them to one of them, found by a hash of the journal's
+name. That is only a hint: if it does not answer, an entry writes by itself. No
+right to a journal is needed: a write that was overtaken conflicts, and its
+operations are applied again to what is there now.
 """
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import random
 
@@ -14,12 +19,15 @@
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.actions import journals
 from fuchsiabarrow.ports import objects
+from fuchsiabarrow.utils import clocks
 from fuchsiabarrow.utils import jitter
 
 __all__ = ["JournalWriter", "Settings"]
 
 JOURNAL_KIND = "action-journal"
 
+Forward = Callable[[str, journals.Operation], Awaitable[journals.Record | None]]
+
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of the journal writer.
@@ -28,11 +36,14 @@
         retry_base_s: Delay scale after a conflict or a lost answer.
         retry_limit_s: Largest such delay.
         size_limit_bytes: A journal takes no new claim from this size on.
+        interval_s: Least time between two writes of a journal; the number of
+            shards divided by it is the fleet's largest rate of writes.
     """
 
     retry_base_s: float = 0.005
     retry_limit_s: float = 0.5
     size_limit_bytes: int = 900_000
+    interval_s: float = 0.05
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -45,6 +56,7 @@
 class _Shard:
     queue: list[_Request] = dataclasses.field(default_factory=list)
     task: asyncio.Task | None = None
+    next_write_s: float = 0.0
 
 
 class JournalWriter:
@@ -54,6 +66,10 @@
         store: The object API.
         settings: Delays and bounds.
         source: Random source for delays.
+        forward: Lets another entry apply an operation and returns the record;
+            raises ``PeerError`` if it is not known to have done it, and
+            returns None if this entry is to do it.
+        read_wall_time_s: Clock for the validity of claims.
     """
 
     def __init__(
@@ -61,6 +77,8 @@
         store: objects.ObjectStore,
         settings: Settings,
         source: random.Random,
+        forward: Forward | None = None,
+        read_wall_time_s: clocks.Clock = clocks.read_wall_time_s,
     ):
         self.writes = 0
         self.conflicts = 0
@@ -68,6 +86,9 @@
         self._store = store
         self._settings = settings
         self._source = source
+        self._forward = forward
+        self._read_wall_time_s = read_wall_time_s
+        self._doubtful: set[str] = set()
         self._shards: dict[str, _Shard] = {}
         self._decoder = msgspec.msgpack.Decoder(journals.Journal)
 
@@ -99,7 +120,32 @@
         It is tried until the store has answered. A caller that stops waiting
         (by cancelling) must take the operation for one that may yet be
         applied, until another operation on the same journal went through.
+
+        Raises:
+            StoreUnavailableError: The journal is full.
         """
+        try:
+            if self._forward is not None:
+                applied = await self._forward(journal, operation)
+                if applied is not None:
+                    return applied[0]
+        except (exceptions.PeerError, asyncio.CancelledError) as error:
+            if isinstance(operation, journals.Claim):
+                self._doubtful.add(operation.claimant.nonce)
+            if isinstance(error, asyncio.CancelledError):
+                raise
+        return await self.commit(journal, operation)
+
+    def take_doubt(self, nonce: str) -> bool:
+        """Tells, once, whether another entry may yet apply a claim."""
+        is_doubtful = nonce in self._doubtful
+        self._doubtful.discard(nonce)
+        return is_doubtful
+
+    async def commit(
+        self, journal: str, operation: journals.Operation
+    ) -> journals.Record | None:
+        """Applies an operation by a write of this entry's own."""
         future = asyncio.get_running_loop().create_future()
         shard = self._shards.setdefault(journal, _Shard())
         shard.queue.append(_Request(operation, future))
@@ -111,12 +157,15 @@
     async def _commit(self, journal: str, shard: _Shard) -> None:
         """Writes the queued operations until none is left."""
         failures = 0
+        loop = asyncio.get_running_loop()
         while shard.queue:
+            await asyncio.sleep(max(0.0, shard.next_write_s - loop.time()))
             batch = [r for r in shard.queue if not r.future.done()]
             shard.queue = []
             if not batch:
                 break
             try:
+                shard.next_write_s = loop.time() + self._settings.interval_s
                 results = await self._try_commit(journal, batch)
             except exceptions.StoreError:
                 shard.queue = batch + shard.queue
@@ -127,7 +176,11 @@
             for request, result in zip(batch, results, strict=True):
                 if not request.future.done():
                     request.future.set_result(result)
-        del self._shards[journal]
+        await asyncio.sleep(max(0.0, shard.next_write_s - loop.time()))
+        if shard.queue:
+            shard.task = asyncio.create_task(self._commit(journal, shard))
+        else:
+            del self._shards[journal]
 
     async def _try_commit(self, journal: str, batch: list[_Request]):
         """Applies a batch to the stored journal once.
@@ -142,7 +195,9 @@
         if stored is not None:
             before = self._decoder.decode(stored.value)
         operations = [request.operation for request in batch]
-        after, results = journals.apply_operations(before, operations)
+        after, results = journals.apply_operations(
+            before, operations, self._read_wall_time_s()
+        )
         if after is before:
             return results
         value = msgspec.msgpack.encode(after)
@@ -174,7 +229,7 @@
     error = exceptions.StoreUnavailableError(
         f"journal {journal} is full; raise actions.keys.shards on all entries"
     )
-    claims = [r for r in batch if r.operation.is_claim]
+    claims = [r for r in batch if isinstance(r.operation, journals.Claim)]
     for request in claims:
         if not request.future.done():
             request.future.set_exception(error)
--- a/src/fuchsiabarrow/configuration/service.py
+++ b/src/fuchsiabarrow/configuration/service.py
@@ -87,6 +87,7 @@
 
     async def __aenter__(self) -> "ConfigurationService":
         self._peers.add_listener(ITEM_KIND, lambda item: self._news.set())
+        self._peers.add_answer(PART_KIND, self._answer_part)
         self._news.set()
         works = (self._follow_store(), self._follow_peers())
         self._tasks = [asyncio.create_task(work) for work in works]
@@ -97,9 +98,9 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def get_part(self, digest: str) -> bytes:
-        """Returns a part of what is in force, empty if it is none."""
-        return self._parts.get(digest, b"")
+    async def _answer_part(self, digest: bytes) -> bytes | None:
+        """Gives another entry a part of the configuration in force."""
+        return self._parts.get(digest.decode())
 
     def get_document(self) -> dict[str, Any]:
         """Returns the configuration in force as builtin types."""
@@ -291,7 +292,7 @@
     async def _fetch_part(self, digest: str, is_from_store: bool) -> bytes:
         """Fetches a part, first from where its head came."""
         if not is_from_store:
-            content = await self._peers.fetch_part(digest)
+            content = await self._peers.ask_some(PART_KIND, digest.encode())
             if content:
                 return content
         stored = await self._store.get(PART_KIND, digest)
--- a/src/fuchsiabarrow/configuration/tests/fakes.py
+++ b/src/fuchsiabarrow/configuration/tests/fakes.py
@@ -13,7 +13,7 @@
 
     def __init__(self):
         self.linked: list[FakePeers] = []
-        self.services: list = []
+        self._answers = {}
         self._table = items.ItemTable()
         self._listeners = []
 
@@ -37,13 +37,16 @@
             for listener in self._listeners:
                 listener(found)
 
-    async def fetch_part(self, digest):
+    def add_answer(self, service, answer):
+        self._answers[service] = answer
+
+    async def ask_some(self, service, body):
         await asyncio.sleep(0.01)
         for peers in self.linked:
-            for found in peers.services:
-                if found.get_part(digest):
-                    return found.get_part(digest)
-        return b""
+            found = await peers._answers[service](body)
+            if found:
+                return found
+        return None
 
 
 def make_services(count, seed=1):
@@ -57,6 +60,5 @@
         made = service.ConfigurationService(
             store, own, service.Settings(), source
         )
-        own.services.append(made)
         found.append(made)
     return store, found
--- a/src/fuchsiabarrow/entry/composition.py
+++ b/src/fuchsiabarrow/entry/composition.py
@@ -8,6 +8,7 @@
 from opentelemetry.sdk.trace import export
 
 from fuchsiabarrow.actions import claims
+from fuchsiabarrow.actions import forwarding
 from fuchsiabarrow.actions import service as actions_service
 from fuchsiabarrow.actions import writers
 from fuchsiabarrow.adapters import engines as engine_adapter
@@ -118,9 +119,6 @@
             entry.failure_domain,
         )
 
-        def get_part(digest: str) -> bytes:
-            return kernel.get("configuration").get_part(digest)
-
         await kernel.add(
             "peers",
             peers_service.PeersService(
@@ -129,7 +127,6 @@
                 kernel.get("store"),
                 self._settings.peers,
                 self._source,
-                get_part,
             ),
         )
 
@@ -201,9 +198,13 @@
         writer = await kernel.add(
             "journal_writer",
             writers.JournalWriter(
-                kernel.get("store"), settings.actions.writer, self._source
+                kernel.get("store"),
+                settings.actions.writer,
+                self._source,
+                forwarding.make_forward(kernel.get("peers")),
             ),
         )
+        forwarding.answer_forwarded(kernel.get("peers"), writer)
         runner = await kernel.add(
             "claims",
             claims.ClaimRunner(
--- a/src/fuchsiabarrow/peers/peer.capnp
+++ b/src/fuchsiabarrow/peers/peer.capnp
@@ -41,12 +41,14 @@
   isAlive @0 :Bool;
 }
 
-# Asks for a part of the configuration by its digest; answered by a Part, whose
-# content is empty if the part is not there.
-struct PartQuery {
-  digest @0 :Text;
+# Asks the receiver's service of that name; answered by an Answer.
+struct Question {
+  service @0 :Text;
+  body @1 :Data;
 }
 
-struct Part {
-  content @0 :Data;
+# The body is empty, and isAnswered false, if the receiver cannot tell.
+struct Answer {
+  isAnswered @0 :Bool;
+  body @1 :Data;
 }
--- a/src/fuchsiabarrow/peers/service.py
+++ b/src/fuchsiabarrow/peers/service.py
@@ -6,12 +6,14 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import random
 
 import aiohttp
 import logbook
 import msgspec
+import xxhash
 
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.peers import items as items_module
@@ -61,6 +63,8 @@
 
 
 Listener = Callable[[items_module.Item], None]
+# Answers a question of another entry; None if it cannot tell.
+Answer = Callable[[bytes], Awaitable[bytes | None]]
 
 
 class PeersService:
@@ -76,7 +80,6 @@
         store: Object API, which names the entries to join.
         settings: Addresses and periods.
         source: Random source.
-        get_part: Returns a part of the configuration by digest.
     """
 
     def __init__(
@@ -86,7 +89,6 @@
         store: objects.ObjectStore,
         settings: Settings,
         source: random.Random,
-        get_part: Callable[[str], bytes],
     ):
         self.members = members_module.MemberList(own, source)
         self._table = items_module.ItemTable()
@@ -102,8 +104,9 @@
             self._answer_exchange,
             self._table.compare,
             self._probe_directly,
-            get_part,
+            self._answer_question,
         )
+        self._answers: dict[str, Answer] = {}
         self._server = listeners.Listener(
             transport.make_app(handlers, settings.key), settings.address
         )
@@ -262,20 +265,45 @@
         if known:
             await self.client.exchange(address, self._table.digest, known)
 
-    async def fetch_part(self, digest: str) -> bytes:
-        """Asks other entries for a part of the configuration.
+    # Questions.
 
-        Returns:
-            The part, empty if none of those asked has it.
-        """
+    def add_answer(self, service: str, answer: Answer) -> None:
+        """Answers the questions of other entries to a service."""
+        self._answers[service] = answer
+
+    async def _answer_question(self, service: str, body: bytes):
+        answer = self._answers.get(service)
+        return None if answer is None else await answer(body)
+
+    async def ask_some(self, service: str, body: bytes) -> bytes | None:
+        """Asks a few entries in turn; None if none of them can tell."""
         for member in self.members.draw(self._settings.fanout, set()):
             try:
-                content = await self.client.get_part(member.address, digest)
+                return await self.client.ask(member.address, service, body)
             except exceptions.PeerError:
                 continue
-            if content:
-                return content
-        return b""
+        return None
+
+    def find_owner(self, name: str) -> members_module.Member | None:
+        """Returns the entry that a name falls to, None for this one.
+
+        All entries with the same view of who is alive find the same one
+        (Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit
+        Rates", IEEE/ACM Transactions on Networking 6(1), 1998).
+        """
+        alive = [
+            member
+            for member in self.members.get_live()
+            if member.status is members_module.Status.ALIVE
+        ]
+
+        def compute_weight(member: members_module.Member) -> int:
+            return xxhash.xxh3_64_intdigest(f"{member.name}/{name}".encode())
+
+        owner = max(alive, key=compute_weight, default=None)
+        if owner is None or owner.name == self.members.own.name:
+            return None
+        return owner
 
     # Membership.
 
--- a/src/fuchsiabarrow/peers/tests/test_service.py
+++ b/src/fuchsiabarrow/peers/tests/test_service.py
@@ -46,8 +46,12 @@
             self.store,
             service.Settings(**{**FAST, **options}),
             random.Random(number),
-            lambda digest: b"part " + digest.encode(),
         )
+
+        async def answer(body):
+            return b"answer to " + body
+
+        peers.add_answer("test", answer)
         await self.stack.enter_async_context(peers)
         await peers.join("10.0.0.1:1")
         self.found.append(peers)
@@ -134,7 +138,8 @@
         fresh = await group.start(seeds=[seed])
         await wait_for_live(group.found, 3)
         assert fresh.get_item("k/a").value == b"news"
-        assert await fresh.fetch_part("x") == b"part x"
+        assert await fresh.ask_some("test", b"x") == b"answer to x"
+        assert await fresh.ask_some("unknown", b"x") is None
 
     run(check, count=2)
 
@@ -150,3 +155,18 @@
         assert len(inside.members.get_live()) == 1
 
     run(check, count=0)
+
+
+def test_all_entries_find_the_same_owner_and_names_are_spread():
+    async def check(group):
+        owners = {}
+        for number in range(60):
+            name = f"journal-{number}"
+            found = {
+                (p.find_owner(name) or p.members.own).name for p in group.found
+            }
+            assert len(found) == 1
+            owners.setdefault(found.pop(), []).append(name)
+        assert len(owners) == COUNT
+
+    run(check)
--- a/src/fuchsiabarrow/peers/transport.py
+++ b/src/fuchsiabarrow/peers/transport.py
@@ -34,13 +34,14 @@
         exchange: Takes (digest, items) and returns its own.
         compare: Takes versions by key; returns (items, wanted keys).
         probe: Takes an address and tells whether an entry answers there.
-        get_part: Takes a digest and returns the part, empty for none.
+        answer: Takes a service's name and a question; returns the answer, None
+            if it cannot tell.
     """
 
     exchange: Callable[[int, list[items.Item]], tuple[int, list[items.Item]]]
     compare: Callable[[dict[str, int]], tuple[list[items.Item], list[str]]]
     probe: Callable[[str], Awaitable[bool]]
-    get_part: Callable[[str], bytes]
+    answer: Callable[[str, bytes], Awaitable[bytes | None]]
 
 
 def _encode_items(found: list[items.Item]) -> list[dict]:
@@ -109,15 +110,17 @@
         is_alive = await handlers.probe(str(message.address))
         return _schema.ProbeResult.new_message(isAlive=is_alive)
 
-    async def get_part(message):
-        content = handlers.get_part(str(message.digest))
-        return _schema.Part.new_message(content=content)
+    async def answer(message):
+        body = await handlers.answer(str(message.service), bytes(message.body))
+        return _schema.Answer.new_message(
+            isAnswered=body is not None, body=body or b""
+        )
 
     app = aiohttp.web.Application(client_max_size=MAX_BODY_BYTES)
     add_route("/exchange", _schema.Exchange, exchange)
     add_route("/compare", _schema.Comparison, compare)
     add_route("/probe", _schema.Probe, probe)
-    add_route("/part", _schema.PartQuery, get_part)
+    add_route("/ask", _schema.Question, answer)
     return app
 
 
@@ -205,9 +208,18 @@
         with _schema.ProbeResult.from_bytes(body) as answer:
             return bool(answer.isAlive)
 
-    async def get_part(self, address: str, digest: str) -> bytes:
-        """Returns a part of the configuration, empty if it is not there."""
-        message = _schema.PartQuery.new_message(digest=digest)
-        body = await self._call(address, "/part", message)
-        with _schema.Part.from_bytes(body) as answer:
-            return bytes(answer.content)
+    async def ask(self, address: str, service: str, body: bytes) -> bytes:
+        """Asks an entry's service and returns its answer.
+
+        Raises:
+            PeerError: The entry did not answer, or cannot tell.
+        """
+        message = _schema.Question.new_message(service=service, body=body)
+        found = await self._call(address, "/ask", message)
+        with _schema.Answer.from_bytes(found) as answer:
+            if not answer.isAnswered:
+                raise exceptions.PeerError(
+                    f"entry at {address} has no answer for {service}; ask"
+                    " another"
+                )
+            return bytes(answer.body)
