Refill lost layer ranges under leases with fencing numbers

Cause: an unplanned death of a range's only holder ended its streams after no_chain_limit_s, although idle engines stood by.

Ruled out: one leader for all orders (it would carry the whole fleet's); two clocks compared in the lease (skew); plans that remember what they ordered (a new holder would not know).

Change: a lease for each model, pursued by the entry that its name falls to; terms are counted on each entry's own clock that counts suspension; plans look only at what is wanted and held; an order carries the fencing number and is given again until the engine reports the state.

KV export and import for planned moves is left.

--- a/src/fuchsiabarrow/adapters/__init__.py
+++ b/src/fuchsiabarrow/adapters/__init__.py
@@ -1,3 +1,10 @@
 """Adapters of the ports to the HTTP protocols of the outside systems."""
 
-__all__ = ["engines", "instances", "objects", "services", "sessions"]
+__all__ = [
+    "engines",
+    "instances",
+    "objects",
+    "orders",
+    "services",
+    "sessions",
+]
--- a/src/fuchsiabarrow/configuration/documents.py
+++ b/src/fuchsiabarrow/configuration/documents.py
@@ -33,10 +33,15 @@
     Attributes:
         layers: Number of layers.
         context_tokens: Largest prompt plus answer in tokens.
+        ranges: Layer ranges that engines are ordered to hold, each the first
+            layer and one past the last; empty for no orders.
+        replicas: Engines wanted for each range.
     """
 
     layers: int
     context_tokens: int = 4096
+    ranges: list[tuple[int, int]] = []
+    replicas: int = 1
 
 
 class Pipeline(_Document):
@@ -169,6 +174,8 @@
 def _check_values(found: Configuration) -> None:
     for name, model in found.models.items():
         _require(model.layers > 0, f"models.{name}.layers", "above 0")
+        _require(model.replicas > 0, f"models.{name}.replicas", "above 0")
+        _check_ranges(model, f"models.{name}.ranges")
         path = f"models.{name}.context_tokens"
         _require(model.context_tokens > 0, path, "above 0")
     for name, action in found.actions.items():
@@ -188,6 +195,14 @@
     _require(found.limits.attempts > 0, "limits.attempts", "above 0")
 
 
+def _check_ranges(model: Model, path: str) -> None:
+    for first, end in model.ranges:
+        _require(0 <= first < end <= model.layers, path, "within the layers")
+    held = {layer for first, end in model.ranges for layer in range(first, end)}
+    is_whole = not model.ranges or len(held) == model.layers
+    _require(is_whole, path, "a cover of all layers, or empty")
+
+
 def _check_references(found: Configuration) -> None:
     for name, pipeline in found.pipelines.items():
         path = f"pipelines.{name}"
--- a/src/fuchsiabarrow/entry/composition.py
+++ b/src/fuchsiabarrow/entry/composition.py
@@ -14,6 +14,7 @@
 from fuchsiabarrow.adapters import engines as engine_adapter
 from fuchsiabarrow.adapters import instances as instance_adapter
 from fuchsiabarrow.adapters import objects as object_adapter
+from fuchsiabarrow.adapters import orders as order_adapter
 from fuchsiabarrow.adapters import services as service_adapter
 from fuchsiabarrow.adapters import sessions
 from fuchsiabarrow.configuration import documents
@@ -24,7 +25,9 @@
 from fuchsiabarrow.entry import settings as settings_module
 from fuchsiabarrow.entry import state as state_module
 from fuchsiabarrow.kernel import registry
+from fuchsiabarrow.leases import service as leases_service
 from fuchsiabarrow.limits import service as limits_service
+from fuchsiabarrow.orders import service as orders_service
 from fuchsiabarrow.peers import members
 from fuchsiabarrow.peers import service as peers_service
 from fuchsiabarrow.routing import service as routing_service
@@ -158,6 +161,8 @@
             settings.configuration,
             self._source,
         )
+        await self._add_orders()
+        configuration.add_listener(self.kernel.get("orders").change)
         configuration.add_listener(index.change)
         configuration.add_listener(self._change_limits)
         await kernel.add("configuration", configuration)
@@ -193,6 +198,32 @@
             ),
         )
 
+    async def _add_orders(self) -> None:
+        kernel, settings = self.kernel, self._settings
+        leases = await kernel.add(
+            "leases",
+            leases_service.LeasesService(
+                settings.entry.name,
+                kernel.get("store"),
+                settings.leases,
+                self._source,
+            ),
+        )
+        engine_orders = order_adapter.HttpEngineOrders(
+            kernel.get("session"), settings.orders.timeout_s
+        )
+        await kernel.add(
+            "orders",
+            orders_service.OrdersService(
+                leases,
+                kernel.get("peers"),
+                kernel.get("routing"),
+                engine_orders,
+                settings.orders,
+                self._source,
+            ),
+        )
+
     async def _add_actions(self) -> None:
         kernel, settings = self.kernel, self._settings
         writer = await kernel.add(
@@ -259,6 +290,7 @@
         limit_s = self._settings.entry.stop_limit_s
         self.kernel.get("state").is_draining = True
         _log.info(logs.format_event("stopping", limit_s=limit_s))
+        await self.kernel.get("orders").stop()
         streams = self.kernel.get("streams")
         actions = self.kernel.get("actions")
         try:
--- a/src/fuchsiabarrow/entry/settings.py
+++ b/src/fuchsiabarrow/entry/settings.py
@@ -9,6 +9,8 @@
 from fuchsiabarrow.actions import service as actions_service
 from fuchsiabarrow.adapters import engines as engine_adapter
 from fuchsiabarrow.configuration import service as configuration_service
+from fuchsiabarrow.leases import service as leases_service
+from fuchsiabarrow.orders import service as orders_service
 from fuchsiabarrow.peers import service as peers_service
 from fuchsiabarrow.routing import service as routing_service
 from fuchsiabarrow.streams import service as streams_service
@@ -85,6 +87,8 @@
         streams: Streams.
         actions: Actions.
         configuration: Configuration.
+        leases: Leases.
+        orders: Orders to engines.
         logs: Logs.
         traces: Traces.
     """
@@ -100,6 +104,8 @@
     configuration: configuration_service.Settings = (
         configuration_service.Settings()
     )
+    leases: leases_service.Settings = leases_service.Settings()
+    orders: orders_service.Settings = orders_service.Settings()
     logs: logs_module.Settings = logs_module.Settings()
     traces: traces_module.Settings = traces_module.Settings()
 
--- /dev/null
+++ b/src/fuchsiabarrow/orders/service.py
@@ -0,0 +1,201 @@
+"""Keeps the layers of each model held, by whoever has the duty for it.
+
+A duty is a lease for one model. It falls to an entry by a hash of its name, so
+that the fleet's duties are divided and no entry carries all. An order says the
+wanted state; it is given again until the engine reports it.
+"""
+
+import asyncio
+import random
+
+import logbook
+import msgspec
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.configuration import documents
+from fuchsiabarrow.leases import service as leases_service
+from fuchsiabarrow.orders import plans
+from fuchsiabarrow.peers import service as peers_service
+from fuchsiabarrow.ports import instances
+from fuchsiabarrow.ports import orders
+from fuchsiabarrow.routing import service as routing_service
+from fuchsiabarrow.telemetry import logs
+
+__all__ = ["OrdersService", "Settings"]
+
+_log = logbook.Logger(__name__)
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of the orders to engines; the same on all entries.
+
+    Attributes:
+        timeout_s: Bound on a call to an engine.
+        loads: Loads of one model that may be under way at once; with the
+            number of models it bounds the load on the weight store.
+    """
+
+    timeout_s: float = 1.0
+    loads: int = 2
+
+
+class OrdersService:
+    """Gives the orders of the duties that this entry holds.
+
+    Args:
+        leases: Leases of this entry.
+        peers: Other entries.
+        routing: Instances, and who holds what.
+        engines: Gives orders.
+        settings: Bounds.
+        source: Random source.
+    """
+
+    def __init__(
+        self,
+        leases: leases_service.LeasesService,
+        peers: peers_service.PeersService,
+        routing: routing_service.RoutingService,
+        engines: orders.EngineOrders,
+        settings: Settings,
+        source: random.Random,
+    ):
+        self._leases = leases
+        self._peers = peers
+        self._routing = routing
+        self._engines = engines
+        self._settings = settings
+        self._source = source
+        self._configuration = documents.Configuration()
+        self._task: asyncio.Task | None = None
+
+    async def __aenter__(self) -> "OrdersService":
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    def change(self, configuration: documents.Configuration) -> None:
+        """Takes over the models of another configuration."""
+        self._configuration = configuration
+
+    async def stop(self) -> None:
+        """Gives no more orders and gives the duties up."""
+        await self.__aexit__()
+        for name in self._leases.get_held():
+            await self._leases.give_up(name)
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._perform_duties()
+            except Exception as error:
+                _log.exception(logs.format_event("duty_error", error=error))
+            await asyncio.sleep(self._leases.get_period_s())
+
+    async def _perform_duties(self) -> None:
+        models = self._configuration.models
+        wanted = [name for name, model in models.items() if model.ranges]
+        await asyncio.gather(*(self._perform_duty(name) for name in wanted))
+        duties = {_make_duty(name) for name in wanted}
+        for name in self._leases.get_held():
+            if name not in duties:
+                await self._leases.give_up(name)
+
+    async def _perform_duty(self, model: str) -> None:
+        duty = _make_duty(model)
+        is_wanted = self._peers.find_owner(duty) is None
+        await self._leases.pursue(duty, is_wanted)
+        if self._leases.get_fence(duty) is None:
+            return
+        found = await self._read_engines(model)
+        layout = _make_layout(model, self._configuration.models[model])
+        plan = plans.make_plan(
+            [layout], [engine for engine, _ in found], self._settings.loads
+        )
+        by_name = {engine.instance_id: listed for engine, listed in found}
+        for instance_id, assignment in plan:
+            await self._give_order(duty, by_name[instance_id], assignment)
+
+    async def _read_engines(self, model: str):
+        """Returns the engines of a model's pool that answer.
+
+        An engine belongs to the pool of the model that the list names.
+        """
+        listed = self._routing.get_pool(model)
+        states = await asyncio.gather(
+            *(self._read_state(instance) for instance in listed)
+        )
+        return [
+            (_make_engine(instance, state), instance)
+            for instance, state in zip(listed, states, strict=True)
+            if state is not None
+        ]
+
+    async def _read_state(self, instance: instances.Instance):
+        try:
+            state = await self._engines.read_state(instance.address)
+        except exceptions.InstanceError:
+            return None
+        if not state.is_loading:
+            self._routing.tell_held(instance, state)
+        return state
+
+    async def _give_order(
+        self,
+        duty: str,
+        instance: instances.Instance,
+        assignment: plans.Assignment,
+    ) -> None:
+        fence = self._leases.get_fence(duty)
+        if fence is None:
+            return
+        order = orders.LoadOrder(
+            assignment.model,
+            assignment.first_layer,
+            assignment.end_layer,
+            fence,
+        )
+        try:
+            await self._engines.order_load(instance.address, order)
+        except exceptions.InstanceError as error:
+            _log.warning(logs.format_event("order_failed", error=error))
+            return
+        _log.info(
+            logs.format_event(
+                "load_ordered",
+                instance=instance.instance_id,
+                model=assignment.model,
+                first_layer=assignment.first_layer,
+                end_layer=assignment.end_layer,
+                fence=fence,
+            )
+        )
+
+
+def _make_duty(model: str) -> str:
+    return f"model-{model}"
+
+
+def _make_layout(name: str, model: documents.Model) -> plans.Layout:
+    ranges = tuple(
+        plans.Assignment(name, first, end) for first, end in model.ranges
+    )
+    return plans.Layout(ranges, model.replicas)
+
+
+def _make_engine(
+    instance: instances.Instance, state: orders.EngineState
+) -> plans.Engine:
+    held = None
+    if state.model:
+        held = plans.Assignment(state.model, state.first_layer, state.end_layer)
+    return plans.Engine(
+        instance.instance_id,
+        instance.failure_domain,
+        held,
+        state.is_loading,
+        instance.leaving,
+    )
--- a/src/fuchsiabarrow/ports/__init__.py
+++ b/src/fuchsiabarrow/ports/__init__.py
@@ -4,4 +4,4 @@
 core imports nothing else of the outside world.
 """
 
-__all__ = ["engines", "instances", "objects", "services"]
+__all__ = ["engines", "instances", "objects", "orders", "services"]
--- a/src/fuchsiabarrow/routing/service.py
+++ b/src/fuchsiabarrow/routing/service.py
@@ -10,6 +10,7 @@
 from fuchsiabarrow.peers import items
 from fuchsiabarrow.peers import service as peers_service
 from fuchsiabarrow.ports import instances
+from fuchsiabarrow.ports import orders
 from fuchsiabarrow.routing import chains
 from fuchsiabarrow.routing import evidence as evidence_module
 from fuchsiabarrow.telemetry import logs
@@ -20,6 +21,10 @@
 
 # Entries tell each other which instances leave.
 LEAVING_KIND = "leaving"
+# Entries tell each other what engines hold that were given orders.
+HELD_KIND = "held"
+HELD_LIFETIME_S = 3600.0
+MILLISECONDS_PER_S = 1000
 
 _log = logbook.Logger(__name__)
 
@@ -40,6 +45,14 @@
     evidence: evidence_module.Settings = evidence_module.Settings()
 
 
+class _Held(msgspec.Struct, frozen=True, array_like=True):
+    """Layers that an engine reported to the holder of a duty."""
+
+    address: str
+    first_layer: int
+    end_layer: int
+
+
 class RoutingService:
     """Chooses instances from the list and from own evidence.
 
@@ -62,6 +75,7 @@
     ):
         self.evidence = evidence_module.Evidence(settings.evidence)
         self._listing = listing
+        self._listed: list[instances.Instance] = []
         self._peers = peers
         self._settings = settings
         self._source = source
@@ -69,6 +83,7 @@
 
     async def __aenter__(self) -> "RoutingService":
         self._peers.add_listener(LEAVING_KIND, self._accept_leaving)
+        self._peers.add_listener(HELD_KIND, self._accept_held)
         await self._read_list()
         self._task = asyncio.create_task(self._follow())
         return self
@@ -140,8 +155,10 @@
         except exceptions.StoreError as error:
             _log.warning(logs.format_event("list_down", error=error))
             return
+        self._listed = listed
         now_s = asyncio.get_running_loop().time()
-        self.evidence.update_list(listed, now_s)
+        current = [self._apply_held(instance) for instance in listed]
+        self.evidence.update_list(current, now_s)
         for instance in listed:
             if instance.leaving:
                 self._tell_leaving(instance)
@@ -152,6 +169,44 @@
             if item is not None:
                 self._accept_leaving(item)
 
+    def get_pool(self, model: str) -> list[instances.Instance]:
+        """Returns the listed engines that serve a model, leaving ones too."""
+        return [
+            instance
+            for instance in self._listed
+            if instance.kind == "engine" and instance.serves == model
+        ]
+
+    def tell_held(
+        self, instance: instances.Instance, state: orders.EngineState
+    ) -> None:
+        """Tells all entries what an engine holds, if that is news."""
+        held = _Held(instance.address, state.first_layer, state.end_layer)
+        value = msgspec.msgpack.encode(held)
+        key = f"{HELD_KIND}/{instance.instance_id}"
+        known = self._peers.get_item(key)
+        if known is not None and known.value == value:
+            return
+        version = int(MILLISECONDS_PER_S * clocks.read_wall_time_s())
+        self._peers.publish(key, version, value, HELD_LIFETIME_S)
+
+    def _apply_held(self, instance: instances.Instance) -> instances.Instance:
+        """Returns a listed instance with the layers that it reported."""
+        item = self._peers.get_item(f"{HELD_KIND}/{instance.instance_id}")
+        if item is None:
+            return instance
+        held = msgspec.msgpack.decode(item.value, type=_Held)
+        if held.address != instance.address:
+            return instance
+        return msgspec.structs.replace(
+            instance, first_layer=held.first_layer, end_layer=held.end_layer
+        )
+
+    def _accept_held(self, item: items.Item) -> None:
+        state = self.evidence.find(item.name)
+        if state is not None:
+            state.instance = self._apply_held(state.instance)
+
     def record_leaving(self, instance_id: str) -> None:
         """Notes a drain answer and tells the other entries."""
         state = self.evidence.find(instance_id)
--- a/src/fuchsiabarrow/standins/engines.py
+++ b/src/fuchsiabarrow/standins/engines.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from fuchsiabarrow.ports import engines
+from fuchsiabarrow.ports import orders
 from fuchsiabarrow.standins import faults as faults_module
 from fuchsiabarrow.standins import models
 from fuchsiabarrow.standins import servers
@@ -36,6 +37,7 @@
         position_s: Extra time per position in seconds.
         link_s: One-way delay of the link in seconds.
         accelerator: Kind of accelerator.
+        load_s: Time to load weights in seconds.
     """
 
     instance_id: str
@@ -46,6 +48,7 @@
     position_s: float = 0.000002
     link_s: float = 0.0
     accelerator: str = "a"
+    load_s: float = 0.2
 
 
 def _contains_poison(tokens: list[int]) -> bool:
@@ -74,6 +77,9 @@
         self.applied_positions = 0
         self.batches = 0
         self.busy_s = 0.0
+        self.orders: list[orders.LoadOrder] = []
+        self._loading: orders.LoadOrder | None = None
+        self._fence = 0
         self.alive = True
         self._caches: dict[tuple[str, int], models.Cache] = {}
         self._queue: asyncio.Queue = asyncio.Queue()
@@ -85,6 +91,8 @@
         app = aiohttp.web.Application()
         app.router.add_get("/v1/steps", self._serve_steps)
         app.router.add_get("/v1/state", self._serve_state)
+        app.router.add_get("/v1/assignment", self._serve_assignment)
+        app.router.add_put("/v1/assignment", self._take_order)
         faults_module.add_routes(app, self.faults)
         self.server = servers.Server(app, port)
 
@@ -122,9 +130,47 @@
                 "batches": self.batches,
                 "busy_s": self.busy_s,
                 "draining": self.faults.draining,
+                "orders": [order.fence for order in self.orders],
             }
         )
 
+    async def _serve_assignment(self, request: aiohttp.web.Request):
+        shown = self._loading or self.profile
+        is_idle = shown.first_layer == shown.end_layer
+        state = orders.EngineState(
+            "" if is_idle else shown.model,
+            shown.first_layer,
+            shown.end_layer,
+            self._loading is not None,
+        )
+        return aiohttp.web.Response(
+            body=msgspec.json.encode(state), content_type="application/json"
+        )
+
+    async def _take_order(self, request: aiohttp.web.Request):
+        body = await request.read()
+        order = msgspec.json.decode(body, type=orders.LoadOrder)
+        if self.faults.check_fence and order.fence < self._fence:
+            return aiohttp.web.Response(status=409)
+        self._fence = max(self._fence, order.fence)
+        self.orders.append(order)
+        if self._loading is None:
+            self._loading = order
+            self._start_task(self._load(order))
+        return aiohttp.web.Response()
+
+    async def _load(self, order: orders.LoadOrder) -> None:
+        """Fetches weights, then serves the new layers only."""
+        await asyncio.sleep(self.profile.load_s)
+        self.profile = msgspec.structs.replace(
+            self.profile,
+            model=order.model,
+            first_layer=order.first_layer,
+            end_layer=order.end_layer,
+        )
+        self._caches.clear()
+        self._loading = None
+
     async def _serve_steps(self, request: aiohttp.web.Request):
         socket = aiohttp.web.WebSocketResponse(max_msg_size=0)
         await socket.prepare(request)
--- a/src/fuchsiabarrow/streams/recovery.py
+++ b/src/fuchsiabarrow/streams/recovery.py
@@ -45,7 +45,12 @@
 # Causes that count against the instance.
 FAILURES = frozenset({Cause.DIED, Cause.UNREACHABLE, Cause.SILENT})
 
-_CAUSES = {"draining": Cause.DRAINING, "busy": Cause.BUSY}
+# An engine without the layers is loading others; it is tried again soon.
+_CAUSES = {
+    "draining": Cause.DRAINING,
+    "busy": Cause.BUSY,
+    "layers": Cause.BUSY,
+}
 
 
 def find_cause(error: exceptions.InstanceError) -> Cause:
