Remember live entries until they die or leave

Cause: every member item expired after an hour, so an entry that joined later could not learn of those that had run for longer. Change: only items of dead and departed entries expire, and then the member is forgotten with them.

--- a/src/fuchsiabarrow/peers/items.py
+++ b/src/fuchsiabarrow/peers/items.py
@@ -88,12 +88,15 @@
             news.append(item)
         return news
 
-    def expire(self, now_s: float) -> None:
-        """Forgets the items whose time is over."""
-        for item in list(self._items.values()):
-            if item.expires_at_s <= now_s:
-                self.digest ^= _compute_mark(item)
-                del self._items[item.key]
+    def expire(self, now_s: float) -> list[Item]:
+        """Forgets the items whose time is over and returns them."""
+        expired = [
+            item for item in self._items.values() if item.expires_at_s <= now_s
+        ]
+        for item in expired:
+            self.digest ^= _compute_mark(item)
+            del self._items[item.key]
+        return expired
 
     def compare(self, versions: dict[str, int]) -> tuple[list[Item], list[str]]:
         """Compares with another table.
--- a/src/fuchsiabarrow/peers/service.py
+++ b/src/fuchsiabarrow/peers/service.py
@@ -29,6 +29,8 @@
 
 ENTRY_KIND = "entry"
 MILLISECONDS_PER_S = 1000
+# A live entry is remembered until it is declared dead or leaves.
+LIVE_MEMBER_LIFETIME_S = 10 * 365 * 86400.0
 
 _log = logbook.Logger(__name__)
 
@@ -185,10 +187,11 @@
         return self._table.digest
 
     def _make_member_item(self, member) -> items_module.Item:
+        lifetime_s = LIVE_MEMBER_LIFETIME_S
+        if member.status > members_module.Status.SUSPECT:
+            lifetime_s = self._settings.member_expiry_s
         now_s = clocks.read_wall_time_s()
-        return members_module.make_item(
-            member, now_s + self._settings.member_expiry_s
-        )
+        return members_module.make_item(member, now_s + lifetime_s)
 
     def _publish_member(self, member: members_module.Member) -> None:
         self._take_over([self._make_member_item(member)])
@@ -311,7 +314,7 @@
         while True:
             period_s = self._settings.probe_period_s
             await asyncio.sleep(jitter.spread_period_s(period_s, self._source))
-            self._table.expire(clocks.read_wall_time_s())
+            self._expire(clocks.read_wall_time_s())
             await self._probe_next()
             now_s = asyncio.get_running_loop().time()
             for dead in self.members.find_lapsed(
@@ -319,6 +322,11 @@
             ):
                 self._publish_member(dead)
 
+    def _expire(self, now_s: float) -> None:
+        for item in self._table.expire(now_s):
+            if item.kind == members_module.KIND:
+                self.members.forget(item.name)
+
     async def _probe_next(self) -> None:
         member = self.members.take_turn()
         if member is None or await self._exchange(member.address, []):
--- a/src/fuchsiabarrow/peers/tests/test_service.py
+++ b/src/fuchsiabarrow/peers/tests/test_service.py
@@ -10,6 +10,7 @@
 from fuchsiabarrow.adapters import sessions
 from fuchsiabarrow.peers import members
 from fuchsiabarrow.peers import service
+from fuchsiabarrow.utils import clocks
 from fuchsiabarrow.utils import loops
 
 COUNT = 6
@@ -170,3 +171,17 @@
         assert len(owners) == COUNT
 
     run(check)
+
+
+def test_live_entries_are_remembered_for_ever_and_dead_ones_for_a_while():
+    # Guards against live entries being unknown to those that join an hour on.
+    async def check(group):
+        first, second, third = group.found
+        await third.__aexit__(None, None, None)
+        await wait_for_live([first, second], 2)
+        first._expire(clocks.read_wall_time_s() + 7200.0)
+        assert [m.name for m in first.members.get_all()] == ["e0", "e1"]
+        assert first.get_item("member/e1") is not None
+        assert first.get_item("member/e2") is None
+
+    run(check, count=3)
