--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -71,6 +71,7 @@
         calls = sum(p.client.calls for p in found)
         sent = sum(p.client.sent_bytes for p in found)
         cpu_s = time.process_time()
+        wire_bytes = read_loopback_bytes()
         await asyncio.sleep(MEASURE_S)
         share = 1 / (count * MEASURE_S)
         return {
@@ -84,11 +85,22 @@
             "body_bytes_per_s": round(
                 (sum(p.client.sent_bytes for p in found) - sent) * share
             ),
+            "wire_bytes_per_s": round(
+                2 * (read_loopback_bytes() - wire_bytes) * share
+            ),
             "agree_s": round(joined_s, 2),
             "news_to_all_ms": round(1000 * spread_s),
         }
 
 
+def read_loopback_bytes() -> int:
+    """Returns the bytes sent over the loopback interface so far."""
+    for line in pathlib.Path("/proc/net/dev").read_text().splitlines():
+        if line.strip().startswith("lo:"):
+            return int(line.split(":")[1].split()[8])
+    raise RuntimeError("no loopback interface")
+
+
 async def _time(work) -> float:
     started_s = time.monotonic()
     await work
@@ -252,9 +264,11 @@
         digest = f"{source.getrandbits(128):032x}"
         journal = f"0-{number % 16}"
         begun_s = time.monotonic()
-        await writer.apply(journal, journals.Claim(digest, claimant, math.inf))
+        is_owner = entries == 1
+        claim = journals.Claim(digest, claimant, math.inf)
+        await writer.commit(journal, claim, is_owner)
         delays.append(time.monotonic() - begun_s)
-        await writer.apply(
+        await writer.commit(
             journal,
             journals.Settle(
                 digest,
@@ -264,6 +278,7 @@
                 200,
                 b"x" * 60,
             ),
+            is_owner,
         )
 
     await asyncio.gather(*(act(n) for n in range(limit)))
--- a/src/fuchsiabarrow/actions/__init__.py
+++ b/src/fuchsiabarrow/actions/__init__.py
@@ -4,7 +4,16 @@
 from fuchsiabarrow.actions import forwarding
 from fuchsiabarrow.actions import journals
 from fuchsiabarrow.actions import keys
+from fuchsiabarrow.actions import retention
 from fuchsiabarrow.actions import service
 from fuchsiabarrow.actions import writers
 
-__all__ = ["claims", "forwarding", "journals", "keys", "service", "writers"]
+__all__ = [
+    "claims",
+    "forwarding",
+    "journals",
+    "keys",
+    "retention",
+    "service",
+    "writers",
+]
--- a/src/fuchsiabarrow/actions/keys.py
+++ b/src/fuchsiabarrow/actions/keys.py
@@ -13,7 +13,14 @@
 
 from fuchsiabarrow import exceptions
 
-__all__ = ["ActionKey", "Settings", "make_key", "parse_key"]
+__all__ = [
+    "ActionKey",
+    "Settings",
+    "find_expired_bucket",
+    "make_key",
+    "name_journal",
+    "parse_key",
+]
 
 UUID_VERSION = 7
 MILLISECONDS_PER_S = 1000
@@ -32,7 +39,7 @@
 
     retention_s: float = 86400.0
     skew_s: float = 300.0
-    bucket_s: float = 600.0
+    bucket_s: float = 30.0
     shards: int = 16
 
 
@@ -106,4 +113,26 @@
     digest = xxhash.xxh3_128(content)
     bucket = int(issued_at_s // settings.bucket_s)
     shard = digest.intdigest() % settings.shards
-    return ActionKey(text, digest.hexdigest(), f"{bucket}-{shard}")
+    return ActionKey(text, digest.hexdigest(), name_journal(bucket, shard))
+
+
+def name_journal(bucket: int, shard: int) -> str:
+    """Returns the name of a journal.
+
+    Args:
+        bucket: Number of the span of key times.
+        shard: Number of the journal within the span.
+    """
+    return f"{bucket}-{shard}"
+
+
+def find_expired_bucket(now_s: float, settings: Settings) -> int:
+    """Returns the latest bucket all of whose keys are refused for their age.
+
+    Args:
+        now_s: Wall time in seconds.
+        settings: Retention and journals.
+    """
+    # A key at the end of its retention may still be under way.
+    oldest_s = now_s - settings.retention_s - settings.skew_s
+    return int(oldest_s // settings.bucket_s) - 1
--- a/src/fuchsiabarrow/actions/writers.py
+++ b/src/fuchsiabarrow/actions/writers.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
@@ -25,6 +26,8 @@
 __all__ = ["JournalWriter", "Settings"]
 
 JOURNAL_KIND = "action-journal"
+# Journals whose last written content is kept.
+MAX_COPIES = 32
 
 Forward = Callable[[str, journals.Operation], Awaitable[journals.Record | None]]
 
@@ -52,6 +55,14 @@
     future: asyncio.Future
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Copy:
+    """A journal as last read or written, and its version."""
+
+    journal: journals.Journal
+    version: int
+
+
 @dataclasses.dataclass(slots=True)
 class _Shard:
     queue: list[_Request] = dataclasses.field(default_factory=list)
@@ -89,6 +100,9 @@
         self._forward = forward
         self._read_wall_time_s = read_wall_time_s
         self._doubtful: set[str] = set()
+        self._copies: collections.OrderedDict[str, _Copy] = (
+            collections.OrderedDict()
+        )
         self._shards: dict[str, _Shard] = {}
         self._decoder = msgspec.msgpack.Decoder(journals.Journal)
 
@@ -129,12 +143,13 @@
                 applied = await self._forward(journal, operation)
                 if applied is not None:
                     return applied[0]
+                return await self.commit(journal, operation)
         except (exceptions.PeerError, asyncio.CancelledError) as error:
             if isinstance(operation, journals.Claim):
                 self._doubtful.add(operation.claimant.nonce)
             if isinstance(error, asyncio.CancelledError):
                 raise
-        return await self.commit(journal, operation)
+        return await self.commit(journal, operation, is_owner=False)
 
     def take_doubt(self, nonce: str) -> bool:
         """Tells, once, whether another entry may yet apply a claim."""
@@ -143,12 +158,24 @@
         return is_doubtful
 
     async def commit(
-        self, journal: str, operation: journals.Operation
+        self,
+        journal: str,
+        operation: journals.Operation,
+        is_owner: bool = True,
     ) -> journals.Record | None:
-        """Applies an operation by a write of this entry's own."""
+        """Applies an operation by a write of this entry's own.
+
+        Args:
+            journal: Name of the journal.
+            operation: What to apply.
+            is_owner: Whether the journal falls to this entry; only then is the
+                last written copy likely to be current.
+        """
         future = asyncio.get_running_loop().create_future()
         shard = self._shards.setdefault(journal, _Shard())
         shard.queue.append(_Request(operation, future))
+        if not is_owner:
+            self._copies.pop(journal, None)
         self.operations += 1
         if shard.task is None:
             shard.task = asyncio.create_task(self._commit(journal, shard))
@@ -183,32 +210,60 @@
             del self._shards[journal]
 
     async def _try_commit(self, journal: str, batch: list[_Request]):
-        """Applies a batch to the stored journal once.
+        """Applies a batch to the journal once.
+
+        What was written last is kept, so that most commits read nothing. A
+        batch that changes nothing there is applied to a fresh copy: only a
+        write proves by its version that the copy was current.
 
         Raises:
             StoreError: It must be tried again; it may have been applied, which
                 the operations recognise by their nonces.
         """
+        copy = self._copies.pop(journal, None)
+        if copy is not None:
+            results = await self._write_batch(journal, copy, batch)
+            if results is not None:
+                return results
+        copy = await self._read_copy(journal)
+        results = await self._write_batch(journal, copy, batch)
+        if results is not None:
+            return results
+        return self._apply(copy, batch)[1]
+
+    async def _read_copy(self, journal: str) -> _Copy:
         stored = await self._store.get(JOURNAL_KIND, journal)
-        version = objects.ABSENT_VERSION if stored is None else stored.version
-        before = journals.Journal()
-        if stored is not None:
-            before = self._decoder.decode(stored.value)
+        if stored is None:
+            return _Copy(journals.Journal(), objects.ABSENT_VERSION)
+        return _Copy(self._decoder.decode(stored.value), stored.version)
+
+    def _apply(self, copy: _Copy, batch: list[_Request]):
         operations = [request.operation for request in batch]
-        after, results = journals.apply_operations(
-            before, operations, self._read_wall_time_s()
+        return journals.apply_operations(
+            copy.journal, operations, self._read_wall_time_s()
         )
-        if after is before:
-            return results
+
+    async def _write_batch(
+        self, journal: str, copy: _Copy, batch: list[_Request]
+    ) -> list[journals.Record | None] | None:
+        """Applies a batch to a copy and writes it; None if nothing changed."""
+        after, results = self._apply(copy, batch)
+        if after is copy.journal:
+            return None
         value = msgspec.msgpack.encode(after)
         if len(value) > self._settings.size_limit_bytes:
             _refuse_claims(journal, batch)
         try:
-            await self._store.put(JOURNAL_KIND, journal, value, version)
+            version = await self._store.put(
+                JOURNAL_KIND, journal, value, copy.version
+            )
         except exceptions.StoreConflictError:
             self.conflicts += 1
             raise
         self.writes += 1
+        self._copies[journal] = _Copy(after, version)
+        while len(self._copies) > MAX_COPIES:
+            self._copies.popitem(last=False)
         return results
 
     def _compute_delay_s(self, failures: int) -> float:
--- a/src/fuchsiabarrow/entry/composition.py
+++ b/src/fuchsiabarrow/entry/composition.py
@@ -9,6 +9,7 @@
 
 from fuchsiabarrow.actions import claims
 from fuchsiabarrow.actions import forwarding
+from fuchsiabarrow.actions import retention
 from fuchsiabarrow.actions import service as actions_service
 from fuchsiabarrow.actions import writers
 from fuchsiabarrow.adapters import engines as engine_adapter
@@ -236,6 +237,15 @@
             ),
         )
         forwarding.answer_forwarded(kernel.get("peers"), writer)
+        await kernel.add(
+            "journal_sweeper",
+            retention.JournalSweeper(
+                kernel.get("store"),
+                lambda name: kernel.get("peers").find_owner(name) is None,
+                settings.actions.keys,
+                self._source,
+            ),
+        )
         runner = await kernel.add(
             "claims",
             claims.ClaimRunner(
--- a/src/fuchsiabarrow/orders/service.py
+++ b/src/fuchsiabarrow/orders/service.py
@@ -33,10 +33,12 @@
         timeout_s: Bound on a call to an engine.
         loads: Loads of one model that may be under way at once; with the
             number of models it bounds the load on the weight store.
+        reads_per_s: Engines whose state the holder of a duty reads a second.
     """
 
     timeout_s: float = 1.0
     loads: int = 2
+    reads_per_s: float = 20.0
 
 
 class OrdersService:
@@ -67,6 +69,7 @@
         self._settings = settings
         self._source = source
         self._configuration = documents.Configuration()
+        self._next_read_s: dict[str, float] = {}
         self._task: asyncio.Task | None = None
 
     async def __aenter__(self) -> "OrdersService":
@@ -108,8 +111,13 @@
         duty = _make_duty(model)
         is_wanted = self._peers.find_owner(duty) is None
         await self._leases.pursue(duty, is_wanted)
-        if self._leases.get_fence(duty) is None:
+        loop = asyncio.get_running_loop()
+        is_due = loop.time() >= self._next_read_s.get(model, 0.0)
+        if self._leases.get_fence(duty) is None or not is_due:
             return
+        pool = len(self._routing.get_pool(model))
+        period_s = pool / self._settings.reads_per_s
+        self._next_read_s[model] = loop.time() + period_s
         found = await self._read_engines(model)
         layout = _make_layout(model, self._configuration.models[model])
         plan = plans.make_plan(
