--- a/src/fuchsiabarrow/commands/program.py
+++ b/src/fuchsiabarrow/commands/program.py
@@ -10,6 +10,7 @@
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.commands import daemons
 from fuchsiabarrow.commands import operations
+from fuchsiabarrow.commands import pages
 from fuchsiabarrow.commands import standins
 from fuchsiabarrow.configuration import documents
 from fuchsiabarrow.entry import settings as settings_module
@@ -65,6 +66,11 @@
     operations.make_key()
 
 
+def settings() -> None:
+    """Print the page that lists every key of a settings file."""
+    print(pages.make_settings_page(), end="")
+
+
 def show(*, operator: str, key_file: str) -> None:
     """Print the configuration in force and its number.
 
@@ -180,6 +186,7 @@
     entry,
     check,
     key,
+    settings,
     show,
     patch,
     status,
--- a/src/fuchsiabarrow/commands/tests/test_program.py
+++ b/src/fuchsiabarrow/commands/tests/test_program.py
@@ -100,6 +100,7 @@
         "entry",
         "check",
         "key",
+        "settings",
         "show",
         "patch",
         "status",
@@ -116,6 +117,13 @@
     assert "usage" in result.stdout
 
 
+def test_settings_page_is_the_one_in_the_documentation():
+    result = call("settings")
+    page = (ROOT / "docs" / "settings.md").read_text()
+    assert result.stdout == page
+    assert all(not line.endswith("|  |") for line in page.splitlines())
+
+
 def test_version_is_printed():
     assert call("--version").stdout.startswith("fuchsiabarrow 0.")
 
