Leave slow chains; let a whole answer trigger its action

And a pipeline listed its actions but triggered none.

Change: each stream looks every 0.25 s and half of those that would do better on another chain move. A chat request may name an action of its pipeline, checked beforehand and run once the answer is whole, at most once by its key. The callers' handlers are divided by subject.

--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -11,6 +11,7 @@
 import statistics
 import sys
 import tempfile
+import time
 
 import aiohttp
 import defopt
@@ -35,6 +36,7 @@
 )
 ENTRIES = ("entry-1", "entry-2")
 FAILED = "s4-0"
+KINDS = ("none", "kill", "freeze", "silence", "withdraw", "slow link")
 
 
 async def cause_failure(session, fleet, kind: str) -> None:
@@ -46,6 +48,8 @@
         process.send(signal.SIGSTOP)
     elif kind == "silence":
         await fleets.set_faults(session, process, silent=True)
+    elif kind == "slow link":
+        await fleets.set_faults(session, process, delay_s=0.1)
     elif kind == "withdraw":
         profile = next(p for p in PROFILES if p.instance_id == FAILED)
         listed = worlds.describe_engine(profile, process.address)
@@ -78,7 +82,9 @@
             await asyncio.sleep(1.0)
             running = [not work.done() for work in works]
             await cause_failure(session, fleet, kind)
+            failed_s = time.monotonic()
             answers = await asyncio.gather(*works)
+            ended_s = time.monotonic() - failed_s
             longest = sorted(
                 gaps.get_max_value() / 1000
                 for gaps, was_running in zip(series, running, strict=True)
@@ -87,6 +93,7 @@
             return {
                 "failure": kind,
                 "running": len(longest),
+                "all_whole_s": round(ended_s, 2),
                 "whole": sum(answer.is_whole for answer in answers),
                 "longest_gap_ms_p50": round(statistics.median(longest), 1),
                 "longest_gap_ms_p95": round(
@@ -103,7 +110,7 @@
         streams: Streams at once.
         tokens: Tokens of each answer.
     """
-    for kind in ("none", "kill", "freeze", "silence", "withdraw"):
+    for kind in KINDS:
         with tempfile.TemporaryDirectory() as folder:
             print(loops.run(measure(folder, kind, streams, tokens)))
             sys.stdout.flush()
--- a/src/fuchsiabarrow/entry/__init__.py
+++ b/src/fuchsiabarrow/entry/__init__.py
@@ -1,3 +1,16 @@
 """One entry instance: its settings, HTTP interfaces and composition."""
 
-__all__ = ["authentication", "callers", "composition", "operators", "settings"]
+__all__ = [
+    "action_handlers",
+    "authentication",
+    "callers",
+    "chats",
+    "composition",
+    "operators",
+    "outcomes",
+    "problems",
+    "requests",
+    "settings",
+    "sse",
+    "state",
+]
--- /dev/null
+++ b/src/fuchsiabarrow/entry/action_handlers.py
@@ -0,0 +1,109 @@
+"""Handlers of actions."""
+
+import aiohttp.web
+import uuid6
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.actions import claims
+from fuchsiabarrow.actions import keys
+from fuchsiabarrow.configuration import documents
+from fuchsiabarrow.entry import outcomes
+from fuchsiabarrow.entry import problems
+from fuchsiabarrow.entry import requests
+from fuchsiabarrow.kernel import registry
+from fuchsiabarrow.utils import clocks
+
+__all__ = ["ActionHandlers"]
+
+
+class ActionHandlers:
+    """Serves actions and questions about them.
+
+    Args:
+        kernel: Services by name.
+        action_keys: Retention and journals of action keys.
+    """
+
+    def __init__(self, kernel: registry.Kernel, action_keys: keys.Settings):
+        self._action_keys = action_keys
+        self._configuration = kernel.get("configuration")
+        self._index = kernel.get("key_index")
+        self._actions = kernel.get("actions")
+        self._metrics = kernel.get("metrics")
+        self._state = kernel.get("state")
+
+    def add_routes(self, app: aiohttp.web.Application) -> None:
+        """Adds the routes."""
+        app.router.add_post("/v1/actions/{action}", self.run_action)
+        app.router.add_get("/v1/actions/{action}/{key}", self.look_up_action)
+
+    async def run_action(self, request: aiohttp.web.Request):
+        """Serves ``POST /v1/actions/{action}``."""
+        try:
+            name, organisation = requests.authenticate(request, self._index)
+            wanted = await self._read_action(request, name, organisation)
+            unsent = "not_run" if wanted.is_first else "unknown"
+            requests.check_taking_work(self._state, unsent)
+            outcome = await self._actions.run(wanted)
+        except requests.RefusalError as refusal:
+            self._metrics.requests.labels("action", "refused").inc()
+            return refusal.response
+        except exceptions.KeyFormatError as error:
+            return problems.make_problem(422, "key-reused", str(error))
+        self._metrics.requests.labels("action", outcome.state.value).inc()
+        return outcomes.answer(outcome, wanted.key.text)
+
+    async def look_up_action(self, request: aiohttp.web.Request):
+        """Serves ``GET /v1/actions/{action}/{key}``."""
+        try:
+            name, organisation = requests.authenticate(request, self._index)
+            action = request.match_info["action"]
+            self._find_action(action, organisation)
+            key = requests.parse_key(
+                request.match_info["key"], name, action, self._action_keys
+            )
+            outcome = await self._actions.look_up(key)
+        except requests.RefusalError as refusal:
+            return refusal.response
+        except exceptions.StoreError as error:
+            return problems.make_problem(
+                503,
+                "store-down",
+                f"{error}; ask again",
+                "unknown",
+                requests.RETRY_AFTER_DRAIN_S,
+            )
+        return outcomes.answer(outcome, key.text)
+
+    async def _read_action(
+        self, request, name: str, organisation: documents.Organisation
+    ) -> claims.ActionRequest:
+        requested_at_s = clocks.read_wall_time_s()
+        action_name = request.match_info["action"]
+        action = self._find_action(action_name, organisation)
+        text = request.headers.get("Idempotency-Key")
+        if text is None and action.guard == "repeatable":
+            text = str(uuid6.uuid7())
+        if text is None:
+            raise requests.refuse(
+                400,
+                "key-missing",
+                "send an Idempotency-Key header with a UUIDv7",
+            )
+        key = requests.parse_key(text, name, action_name, self._action_keys)
+        body = await request.read()
+        requests.decode_body(body, object, "unknown")
+        return claims.ActionRequest(
+            action,
+            key,
+            body,
+            requested_at_s,
+            tuple(organisation.regions),
+            request.headers.get("Idempotency-Attempt") == "1",
+        )
+
+    def _find_action(
+        self, name: str, organisation: documents.Organisation
+    ) -> documents.Action:
+        configuration = self._configuration.configuration
+        return requests.find_action(name, organisation, configuration)
--- a/src/fuchsiabarrow/entry/sse.py
+++ b/src/fuchsiabarrow/entry/sse.py
@@ -1,5 +1,7 @@
 """Answers as completions and as server-sent events."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import time
 
 import aiohttp.web
@@ -55,6 +57,8 @@
         stream: Stream to write.
         resumed: Last event that the caller has.
         metrics: Metrics of the entry.
+        trigger: Runs the action of the whole answer, if there is one, and
+            returns its outcome.
     """
 
     def __init__(
@@ -63,6 +67,7 @@
         stream: streams.Stream,
         resumed: events.EventId | None,
         metrics: metrics_module.Metrics,
+        trigger: Callable[[], Awaitable[dict | None]],
     ):
         self.response = aiohttp.web.StreamResponse(
             headers={
@@ -75,6 +80,7 @@
         self._stream = stream
         self._resumed = resumed
         self._metrics = metrics
+        self._trigger = trigger
 
     async def write_all(self, started_s: float) -> str:
         """Writes the stream to its end and returns the outcome."""
@@ -108,6 +114,11 @@
             await self.response.write_eof()
             return error.outcome
         await self.response.write(self._encode_end())
+        triggered = await self._trigger()
+        if triggered is not None:
+            await self.response.write(
+                b"event: action\ndata: %b\n\n" % msgspec.json.encode(triggered)
+            )
         await self.response.write(DONE)
         await self.response.write_eof()
         return "completed"
--- a/src/fuchsiabarrow/entry/tests/test_interface.py
+++ b/src/fuchsiabarrow/entry/tests/test_interface.py
@@ -407,3 +407,69 @@
                 assert answer.headers["ETag"] == '"1"'
 
     run(check)
+
+
+def test_whole_answer_triggers_its_action_once_also_when_it_is_resumed():
+    action = {"name": "confirm-deposit", "body": {"deposit": 5}}
+
+    async def check(world, entries, session, caller):
+        key = str(uuid6.uuid7())
+        answer = await caller.chat("quotes", "x", 30, action=action, key=key)
+        assert answer.is_whole
+        assert answer.action["outcome"] == "completed"
+        resumed = callers.Answer(last_id=answer.last_id)
+        body = {**VALID, "stream": True, "max_tokens": 30, "action": action}
+        body["messages"] = [{"role": "user", "content": "x"}]
+        for entry in caller.entries:
+            await caller._read_stream(entry, body, resumed, key)
+            assert resumed.action["outcome"] == "completed"
+        assert world.service.runs == {key: 1}
+
+    run(check, entries=2)
+
+
+def test_answer_that_is_not_whole_triggers_nothing():
+    action = {"name": "confirm-deposit", "body": {}}
+
+    async def check(world, entries, session, caller):
+        work = asyncio.create_task(
+            caller.chat("quotes", "x", 900, tries=1, action=action, key=KEY)
+        )
+        await asyncio.sleep(0.3)
+        for engine in world.engines.values():
+            await engine.crash()
+        answer = await work
+        assert not answer.is_whole
+        assert answer.action is None
+        assert world.service.runs == {}
+
+    run(check, streams={"no_chain_limit_s": 0.2})
+
+
+@pytest.mark.parametrize(
+    ("action", "key", "expected"),
+    [
+        ({"name": "unknown", "body": {}}, KEY, 404),
+        ({"name": "read-order", "body": {}}, KEY, 404),
+        ({"name": "confirm-deposit", "body": {}}, "", 400),
+        ({"name": "confirm-deposit", "body": {}}, "x", 400),
+        ({"name": "confirm-deposit", "body": 3}, KEY, 400),
+    ],
+)
+def test_action_that_may_not_be_triggered_is_refused_beforehand(
+    action, key, expected
+):
+    async def check(world, entries, session, caller):
+        status, _, found = await send(
+            session,
+            entries[0],
+            "POST",
+            CHAT,
+            world_standins.CALLER_KEY,
+            headers={"Idempotency-Key": key} if key else {},
+            json={**VALID, "action": action},
+        )
+        assert (status, found["outcome"]) == (expected, "not_run")
+        assert all(e.applied_positions == 0 for e in world.engines.values())
+
+    run(check)
--- a/src/fuchsiabarrow/routing/service.py
+++ b/src/fuchsiabarrow/routing/service.py
@@ -115,6 +115,16 @@
             avoid,
         )
 
+    def estimate_chain_s(self, chain: tuple[chains.Hop, ...]) -> float:
+        """Returns the expected time of a token through a chain in seconds."""
+        now_s = asyncio.get_running_loop().time()
+        total_s = 0.0
+        for hop in chain:
+            state = self.evidence.find(hop.instance_id)
+            if state is not None:
+                total_s += self.evidence.estimate_hop_s(state, now_s)
+        return total_s
+
     def choose_service(
         self, service: str, regions: list[str], avoid: set[str]
     ) -> instances.Instance | None:
--- a/src/fuchsiabarrow/standins/callers.py
+++ b/src/fuchsiabarrow/standins/callers.py
@@ -25,6 +25,7 @@
         last_id: Id of the last event received.
         first_piece_s: Time to the first token in seconds.
         gaps: Histogram of the times between tokens, in microseconds.
+        action: Outcome of the action that the answer triggered.
     """
 
     pieces: list[str] = dataclasses.field(default_factory=list)
@@ -34,6 +35,7 @@
     last_id: str = ""
     first_piece_s: float = 0.0
     gaps: object = None
+    action: dict | None = None
 
 
 class Caller:
@@ -64,6 +66,8 @@
         max_tokens: int,
         tries: int = 20,
         gaps=None,
+        action: dict | None = None,
+        key: str = "",
     ) -> Answer:
         """Asks for a streamed answer and resumes it until it is whole.
 
@@ -74,6 +78,8 @@
             tries: Most requests sent.
             gaps: Histogram that takes the times between tokens, in
                 microseconds.
+            action: Action that the whole answer triggers.
+            key: Idempotency key of the action.
         """
         answer = Answer(gaps=gaps)
         body = {
@@ -82,11 +88,13 @@
             "max_tokens": max_tokens,
             "stream": True,
         }
+        if action is not None:
+            body["action"] = action
         for _ in range(tries):
             entry = self._take_entry()
             answer.entries.append(entry)
             try:
-                await self._read_stream(entry, body, answer)
+                await self._read_stream(entry, body, answer, key)
             except aiohttp.ClientError as error:
                 answer.errors.append({"detail": type(error).__name__})
             if answer.is_whole:
@@ -94,8 +102,12 @@
             await asyncio.sleep(RESEND_DELAY_S)
         return answer
 
-    async def _read_stream(self, entry: str, body: dict, answer: Answer):
+    async def _read_stream(
+        self, entry: str, body: dict, answer: Answer, key: str = ""
+    ):
         headers = dict(self._headers)
+        if key:
+            headers["Idempotency-Key"] = key
         if answer.last_id:
             headers["Last-Event-ID"] = answer.last_id
         started_s = last_s = asyncio.get_running_loop().time()
@@ -129,6 +141,9 @@
         if event == "error":
             answer.errors.append(found)
             return
+        if event == "action":
+            answer.action = found
+            return
         content = found["choices"][0]["delta"].get("content")
         if content is not None:
             answer.pieces.append(content)
--- a/src/fuchsiabarrow/streams/service.py
+++ b/src/fuchsiabarrow/streams/service.py
@@ -28,6 +28,14 @@
 END_TOKEN = 0
 # Entries tell each other which requests crash their upstreams.
 BLOCKED_KIND = "blocked"
+# Time between looks of a stream for a faster chain, and the part of the streams
+# that move at once.
+SLOWNESS_CHECK_S = 0.25
+MOVE_PROBABILITY = 0.5
+# A chain is left if it is slower than another by this factor, and by more than
+# a token's share of filling the other one anew.
+SLOWNESS_FACTOR = 2.0
+MOVE_COST_S = 0.01
 
 _log = logbook.Logger(__name__)
 
@@ -277,6 +285,8 @@
     ) -> None:
         """Runs an attempt until the answer is whole or the stream moves."""
         request = stream.request
+        loop = asyncio.get_running_loop()
+        checked_at_s = loop.time()
         pending = [*request.prompt, *stream.tokens]
         async with (
             self._directory.use(chain) as engines,
@@ -305,8 +315,11 @@
                     stream.finish("length")
                     return
                 pending = [token]
-                if self._should_move(chain, request):
+                if self._should_move(request, chain, checked_at_s):
                     return
+                now_s = loop.time()
+                if now_s - checked_at_s > SLOWNESS_CHECK_S:
+                    checked_at_s = now_s
 
     def _tell_blocked(self, fingerprint: str) -> None:
         """Tells the other entries to refuse a request."""
@@ -327,7 +340,36 @@
         now_s = asyncio.get_running_loop().time()
         self._routing.evidence.record_success(instance_id, hop_s, now_s)
 
-    def _should_move(self, chain, request) -> bool:
+    def _should_move(self, request, chain, checked_at_s: float) -> bool:
+        """Tells whether a stream does better on another chain."""
+        if self._has_leaving_stage(request, chain):
+            return True
+        age_s = asyncio.get_running_loop().time() - checked_at_s
+        return age_s > SLOWNESS_CHECK_S and self._is_slow(request, chain)
+
+    def _is_slow(self, request, chain) -> bool:
+        """Tells whether a chain became much slower than another one.
+
+        Only some of its streams move at a time, so that they do not all meet
+        again on the next.
+        """
+        if self._source.random() > MOVE_PROBABILITY:
+            return False
+        slowest = max(
+            chain,
+            key=lambda hop: self._routing.estimate_chain_s((hop,)),
+        )
+        try:
+            other = self._choose_chain(request, {slowest.instance_id})
+        except exceptions.ChainUnavailableError:
+            return False
+        if slowest.instance_id in {hop.instance_id for hop in other}:
+            return False
+        before_s = self._routing.estimate_chain_s(chain)
+        after_s = self._routing.estimate_chain_s(other)
+        return before_s > SLOWNESS_FACTOR * after_s + MOVE_COST_S
+
+    def _has_leaving_stage(self, request, chain) -> bool:
         """Tells whether a stage is leaving and another chain exists."""
         evidence = self._routing.evidence
         leaving = {
--- a/src/fuchsiabarrow/streams/tests/test_failures.py
+++ b/src/fuchsiabarrow/streams/tests/test_failures.py
@@ -198,6 +198,26 @@
     loops.run(check())
 
 
+def test_streams_leave_a_stage_whose_link_became_slow():
+    async def check():
+        async with worlds.start() as (world, (entry,), caller):
+            works = await worlds.chat_all(caller, PROMPTS, 400)
+            await wait_for_steps(world, 600)
+            slow = find_busy(world, 5)
+            slow.faults.delay_s = 0.2
+            evidence = entry.kernel.get("routing").evidence
+            state = evidence.find(slow.profile.instance_id)
+            async with asyncio.timeout(20):
+                while state.in_flight:
+                    await asyncio.sleep(0.02)
+            # At 0.2 s a token no stream can have ended there by itself.
+            assert slow.applied_positions < len(PROMPTS) * 400
+            assert not all(work.done() for work in works)
+            await worlds.check_answers(PROMPTS, works, 400)
+
+    loops.run(check())
+
+
 def test_stream_without_any_chain_ends_in_an_explicit_error_event():
     async def check():
         limits = {"no_chain_limit_s": 0.3}
