Decode only the parts of a configuration that changed

Cause: each change of one organisation among 8,900 held up the loop of every entry for 67 ms, longer than the time between two tokens. Ruled out: decoding in a thread (one loop on one thread). Change: typed parts are kept by digest and checked against the base they were checked with.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -224,20 +224,28 @@
     head = parts.make_head(parts.EMPTY_HEAD, split, "nonce", "desk")
     by_digest = {parts.compute_digest(p): p for p in split.values()}
 
-    def adopt():
-        joined = parts.join_parts(head, by_digest)
-        configuration = documents.decode(joined)
-        index = authentication.KeyIndex()
-        index.change(configuration)
-        return joined, configuration, index
+    def adopt(cache, index, adopted):
+        index.change(cache.decode(adopted, by_digest))
+        return cache, index
 
+    def start():
+        return adopt(parts.PartCache(), authentication.KeyIndex(), head)
+
+    started_s = time.process_time()
+    start()
+    first_ms = 1000 * (time.process_time() - started_s)
+    size_bytes, (cache, index) = measure_memory(start)
+    document["organisations"]["organisation-1"]["share"] = 2.0
+    changed = parts.split_document(document)
+    by_digest.update({parts.compute_digest(p): p for p in changed.values()})
+    second = parts.make_head(head, changed, "nonce", "desk")
     started_s = time.process_time()
-    adopt()
-    adopt_ms = 1000 * (time.process_time() - started_s)
-    size_bytes, _ = measure_memory(adopt)
+    adopt(cache, index, second)
+    change_ms = 1000 * (time.process_time() - started_s)
     return {
         "organisations": count,
-        "adopt_ms": round(adopt_ms, 1),
+        "adopt_first_ms": round(first_ms, 1),
+        "adopt_change_ms": round(change_ms, 1),
         "memory_mb": round(size_bytes / 1e6, 2),
         "head_bytes": len(msgspec.json.encode(head)),
         "largest_part_bytes": max(len(part) for part in split.values()),
--- a/src/fuchsiabarrow/configuration/documents.py
+++ b/src/fuchsiabarrow/configuration/documents.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+import re
 
 import msgspec
 
@@ -14,13 +15,15 @@
     "Model",
     "Organisation",
     "Pipeline",
+    "check_organisations",
     "decode",
+    "decode_organisations",
     "hash_key",
     "matches_key",
 ]
 
 GUARDS = ("none", "deduplicates", "fences", "repeatable")
-SHA256_HEX_LENGTH = 64
+SHA256_HEX = re.compile("[0-9a-f]{64}")
 
 
 class _Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -160,15 +163,28 @@
     Raises:
         ConfigurationError: Names the key, what is wrong and the remedy.
     """
+    found = _convert(document, Configuration)
+    _check_values(found)
+    check_organisations(found.organisations, found)
+    return found
+
+
+def decode_organisations(document: object) -> dict[str, Organisation]:
+    """Validates some organisations, but for their references.
+
+    Raises:
+        ConfigurationError: Names the key, what is wrong and the remedy.
+    """
+    return _convert(document, dict[str, Organisation])
+
+
+def _convert(document: object, kind: type):
     try:
-        found = msgspec.convert(document, Configuration)
+        return msgspec.convert(document, kind)
     except msgspec.ValidationError as error:
         raise exceptions.ConfigurationError(
             f"{error}; correct this key and send the patch again"
         ) from None
-    _check_values(found)
-    _check_references(found)
-    return found
 
 
 def _check_values(found: Configuration) -> None:
@@ -185,14 +201,14 @@
         _require(action.timeout_s > 0, f"{path}.timeout_s", "above 0")
         is_path = action.path.startswith("/")
         _require(is_path, f"{path}.path", "a path that starts with /")
-    for name, organisation in found.organisations.items():
-        path = f"organisations.{name}"
-        _require(organisation.share > 0, f"{path}.share", "above 0")
-        _check_digests(organisation.key_sha256, f"{path}.key_sha256")
     for name, operator in found.operators.items():
         _check_digests(operator.key_sha256, f"operators.{name}.key_sha256")
     _require(found.limits.streams > 0, "limits.streams", "above 0")
     _require(found.limits.attempts > 0, "limits.attempts", "above 0")
+    for name, pipeline in found.pipelines.items():
+        path = f"pipelines.{name}"
+        _require_known([pipeline.model], found.models, f"{path}.model")
+        _require_known(pipeline.actions, found.actions, f"{path}.actions")
 
 
 def _check_ranges(model: Model, path: str) -> None:
@@ -203,13 +219,18 @@
     _require(is_whole, path, "a cover of all layers, or empty")
 
 
-def _check_references(found: Configuration) -> None:
-    for name, pipeline in found.pipelines.items():
-        path = f"pipelines.{name}"
-        _require_known([pipeline.model], found.models, f"{path}.model")
-        _require_known(pipeline.actions, found.actions, f"{path}.actions")
-    for name, organisation in found.organisations.items():
+def check_organisations(
+    organisations: dict[str, Organisation], found: Configuration
+) -> None:
+    """Checks organisations and what they refer to.
+
+    Raises:
+        ConfigurationError: Names the key, what is wrong and the remedy.
+    """
+    for name, organisation in organisations.items():
         path = f"organisations.{name}"
+        _require(organisation.share > 0, f"{path}.share", "above 0")
+        _check_digests(organisation.key_sha256, f"{path}.key_sha256")
         _require_known(
             organisation.pipelines, found.pipelines, f"{path}.pipelines"
         )
@@ -219,10 +240,7 @@
 def _check_digests(digests: list[str], path: str) -> None:
     remedy = "64 hex digits; make them with `fuchsiabarrow key`"
     for digest in digests:
-        is_hex = len(digest) == SHA256_HEX_LENGTH and all(
-            character in "0123456789abcdef" for character in digest
-        )
-        _require(is_hex, path, remedy)
+        _require(SHA256_HEX.fullmatch(digest) is not None, path, remedy)
 
 
 def _require(holds: bool, path: str, remedy: str) -> None:
--- a/src/fuchsiabarrow/configuration/parts.py
+++ b/src/fuchsiabarrow/configuration/parts.py
@@ -13,16 +13,20 @@
 import xxhash
 
 from fuchsiabarrow import exceptions
+from fuchsiabarrow.configuration import documents
 
 __all__ = [
     "EMPTY_HEAD",
     "Head",
+    "PartCache",
     "compute_digest",
     "join_parts",
     "make_head",
     "split_document",
 ]
 
+# Part that holds all sections but the organisations.
+BASE_PART = "base"
 # Organisations are divided by a hash of their name.
 ORGANISATION_PARTS = 32
 # Versions whose nonces a head keeps; a writer whose answer was lost finds its
@@ -55,7 +59,7 @@
 def split_document(document: dict[str, Any]) -> dict[str, bytes]:
     """Returns the encoded parts of a configuration, by part name."""
     sections = {k: v for k, v in document.items() if k != "organisations"}
-    parts = {"base": sections}
+    parts = {BASE_PART: sections}
     for name, organisation in document.get("organisations", {}).items():
         index = xxhash.xxh3_64_intdigest(name.encode()) % ORGANISATION_PARTS
         part = parts.setdefault(f"organisations-{index}", {})
@@ -82,6 +86,65 @@
     )
 
 
+class PartCache:
+    """Decodes the parts of successive configurations, each part once.
+
+    Most changes touch one part; decoding all of 8,900 organisations anew would
+    hold up the loop for longer than the time between two tokens.
+    """
+
+    def __init__(self):
+        self._organisations: dict[str, dict[str, documents.Organisation]] = {}
+        self._base_digest = ""
+
+    def decode(
+        self, head: Head, parts: dict[str, bytes]
+    ) -> documents.Configuration:
+        """Returns the typed configuration of a head.
+
+        Args:
+            head: The head.
+            parts: Content by digest.
+
+        Raises:
+            ConfigurationError: A part is altered or invalid.
+        """
+        base_digest = head.parts[BASE_PART]
+        base = documents.decode(_decode_part(head, BASE_PART, parts))
+        is_same_base = base_digest == self._base_digest
+        known = self._organisations if is_same_base else {}
+        decoded = {}
+        for name, digest in head.parts.items():
+            if name == BASE_PART:
+                continue
+            found = known.get(digest)
+            if found is None:
+                found = documents.decode_organisations(
+                    _decode_part(head, name, parts)
+                )
+                documents.check_organisations(found, base)
+            decoded[digest] = found
+        self._organisations = decoded
+        self._base_digest = base_digest
+        merged: dict[str, documents.Organisation] = {}
+        for found in decoded.values():
+            merged.update(found)
+        return msgspec.structs.replace(base, organisations=merged)
+
+
+def _decode_part(
+    head: Head, name: str, parts: dict[str, bytes]
+) -> dict[str, Any]:
+    digest = head.parts[name]
+    part = parts[digest]
+    if compute_digest(part) != digest:
+        raise exceptions.ConfigurationError(
+            f"part {name} of configuration {head.number} was altered in the"
+            " store; restore the object or patch again"
+        )
+    return msgspec.json.decode(part)
+
+
 def join_parts(head: Head, parts: dict[str, bytes]) -> dict[str, Any]:
     """Returns the document whose parts a head lists.
 
@@ -94,15 +157,9 @@
     """
     organisations: dict[str, Any] = {}
     document: dict[str, Any] = {}
-    for name, digest in head.parts.items():
-        part = parts[digest]
-        if compute_digest(part) != digest:
-            raise exceptions.ConfigurationError(
-                f"part {name} of configuration {head.number} was altered in"
-                " the store; restore the object or patch again"
-            )
-        found = msgspec.json.decode(part)
-        if name == "base":
+    for name in head.parts:  # None before the first configuration.
+        found = _decode_part(head, name, parts)
+        if name == BASE_PART:
             document.update(found)
         else:
             organisations.update(found)
--- a/src/fuchsiabarrow/configuration/service.py
+++ b/src/fuchsiabarrow/configuration/service.py
@@ -73,7 +73,7 @@
         self.head = parts.EMPTY_HEAD
         self.configuration = documents.Configuration()
         self.alarms: dict[str, int] = {}
-        self._document: dict[str, Any] = {}
+        self._cache = parts.PartCache()
         self._parts: dict[str, bytes] = {}
         self._head_version = objects.ABSENT_VERSION
         self._store = store
@@ -104,7 +104,7 @@
 
     def get_document(self) -> dict[str, Any]:
         """Returns the configuration in force as builtin types."""
-        return self._document
+        return parts.join_parts(self.head, self._parts)
 
     def add_listener(
         self, listener: Callable[[documents.Configuration], None]
@@ -169,7 +169,7 @@
         """
         await self.refresh()
         document = patches.apply_patch(
-            self._document, self.head.number, patch, expected_number
+            self.get_document(), self.head.number, patch, expected_number
         )
         split = parts.split_document(document)
         nonce = uuid.uuid4().hex
@@ -278,9 +278,7 @@
             found[digest] = self._parts.get(digest) or await self._fetch_part(
                 digest, is_from_store
             )
-        document = parts.join_parts(head, found)
-        self.configuration = documents.decode(document)
-        self._document = document
+        self.configuration = self._cache.decode(head, found)
         self._parts = found
         self.head = head
         _log.info(logs.format_event("configuration", number=head.number))
