Move KV caches of leaving stages; distrust a list that was cut short

Cause: a planned withdrawal filled all stages anew, the more the longer the prompt; connections to instances that left the list were never closed (the function stood there unused); a list that came back empty for once would have taken out every instance.

Ruled out: caches through the entry (a node would carry hundreds of megabytes a stream at real sizes): the new instance fetches from the old one.

Change: leaving stages are exchanged one by one with their caches, else a new attempt fills another chain. The driving of a stream is a module of its own.

--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -36,7 +36,15 @@
 )
 ENTRIES = ("entry-1", "entry-2")
 FAILED = "s4-0"
-KINDS = ("none", "kill", "freeze", "silence", "withdraw", "slow link")
+KINDS = (
+    "none",
+    "kill",
+    "freeze",
+    "silence",
+    "withdraw",
+    "withdraw, filled anew",
+    "slow link",
+)
 
 
 async def cause_failure(session, fleet, kind: str) -> None:
@@ -50,14 +58,18 @@
         await fleets.set_faults(session, process, silent=True)
     elif kind == "slow link":
         await fleets.set_faults(session, process, delay_s=0.1)
-    elif kind == "withdraw":
+    elif kind.startswith("withdraw"):
+        refuses = kind == "withdraw, filled anew"
+        await fleets.set_faults(session, process, refuse_export=refuses)
         profile = next(p for p in PROFILES if p.instance_id == FAILED)
         listed = worlds.describe_engine(profile, process.address)
         leaving = msgspec.structs.replace(listed, leaving=True)
         await fleets.put_instance(session, fleet, leaving)
 
 
-async def measure(folder, kind: str, streams: int, tokens: int) -> dict:
+async def measure(
+    folder, kind: str, streams: int, tokens: int, prompt_bytes: int = 0
+) -> dict:
     """Returns the longest gaps of the streams around one failure."""
     with fleets.Fleet(pathlib.Path(folder)) as fleet:
         async with aiohttp.ClientSession(
@@ -74,7 +86,10 @@
             works = [
                 asyncio.create_task(
                     caller.chat(
-                        worlds.PIPELINE, f"prompt {n}", tokens, gaps=gaps
+                        worlds.PIPELINE,
+                        f"{n}" + "x" * prompt_bytes,
+                        tokens,
+                        gaps=gaps,
                     )
                 )
                 for n, gaps in enumerate(series)
@@ -103,16 +118,21 @@
             }
 
 
-def main(*, streams: int = 48, tokens: int = 300) -> None:
+def main(
+    *, streams: int = 48, tokens: int = 300, prompt_bytes: int = 0
+) -> None:
     """Measure each kind of failure once.
 
     Args:
         streams: Streams at once.
         tokens: Tokens of each answer.
+        prompt_bytes: Length added to each prompt.
     """
     for kind in KINDS:
         with tempfile.TemporaryDirectory() as folder:
-            print(loops.run(measure(folder, kind, streams, tokens)))
+            print(
+                loops.run(measure(folder, kind, streams, tokens, prompt_bytes))
+            )
             sys.stdout.flush()
 
 
--- a/src/fuchsiabarrow/adapters/engines.py
+++ b/src/fuchsiabarrow/adapters/engines.py
@@ -23,6 +23,7 @@
 
 # A silent peer does not answer a closing handshake either.
 CLOSE_TIMEOUT_S = 0.05
+HTTP_OK = 200
 # Answered by an engine at once, whatever it is busy with.
 PROBE = ["probe", 0]
 
@@ -37,12 +38,14 @@
         probe_grace_s: Once the new connection answered, the old one has this
             long to answer as well.
         step_timeout_s: Bound on one step; covers filling a long prompt.
+        import_timeout_s: Bound on the import of a KV cache.
     """
 
     connect_timeout_s: float = 0.3
     silence_timeout_s: float = 0.1
     probe_grace_s: float = 0.05
     step_timeout_s: float = 10.0
+    import_timeout_s: float = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,6 +81,7 @@
         self._session = session
         self._instance_id = instance_id
         self._url = f"http://{address}/v1/steps"
+        self._import_url = f"http://{address}/v1/cache-imports"
         self._settings = settings
         self._count = count
         self._pending: dict[tuple, _Pending] = {}
@@ -129,6 +133,25 @@
             self._pending.pop(key, None)
         return self._check_answer(answer)
 
+    async def import_cache(self, order: engines.CacheImport) -> None:
+        """Implements `fuchsiabarrow.ports.engines.Engine.import_cache`."""
+        timeout = aiohttp.ClientTimeout(total=self._settings.import_timeout_s)
+        try:
+            async with self._session.post(
+                self._import_url,
+                data=msgspec.json.encode(order),
+                timeout=timeout,
+            ) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise exceptions.InstanceUnreachableError(
+                self._instance_id, "did not import a cache; fill it anew"
+            ) from error
+        if response.status != HTTP_OK:
+            raise exceptions.InstanceRefusedError(
+                self._instance_id, "import of a cache"
+            )
+
     def cancel(self, request_id: str, attempt: int) -> None:
         """Implements `fuchsiabarrow.ports.engines.Engine.cancel`."""
         if not self._closed and self._socket is not None:
--- a/src/fuchsiabarrow/entry/composition.py
+++ b/src/fuchsiabarrow/entry/composition.py
@@ -185,6 +185,7 @@
             make_link, kernel.get("routing").evidence
         )
         await kernel.add("links", directory)
+        kernel.get("routing").add_list_listener(directory.close_unlisted)
         tracer = traces.make_tracer(settings.traces, self._exporter)
         await kernel.add(
             "streams",
--- a/src/fuchsiabarrow/entry/settings.py
+++ b/src/fuchsiabarrow/entry/settings.py
@@ -13,7 +13,7 @@
 from fuchsiabarrow.orders import service as orders_service
 from fuchsiabarrow.peers import service as peers_service
 from fuchsiabarrow.routing import service as routing_service
-from fuchsiabarrow.streams import service as streams_service
+from fuchsiabarrow.streams import drivers
 from fuchsiabarrow.telemetry import logs as logs_module
 from fuchsiabarrow.telemetry import traces as traces_module
 from fuchsiabarrow.utils import addresses as addresses_module
@@ -99,7 +99,7 @@
     peers: peers_service.Settings = peers_service.Settings()
     engines: engine_adapter.Settings = engine_adapter.Settings()
     routing: routing_service.Settings = routing_service.Settings()
-    streams: streams_service.Settings = streams_service.Settings()
+    streams: drivers.Settings = drivers.Settings()
     actions: actions_service.Settings = actions_service.Settings()
     configuration: configuration_service.Settings = (
         configuration_service.Settings()
--- a/src/fuchsiabarrow/ports/engines.py
+++ b/src/fuchsiabarrow/ports/engines.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-__all__ = ["Engine", "Step", "StepAnswer"]
+__all__ = ["CacheImport", "Engine", "Step", "StepAnswer"]
 
 
 class Step(msgspec.Struct, frozen=True, array_like=True):
@@ -54,6 +54,26 @@
     token: int
 
 
+class CacheImport(msgspec.Struct, frozen=True):
+    """An order to fetch the KV cache of an attempt from another engine.
+
+    Attributes:
+        source_address: ``ip:port`` of the engine that holds it.
+        request_id: Request of the attempt.
+        attempt: Number of the attempt.
+        position: Next position of the cache.
+        first_layer: First layer to fetch.
+        end_layer: One past the last layer to fetch.
+    """
+
+    source_address: str
+    request_id: str
+    attempt: int
+    position: int
+    first_layer: int
+    end_layer: int
+
+
 class Engine(Protocol):
     """A connection to one engine instance."""
 
@@ -67,5 +87,14 @@
             StepRefusedError: Its KV cache is at another position.
         """
 
+    async def import_cache(self, order: CacheImport) -> None:
+        """Lets the instance fetch a KV cache from another instance.
+
+        The cache does not pass through the entry.
+
+        Raises:
+            InstanceError: It was not fetched.
+        """
+
     def cancel(self, request_id: str, attempt: int) -> None:
         """Frees the KV cache of an attempt, without waiting."""
--- a/src/fuchsiabarrow/routing/service.py
+++ b/src/fuchsiabarrow/routing/service.py
@@ -1,6 +1,9 @@
 """Follows the instance list and chooses chains for streams."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
 import random
 
 import logbook
@@ -25,6 +28,10 @@
 HELD_KIND = "held"
 HELD_LIFETIME_S = 3600.0
 MILLISECONDS_PER_S = 1000
+# Part of the staying instances, and their least number, whose loss at once
+# makes a list implausible.
+LOSS_LIMIT = 0.5
+LOSS_LEAST = 3
 
 _log = logbook.Logger(__name__)
 
@@ -35,12 +42,15 @@
     Attributes:
         list_rate_per_s: Reads of the instance list by all entries together.
         list_least_s: Smallest time between reads by one entry.
+        implausible_hold_s: A list that lacks most instances at once is not
+            believed for this long.
         load_weight: Relative cost of each stream that uses an instance.
         evidence: Times and weights of the evidence.
     """
 
     list_rate_per_s: float = 20.0
     list_least_s: float = 0.5
+    implausible_hold_s: float = 30.0
     load_weight: float = 0.1
     evidence: evidence_module.Settings = evidence_module.Settings()
 
@@ -76,6 +86,8 @@
         self.evidence = evidence_module.Evidence(settings.evidence)
         self._listing = listing
         self._listed: list[instances.Instance] = []
+        self._implausible_since_s: float | None = None
+        self._list_listeners: list[Callable[[], Awaitable[None]]] = []
         self._peers = peers
         self._settings = settings
         self._source = source
@@ -92,6 +104,10 @@
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
 
+    def add_list_listener(self, listener: Callable[[], Awaitable[None]]):
+        """Awaits `listener` after each read of the list."""
+        self._list_listeners.append(listener)
+
     def choose_chain(
         self,
         model: str,
@@ -115,7 +131,36 @@
             avoid,
         )
 
-    def estimate_chain_s(self, chain: tuple[chains.Hop, ...]) -> float:
+    def choose_replacement(
+        self, model: str, hop: chains.Hop, regions: list[str]
+    ) -> chains.Hop | None:
+        """Returns another instance for exactly the layers of a hop.
+
+        Of two drawn at random the one with fewer streams in flight is taken;
+        None if no trusted instance holds these layers.
+        """
+        now_s = asyncio.get_running_loop().time()
+        usable = [
+            state
+            for state in self._find_states("engine", model, regions)
+            if state.instance.instance_id != hop.instance_id
+            and not state.is_leaving
+            and state.excluded_until_s <= now_s
+            and state.instance.first_layer <= hop.first_layer
+            and hop.end_layer <= state.instance.end_layer
+        ]
+        if not usable:
+            return None
+        drawn = self._source.sample(usable, min(chains.CHOICES, len(usable)))
+        state = min(drawn, key=lambda found: found.in_flight)
+        return chains.Hop(
+            state.instance.instance_id,
+            state.instance.address,
+            hop.first_layer,
+            hop.end_layer,
+        )
+
+    def estimate_chain_s(self, chain: Iterable[chains.Hop]) -> float:
         """Returns the expected time of a token through a chain in seconds."""
         now_s = asyncio.get_running_loop().time()
         total_s = 0.0
@@ -165,8 +210,10 @@
         except exceptions.StoreError as error:
             _log.warning(logs.format_event("list_down", error=error))
             return
-        self._listed = listed
         now_s = asyncio.get_running_loop().time()
+        if self._is_implausible(listed, now_s):
+            return
+        self._listed = listed
         current = [self._apply_held(instance) for instance in listed]
         self.evidence.update_list(current, now_s)
         for instance in listed:
@@ -178,6 +225,8 @@
             )
             if item is not None:
                 self._accept_leaving(item)
+        for listener in self._list_listeners:
+            await listener()
 
     def get_pool(self, model: str) -> list[instances.Instance]:
         """Returns the listed engines that serve a model, leaving ones too."""
@@ -217,6 +266,29 @@
         if state is not None:
             state.instance = self._apply_held(state.instance)
 
+    def _is_implausible(
+        self, listed: list[instances.Instance], now_s: float
+    ) -> bool:
+        """Tells whether a list lost too much at once to be believed yet.
+
+        Instances that leave are shown as leaving first. A list that lacks most
+        of those that were staying is more likely cut short.
+        """
+        staying = {i.instance_id for i in self._listed if not i.leaving}
+        lost = staying - {i.instance_id for i in listed}
+        if len(lost) <= LOSS_LIMIT * len(staying) or len(lost) < LOSS_LEAST:
+            self._implausible_since_s = None
+            return False
+        if self._implausible_since_s is None:
+            self._implausible_since_s = now_s
+        age_s = now_s - self._implausible_since_s
+        _log.error(
+            logs.format_event(
+                "list_lost_instances", lost=len(lost), age_s=age_s
+            )
+        )
+        return age_s < self._settings.implausible_hold_s
+
     def record_leaving(self, instance_id: str) -> None:
         """Notes a drain answer and tells the other entries."""
         state = self.evidence.find(instance_id)
--- /dev/null
+++ b/src/fuchsiabarrow/routing/tests/test_service.py
@@ -0,0 +1,101 @@
+"""The service believes the list, but not a list that was cut short."""
+
+import asyncio
+import random
+
+import pytest
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.configuration.tests import fakes
+from fuchsiabarrow.ports import instances
+from fuchsiabarrow.routing import service
+from fuchsiabarrow.utils.tests import virtual_time
+
+SETTINGS = service.Settings()
+ENGINES = [
+    instances.Instance(
+        f"e{n}", f"10.0.0.{n}:1", "engine", "m", 0, 4, region=f"r{n % 2}"
+    )
+    for n in range(6)
+]
+
+
+class Listing:
+    """A list that a test sets."""
+
+    def __init__(self):
+        self.found = list(ENGINES)
+
+    async def read(self):
+        if self.found is None:
+            raise exceptions.StoreUnavailableError("down; the last is kept")
+        return self.found
+
+
+def run(check):
+    async def main():
+        listing = Listing()
+        routing = service.RoutingService(
+            listing, fakes.FakePeers(), SETTINGS, random.Random(1)
+        )
+        async with routing:
+            await check(listing, routing)
+
+    virtual_time.run(main())
+
+
+def count_known(routing):
+    return len(list(routing.evidence.get_states()))
+
+
+@pytest.mark.parametrize("found", [[], ENGINES[:2], None])
+def test_list_that_is_cut_short_or_down_does_not_empty_the_own_one(found):
+    async def check(listing, routing):
+        listing.found = found
+        await asyncio.sleep(5)
+        assert count_known(routing) == 6
+        assert routing.choose_chain("m", 4, [], frozenset())
+
+    run(check)
+
+
+def test_lasting_loss_is_believed_after_a_while():
+    async def check(listing, routing):
+        listing.found = ENGINES[:2]
+        await asyncio.sleep(SETTINGS.implausible_hold_s + 5)
+        assert count_known(routing) == 2
+
+    run(check)
+
+
+def test_loss_of_a_few_or_of_leaving_instances_is_believed_at_once():
+    async def check(listing, routing):
+        listing.found = ENGINES[2:]
+        await asyncio.sleep(1)
+        assert count_known(routing) == 4
+        leaving = [instances.Instance("e5", "10.0.0.5:1", "engine", "m", 0, 4)]
+        listing.found = [
+            instances.Instance(
+                e.instance_id, e.address, "engine", "m", 0, 4, leaving=True
+            )
+            for e in ENGINES[2:]
+        ]
+        await asyncio.sleep(1)
+        listing.found = leaving
+        await asyncio.sleep(1)
+        assert count_known(routing) == 1
+
+    run(check)
+
+
+@pytest.mark.parametrize("region", ["r0", "r1"])
+def test_work_stays_in_the_regions_of_its_organisation(region):
+    async def check(listing, routing):
+        regions = {e.instance_id: e.region for e in ENGINES}
+        for _ in range(50):
+            (hop,) = routing.choose_chain("m", 4, [region], frozenset())
+            assert regions[hop.instance_id] == region
+        with pytest.raises(exceptions.ChainUnavailableError):
+            routing.choose_chain("m", 4, ["elsewhere"], frozenset())
+
+    run(check)
--- a/src/fuchsiabarrow/standins/engines.py
+++ b/src/fuchsiabarrow/standins/engines.py
@@ -21,6 +21,7 @@
 
 __all__ = ["EngineProfile", "EngineStandin"]
 
+HTTP_OK = 200
 # A prompt that contains these bytes crashes the engine that reads it.
 POISON = list(b"crash-the-engine")
 
@@ -38,6 +39,7 @@
         link_s: One-way delay of the link in seconds.
         accelerator: Kind of accelerator.
         load_s: Time to load weights in seconds.
+        import_position_s: Time to import a position of a KV cache.
     """
 
     instance_id: str
@@ -49,6 +51,7 @@
     link_s: float = 0.0
     accelerator: str = "a"
     load_s: float = 0.2
+    import_position_s: float = 0.0000005
 
 
 def _contains_poison(tokens: list[int]) -> bool:
@@ -77,6 +80,7 @@
         self.applied_positions = 0
         self.batches = 0
         self.busy_s = 0.0
+        self.imports = 0
         self.orders: list[orders.LoadOrder] = []
         self._loading: orders.LoadOrder | None = None
         self._fence = 0
@@ -93,6 +97,8 @@
         app.router.add_get("/v1/state", self._serve_state)
         app.router.add_get("/v1/assignment", self._serve_assignment)
         app.router.add_put("/v1/assignment", self._take_order)
+        app.router.add_get("/v1/caches/{request}/{attempt}", self._export)
+        app.router.add_post("/v1/cache-imports", self._import)
         faults_module.add_routes(app, self.faults)
         self.server = servers.Server(app, port)
 
@@ -159,6 +165,47 @@
             self._start_task(self._load(order))
         return aiohttp.web.Response()
 
+    async def _export(self, request: aiohttp.web.Request):
+        name = request.match_info["request"]
+        key = (name, int(request.match_info["attempt"]))
+        if key not in self._caches or self.faults.refuse_export:
+            raise aiohttp.web.HTTPNotFound()
+        body = msgspec.msgpack.encode(self._caches[key])
+        return aiohttp.web.Response(body=body)
+
+    async def _import(self, request: aiohttp.web.Request):
+        body = await request.read()
+        order = msgspec.json.decode(body, type=engines.CacheImport)
+        url = (
+            f"http://{order.source_address}/v1/caches/{order.request_id}"
+            f"/{order.attempt}"
+        )
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(url) as answer,
+        ):
+            if answer.status != HTTP_OK:
+                raise aiohttp.web.HTTPBadGateway()
+            content = await answer.read()
+        found = msgspec.msgpack.decode(content, type=models.Cache)
+        held = range(self.profile.first_layer, self.profile.end_layer)
+        wanted = range(order.first_layer, order.end_layer)
+        is_complete = all(
+            layer in held and found.positions.get(layer) == order.position
+            for layer in wanted
+        )
+        if not is_complete:
+            raise aiohttp.web.HTTPConflict()
+        cache = self._caches.setdefault(
+            (order.request_id, order.attempt), models.Cache()
+        )
+        for layer in wanted:
+            cache.digests[layer] = found.digests[layer]
+            cache.positions[layer] = found.positions[layer]
+        await asyncio.sleep(order.position * self.profile.import_position_s)
+        self.imports += 1
+        return aiohttp.web.Response()
+
     async def _load(self, order: orders.LoadOrder) -> None:
         """Fetches weights, then serves the new layers only."""
         await asyncio.sleep(self.profile.load_s)
--- a/src/fuchsiabarrow/standins/faults.py
+++ b/src/fuchsiabarrow/standins/faults.py
@@ -20,6 +20,7 @@
         repeat_answers: Send each answer again with the next batch.
         draining: Refuse new work with a drain answer.
         busy: Refuse steps with a busy answer.
+        refuse_export: Give no KV cache to other engines.
         check_fence: Refuse calls with an old fencing number.
         stale_reads: Answer reads from the first version of each object.
         die_after_steps: Die after this many more steps; 0 is off.
@@ -36,6 +37,7 @@
     repeat_answers: bool = False
     draining: bool = False
     busy: bool = False
+    refuse_export: bool = False
     check_fence: bool = False
     stale_reads: bool = False
     die_after_steps: int = 0
--- a/src/fuchsiabarrow/streams/attempts.py
+++ b/src/fuchsiabarrow/streams/attempts.py
@@ -9,6 +9,7 @@
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.ports import engines
 from fuchsiabarrow.routing import chains
+from fuchsiabarrow.streams import links
 
 __all__ = ["Attempt"]
 
@@ -26,8 +27,7 @@
     Args:
         request_id: Request that is served.
         number: Number of the attempt, unique within the request.
-        chain: Stages in order.
-        engine_by_hop: Connection to each stage.
+        stages: Stages in order.
         tracer: Makes a span for each hop.
         report_hop: Called with an instance id and the time of a hop.
     """
@@ -36,19 +36,18 @@
         self,
         request_id: str,
         number: int,
-        chain: Sequence[chains.Hop],
-        engine_by_hop: Sequence[engines.Engine],
+        stages: links.StageSet,
         tracer: trace.Tracer,
         report_hop: Callable[[str, float], None],
     ):
         self._request_id = request_id
         self._number = number
-        self._hops = list(zip(chain, engine_by_hop, strict=True))
+        self._stages = stages
         self._tracer = tracer
         self._report_hop = report_hop
         self._position = 0
         self._spans: list[trace.Span] = []
-        self._busy_s = [0.0] * len(self._hops)
+        self._busy_s = [0.0] * len(stages.hops)
         self._steps = 0
 
     async def __aenter__(self) -> "Attempt":
@@ -61,7 +60,7 @@
         )
         context = trace.set_span_in_context(parent)
         self._spans = [parent]
-        for hop, _ in self._hops:
+        for hop in self._stages.hops:
             span = self._tracer.start_span(
                 "hop",
                 context=context,
@@ -76,7 +75,7 @@
         return self
 
     async def __aexit__(self, *details) -> None:
-        for _, engine in self._hops:
+        for engine in self._stages.engines:
             engine.cancel(self._request_id, self._number)
         for span, busy_s in zip(self._spans[1:], self._busy_s, strict=True):
             span.set_attribute("steps", self._steps)
@@ -98,13 +97,43 @@
             self._position += len(piece)
         return token
 
+    async def exchange_stage(self, index: int, hop: chains.Hop) -> None:
+        """Moves a stage's KV cache to another instance and goes on there.
+
+        Args:
+            index: Number of the stage.
+            hop: The same layers on another instance.
+
+        Raises:
+            InstanceError: The cache was not moved; the old stage still has it.
+        """
+        old_hop = self._stages.hops[index]
+        old_engine = self._stages.engines[index]
+        engine = await self._stages.find_engine(hop)
+        await engine.import_cache(
+            engines.CacheImport(
+                old_hop.address,
+                self._request_id,
+                self._number,
+                self._position,
+                hop.first_layer,
+                hop.end_layer,
+            )
+        )
+        await self._stages.exchange(index, hop)
+        self._spans[1 + index].set_attribute("moved_to", hop.instance_id)
+        names = {hop.instance_id for hop in self._stages.hops}
+        if old_hop.instance_id not in names:
+            old_engine.cancel(self._request_id, self._number)
+
     async def _run_piece(self, piece: list[int], samples: bool) -> int:
         loop = asyncio.get_running_loop()
         hidden: list[bytes] = []
         token = -1
         self._steps += 1
-        for index, (hop, engine) in enumerate(self._hops):
-            is_final = index == len(self._hops) - 1
+        stages = self._stages
+        for index, hop in enumerate(stages.hops):
+            is_final = index == len(stages.hops) - 1
             step = engines.Step(
                 self._request_id,
                 self._number,
@@ -116,7 +145,7 @@
                 is_final and samples,
             )
             started_s = loop.time()
-            answer = await engine.step(step)
+            answer = await stages.engines[index].step(step)
             elapsed_s = loop.time() - started_s
             self._busy_s[index] += elapsed_s
             if len(piece) == 1:
--- a/src/fuchsiabarrow/streams/links.py
+++ b/src/fuchsiabarrow/streams/links.py
@@ -1,16 +1,14 @@
 """Directory of the connections to engine instances."""
 
 import asyncio
-from collections.abc import AsyncIterator
 from collections.abc import Callable
-import contextlib
 from typing import Any
 
 from fuchsiabarrow.ports import engines
 from fuchsiabarrow.routing import chains
 from fuchsiabarrow.routing import evidence as evidence_module
 
-__all__ = ["LinkDirectory"]
+__all__ = ["LinkDirectory", "StageSet"]
 
 # Makes a connection, an async context manager, to (instance id, address).
 MakeLink = Callable[[str, str], Any]
@@ -37,24 +35,15 @@
         self._links.clear()
         await asyncio.gather(*(link.__aexit__(*details) for link in links))
 
-    @contextlib.asynccontextmanager
-    async def use(
-        self, chain: tuple[chains.Hop, ...]
-    ) -> AsyncIterator[list[engines.Engine]]:
-        """Gives the connections of a chain and counts the stream on it."""
-        found = [await self._find(hop) for hop in chain]
-        states = [self._evidence.find(hop.instance_id) for hop in chain]
-        counted = [state for state in states if state is not None]
-        for state in counted:
-            state.in_flight += 1
-        try:
-            yield found
-        finally:
-            for state in counted:
-                state.in_flight -= 1
+    def use(self, chain: tuple[chains.Hop, ...]) -> "StageSet":
+        """Returns the stages of a chain, to be entered and left."""
+        return StageSet(self, self._evidence, chain)
 
     async def close_unlisted(self) -> None:
-        """Closes connections to instances that left the list."""
+        """Closes connections to instances that left the list.
+
+        Streams that still use one go on elsewhere.
+        """
         for key in list(self._links):
             instance_id, address = key
             state = self._evidence.find(instance_id)
@@ -63,7 +52,8 @@
             link = self._links.pop(key)
             await link.__aexit__(None, None, None)
 
-    async def _find(self, hop: chains.Hop) -> engines.Engine:
+    async def find(self, hop: chains.Hop) -> engines.Engine:
+        """Returns the connection to the instance of a hop."""
         key = (hop.instance_id, hop.address)
         link = self._links.get(key)
         if link is None:
@@ -71,3 +61,61 @@
             self._links[key] = link
             await link.__aenter__()
         return link
+
+
+class StageSet:
+    """The stages that a stream uses; counts the stream on their instances.
+
+    Attributes:
+        hops: Hops in order.
+        engines: Connections, by hop.
+
+    Args:
+        directory: Connections to engines.
+        evidence: Streams in flight are counted there.
+        chain: Hops in order.
+    """
+
+    def __init__(
+        self,
+        directory: LinkDirectory,
+        evidence: evidence_module.Evidence,
+        chain: tuple[chains.Hop, ...],
+    ):
+        self.hops = list(chain)
+        self.engines: list[engines.Engine] = []
+        self._directory = directory
+        self._evidence = evidence
+        self._counted: list[evidence_module.InstanceState | None] = []
+
+    async def __aenter__(self) -> "StageSet":
+        self.engines = [await self._directory.find(hop) for hop in self.hops]
+        self._counted = [self._count(hop) for hop in self.hops]
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        for state in self._counted:
+            _uncount(state)
+
+    async def exchange(self, index: int, hop: chains.Hop) -> None:
+        """Replaces one stage by another instance with the same layers."""
+        engine = await self._directory.find(hop)
+        _uncount(self._counted[index])
+        self.hops[index] = hop
+        self.engines[index] = engine
+        self._counted[index] = self._count(hop)
+
+    async def find_engine(self, hop: chains.Hop) -> engines.Engine:
+        """Returns a connection to an instance that may become a stage."""
+        return await self._directory.find(hop)
+
+    def _count(self, hop: chains.Hop) -> evidence_module.InstanceState | None:
+        state = self._evidence.find(hop.instance_id)
+        if state is not None:
+            state.in_flight += 1
+        return state
+
+
+def _uncount(state: evidence_module.InstanceState | None) -> None:
+    if state is not None:
+        state.in_flight -= 1
--- a/src/fuchsiabarrow/streams/tests/test_failures.py
+++ b/src/fuchsiabarrow/streams/tests/test_failures.py
@@ -169,6 +169,49 @@
     loops.run(check())
 
 
+@pytest.mark.parametrize("refuses", [False, True])
+def test_caches_of_a_leaving_stage_move_or_are_filled_anew(refuses):
+    twin = engines.EngineProfile("b-3", MODEL, 4, 8, 0.001)
+    profiles = [
+        *(p for p in world_standins.PROFILES if p.instance_id[-1] == "1"),
+        twin,
+    ]
+
+    async def check():
+        async with worlds.start(tuple(profiles)) as (world, (entry,), caller):
+            works = await worlds.chat_all(caller, PROMPTS, 200)
+            await wait_for_steps(world, 600)
+            leaving = world.engines["b-1"]
+            assert leaving.applied_positions
+            leaving.faults.refuse_export = refuses
+            world.set_leaving("b-1")
+            evidence = entry.kernel.get("routing").evidence
+            async with asyncio.timeout(3):
+                while not evidence.is_leaving("b-1"):
+                    await asyncio.sleep(0.01)
+                while evidence.find("b-1").in_flight:
+                    await asyncio.sleep(0.01)
+            assert (world.engines["b-3"].imports > 0) is not refuses
+            await worlds.check_answers(PROMPTS, works, 200)
+
+    loops.run(check())
+
+
+def test_connection_to_an_instance_that_left_the_list_is_closed():
+    async def check():
+        async with worlds.start() as (world, (entry,), caller):
+            await caller.chat(world_standins.PIPELINE, "x", 5)
+            links = entry.kernel.get("links")._links
+            (name, address), *_ = links
+            del world.listing.instances[name]
+            async with asyncio.timeout(5):
+                while (name, address) in links:
+                    await asyncio.sleep(0.02)
+            assert (await caller.chat(world_standins.PIPELINE, "y", 5)).is_whole
+
+    loops.run(check())
+
+
 @pytest.mark.parametrize("says", ["list", "drain answer"])
 def test_leaving_instance_gets_no_new_work_and_its_streams_move(says):
     async def check():
