--- a/src/fuchsiabarrow/commands/operations.py
+++ b/src/fuchsiabarrow/commands/operations.py
@@ -77,9 +77,10 @@
     key_file: str,
     against: int,
     wait: list[str],
+    wait_all: bool,
     wait_s: float,
 ) -> None:
-    """Applies a patch, and waits until the named entries have it."""
+    """Applies a patch, and waits until the named or all entries have it."""
     try:
         content = pathlib.Path(file).read_bytes()
     except OSError as error:
@@ -93,9 +94,21 @@
             session, "PATCH", url, data=content, headers=headers
         )
         print(f"accepted {accepted['number']}")
+        if wait_all:
+            wait = await _find_entries(session, operator)
         await _wait_in_force(session, wait, accepted["number"], wait_s)
 
 
+async def _find_entries(session, operator: str) -> list[str]:
+    """Returns the operator addresses of the entries that are alive."""
+    found, _ = await _read(session, "GET", f"http://{operator}/v1/status")
+    return [
+        member["operator_address"]
+        for member in found["members"]
+        if member["status"] == "alive"
+    ]
+
+
 async def _wait_in_force(session, wait, number: int, wait_s: float) -> None:
     limit_s = time.monotonic() + wait_s
     missing = list(wait)
--- a/src/fuchsiabarrow/commands/program.py
+++ b/src/fuchsiabarrow/commands/program.py
@@ -88,6 +88,7 @@
     key_file: str,
     against: int,
     wait: list[str] | None = None,
+    wait_all: bool = False,
     wait_s: float = 10.0,
 ) -> None:
     """Apply a JSON merge patch to the configuration in force.
@@ -98,10 +99,13 @@
         key_file: File with the operator's bearer key.
         against: Number that the patch was written against.
         wait: Operator addresses of entries that must have it in force.
+        wait_all: Wait for all entries that the asked one knows to be alive.
         wait_s: Longest wait for these entries in seconds.
     """
     loops.run(
-        operations.patch(file, operator, key_file, against, wait or [], wait_s)
+        operations.patch(
+            file, operator, key_file, against, wait or [], wait_all, wait_s
+        )
     )
 
 
--- a/src/fuchsiabarrow/commands/tests/test_program.py
+++ b/src/fuchsiabarrow/commands/tests/test_program.py
@@ -153,8 +153,12 @@
     shown = call("show", "--operator", second, "--key-file", str(key))
     assert "letters" in shown.stdout
     assert "number 2" in shown.stderr
+    change.write_text('{"pipelines": {"letters": null}}')
+    accepted = call(*patch, "--against", "2", "--wait-all")
+    assert accepted.returncode == 0, accepted.stderr
+    assert accepted.stdout.count("in force at") == 2
     status = call("status", "--operator", first, second, "--key-file", str(key))
-    assert status.stdout.count('"configuration": 2') == 2
+    assert status.stdout.count('"configuration": 3') == 2
 
 
 def test_demo_holds_every_promise():
--- a/src/fuchsiabarrow/orders/__init__.py
+++ b/src/fuchsiabarrow/orders/__init__.py
@@ -2,5 +2,6 @@
 
 from fuchsiabarrow.orders import plans
 from fuchsiabarrow.orders import service
+from fuchsiabarrow.orders import slots
 
-__all__ = ["plans", "service"]
+__all__ = ["plans", "service", "slots"]
--- a/src/fuchsiabarrow/orders/service.py
+++ b/src/fuchsiabarrow/orders/service.py
@@ -15,6 +15,7 @@
 from fuchsiabarrow.configuration import documents
 from fuchsiabarrow.leases import service as leases_service
 from fuchsiabarrow.orders import plans
+from fuchsiabarrow.orders import slots
 from fuchsiabarrow.peers import service as peers_service
 from fuchsiabarrow.ports import instances
 from fuchsiabarrow.ports import orders
@@ -31,13 +32,15 @@
 
     Attributes:
         timeout_s: Bound on a call to an engine.
-        loads: Loads of one model that may be under way at once; with the
-            number of models it bounds the load on the weight store.
+        loads: Loads of one model that may be under way at once.
+        fleet_loads: Loads of all models, ordered by all entries, that may be
+            under way at once; what the weight store takes.
         reads_per_s: Engines whose state the holder of a duty reads a second.
     """
 
     timeout_s: float = 1.0
     loads: int = 2
+    fleet_loads: int = 4
     reads_per_s: float = 20.0
 
 
@@ -63,6 +66,7 @@
         source: random.Random,
     ):
         self._leases = leases
+        self._slots = slots.SlotPool(leases, settings.fleet_loads)
         self._peers = peers
         self._routing = routing
         self._engines = engines
@@ -101,10 +105,12 @@
     async def _perform_duties(self) -> None:
         models = self._configuration.models
         wanted = [name for name, model in models.items() if model.ranges]
+        await self._slots.renew()
         await asyncio.gather(*(self._perform_duty(name) for name in wanted))
         duties = {_make_duty(name) for name in wanted}
         for name in self._leases.get_held():
-            if name not in duties:
+            is_slot = name.startswith(slots.SLOT_PREFIX)
+            if name not in duties and not is_slot:
                 await self._leases.give_up(name)
 
     async def _perform_duty(self, model: str) -> None:
@@ -123,8 +129,17 @@
         plan = plans.make_plan(
             [layout], [engine for engine, _ in found], self._settings.loads
         )
+        await self._slots.release_ended(
+            {engine.instance_id for engine, _ in found if engine.is_loading},
+            {
+                instance.instance_id
+                for instance in self._routing.get_pool(model)
+            },
+        )
         by_name = {engine.instance_id: listed for engine, listed in found}
         for instance_id, assignment in plan:
+            if not await self._slots.take(instance_id):
+                return
             await self._give_order(duty, by_name[instance_id], assignment)
 
     async def _read_engines(self, model: str):
