Fill long prompts as a pipeline; prefer few instances at many entries

Cause: the pieces of a long prompt went through all stages one after the other, so one stage worked and the rest idled, at the first token and after each death. And an entry of 400 would have kept a connection to each of 1,000 runners.

Ruled out: filling only the lost stage (needs copies of the earlier stages; the pipeline helps the first token too).

Change: a stage takes the next piece when it has answered the one before; pieces of 256 instead of 512 positions. Subsets by highest random weight, of a size that covers each instance by about 20 entries.

--- a/src/fuchsiabarrow/configuration/tests/fakes.py
+++ b/src/fuchsiabarrow/configuration/tests/fakes.py
@@ -23,6 +23,9 @@
     def get_item(self, key):
         return self._table.get(key)
 
+    def count_live(self):
+        return 1 + len(self.linked)
+
     def get_period_s(self, fleet_rate_per_s, least_s):
         return least_s
 
--- a/src/fuchsiabarrow/entry/composition.py
+++ b/src/fuchsiabarrow/entry/composition.py
@@ -147,6 +147,7 @@
             routing_service.RoutingService(
                 kernel.get("listing"),
                 kernel.get("peers"),
+                settings.entry.name,
                 settings.routing,
                 self._source,
             ),
--- a/src/fuchsiabarrow/peers/service.py
+++ b/src/fuchsiabarrow/peers/service.py
@@ -164,7 +164,11 @@
             fleet_rate_per_s: How often all entries together are to do it.
             least_s: Smallest period of one entry.
         """
-        return max(least_s, len(self.members.get_live()) / fleet_rate_per_s)
+        return max(least_s, self.count_live() / fleet_rate_per_s)
+
+    def count_live(self) -> int:
+        """Returns how many entries are alive, this one included."""
+        return len(self.members.get_live())
 
     def add_listener(self, kind: str, listener: Listener) -> None:
         """Calls a listener with each item of a kind that is news here."""
--- a/src/fuchsiabarrow/routing/__init__.py
+++ b/src/fuchsiabarrow/routing/__init__.py
@@ -3,5 +3,6 @@
 from fuchsiabarrow.routing import chains
 from fuchsiabarrow.routing import evidence
 from fuchsiabarrow.routing import service
+from fuchsiabarrow.routing import subsets
 
-__all__ = ["chains", "evidence", "service"]
+__all__ = ["chains", "evidence", "service", "subsets"]
--- a/src/fuchsiabarrow/routing/service.py
+++ b/src/fuchsiabarrow/routing/service.py
@@ -16,6 +16,7 @@
 from fuchsiabarrow.ports import orders
 from fuchsiabarrow.routing import chains
 from fuchsiabarrow.routing import evidence as evidence_module
+from fuchsiabarrow.routing import subsets
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import clocks
 from fuchsiabarrow.utils import jitter
@@ -72,6 +73,7 @@
     Args:
         listing: The platform's list.
         peers: Other entries.
+        entry_name: Name of this entry.
         settings: Periods and weights.
         source: Random source.
     """
@@ -80,6 +82,7 @@
         self,
         listing: instances.InstanceList,
         peers: peers_service.PeersService,
+        entry_name: str,
         settings: Settings,
         source: random.Random,
     ):
@@ -89,6 +92,7 @@
         self._implausible_since_s: float | None = None
         self._list_listeners: list[Callable[[], Awaitable[None]]] = []
         self._peers = peers
+        self._entry_name = entry_name
         self._settings = settings
         self._source = source
         self._task: asyncio.Task | None = None
@@ -122,13 +126,27 @@
             hop_s = self.evidence.estimate_hop_s(state, now_s)
             return hop_s * (1 + self._settings.load_weight * state.in_flight)
 
+        states = self._find_states("engine", model, regions)
+        preferred = subsets.choose_subset(
+            (
+                state
+                for state in states
+                if not state.is_leaving
+                and state.excluded_until_s <= now_s
+                and state.instance.instance_id not in avoid
+            ),
+            self._entry_name,
+            self._peers.count_live(),
+        )
+        if len(preferred) < len(states):
+            try:
+                return chains.choose_chain(
+                    preferred, layers, now_s, estimate_cost, self._source
+                )
+            except exceptions.ChainUnavailableError:
+                pass  # The others are there for this.
         return chains.choose_chain(
-            self._find_states("engine", model, regions),
-            layers,
-            now_s,
-            estimate_cost,
-            self._source,
-            avoid,
+            states, layers, now_s, estimate_cost, self._source, avoid
         )
 
     def choose_replacement(
--- a/src/fuchsiabarrow/routing/tests/test_service.py
+++ b/src/fuchsiabarrow/routing/tests/test_service.py
@@ -36,7 +36,7 @@
     async def main():
         listing = Listing()
         routing = service.RoutingService(
-            listing, fakes.FakePeers(), SETTINGS, random.Random(1)
+            listing, fakes.FakePeers(), "entry-1", SETTINGS, random.Random(1)
         )
         async with routing:
             await check(listing, routing)
--- a/src/fuchsiabarrow/streams/attempts.py
+++ b/src/fuchsiabarrow/streams/attempts.py
@@ -15,7 +15,7 @@
 
 # Positions of a long prompt that travel in one step, so that filling does not
 # hold up the other streams of a stage.
-FILL_POSITIONS = 512
+FILL_POSITIONS = 256
 
 
 class Attempt:
@@ -49,6 +49,8 @@
         self._spans: list[trace.Span] = []
         self._busy_s = [0.0] * len(stages.hops)
         self._steps = 0
+        # First come, first served: the pieces pass each stage in order.
+        self._turns = [asyncio.Lock() for _ in stages.hops]
 
     async def __aenter__(self) -> "Attempt":
         parent = self._tracer.start_span(
@@ -89,14 +91,33 @@
         Args:
             tokens: Ids at the positions that follow those run so far.
         """
-        token = -1
-        for start in range(0, len(tokens), FILL_POSITIONS):
-            piece = tokens[start : start + FILL_POSITIONS]
-            is_last = start + len(piece) == len(tokens)
-            token = await self._run_piece(list(piece), is_last)
-            self._position += len(piece)
+        if len(tokens) <= FILL_POSITIONS:
+            token = await self._run_piece(list(tokens), self._position, True)
+        else:
+            token = await self._fill(tokens)
+        self._position += len(tokens)
         return token
 
+    async def _fill(self, tokens: Sequence[int]) -> int:
+        """Runs the pieces of a long prompt through the stages as a pipeline.
+
+        A stage takes a piece as soon as it has answered the one before, while
+        the next stage works on that one.
+        """
+        works = []
+        try:
+            async with asyncio.TaskGroup() as group:
+                for start in range(0, len(tokens), FILL_POSITIONS):
+                    piece = list(tokens[start : start + FILL_POSITIONS])
+                    is_last = start + len(piece) == len(tokens)
+                    work = self._run_piece(
+                        piece, self._position + start, is_last
+                    )
+                    works.append(group.create_task(work))
+        except* exceptions.InstanceError as errors:
+            raise errors.exceptions[0] from None
+        return works[-1].result()
+
     async def exchange_stage(self, index: int, hop: chains.Hop) -> None:
         """Moves a stage's KV cache to another instance and goes on there.
 
@@ -126,7 +147,10 @@
         if old_hop.instance_id not in names:
             old_engine.cancel(self._request_id, self._number)
 
-    async def _run_piece(self, piece: list[int], samples: bool) -> int:
+    async def _run_piece(
+        self, piece: list[int], position: int, samples: bool
+    ) -> int:
+        """Runs consecutive positions through all stages, in turn at each."""
         loop = asyncio.get_running_loop()
         hidden: list[bytes] = []
         token = -1
@@ -137,16 +161,17 @@
             step = engines.Step(
                 self._request_id,
                 self._number,
-                self._position,
+                position,
                 hop.first_layer,
                 hop.end_layer,
                 [] if hidden else piece,
                 hidden,
                 is_final and samples,
             )
-            started_s = loop.time()
-            answer = await stages.engines[index].step(step)
-            elapsed_s = loop.time() - started_s
+            async with self._turns[index]:
+                started_s = loop.time()
+                answer = await stages.engines[index].step(step)
+                elapsed_s = loop.time() - started_s
             self._busy_s[index] += elapsed_s
             if len(piece) == 1:
                 self._report_hop(hop.instance_id, elapsed_s)
--- a/src/fuchsiabarrow/streams/tests/test_failures.py
+++ b/src/fuchsiabarrow/streams/tests/test_failures.py
@@ -78,6 +78,19 @@
     run_streams(lose, engines={"step_timeout_s": 0.5})
 
 
+def test_long_prompt_is_filled_in_pieces_also_after_a_death():
+    prompts = [f"{number} " + "long " * 300 for number in range(4)]
+
+    async def check():
+        async with worlds.start() as (world, _, caller):
+            works = await worlds.chat_all(caller, prompts, TOKENS)
+            await wait_for_steps(world, 15_000)
+            await find_busy(world, 5).crash()
+            await worlds.check_answers(prompts, works, TOKENS)
+
+    loops.run(check())
+
+
 def test_two_stages_die_together():
     async def kill(world, entry):
         await wait_for_steps(world, 600)
