Keep organisations apart at services that keep keys; divide claims.py

Cause: the text of the idempotency key went to the service, so two organisations that sent the same text to a deduplicating service shared one booking, and the second was given the first one's answer. Found while reading claims.py. Change: the service gets the digest of organisation, action and key. The test fails before (both guards) and passes after; the tests that look at the service's runs name the digest now, the demo as well. claims.py is divided: sending (calls), what callers are told (outcomes).

--- a/src/fuchsiabarrow/__main__.py
+++ b/src/fuchsiabarrow/__main__.py
@@ -1,6 +1,6 @@
 """Runs the command line as ``python -m fuchsiabarrow``."""
 
-from fuchsiabarrow import commands
+from fuchsiabarrow.commands import program
 
 if __name__ == "__main__":
-    commands.main()
+    program.main()
--- a/src/fuchsiabarrow/actions/__init__.py
+++ b/src/fuchsiabarrow/actions/__init__.py
@@ -1,18 +1,22 @@
 """Actions on plain services, run at most once where repeats do harm."""
 
+from fuchsiabarrow.actions import calls
 from fuchsiabarrow.actions import claims
 from fuchsiabarrow.actions import forwarding
 from fuchsiabarrow.actions import journals
 from fuchsiabarrow.actions import keys
+from fuchsiabarrow.actions import outcomes
 from fuchsiabarrow.actions import retention
 from fuchsiabarrow.actions import service
 from fuchsiabarrow.actions import writers
 
 __all__ = [
+    "calls",
     "claims",
     "forwarding",
     "journals",
     "keys",
+    "outcomes",
     "retention",
     "service",
     "writers",
--- a/src/fuchsiabarrow/actions/claims.py
+++ b/src/fuchsiabarrow/actions/claims.py
@@ -12,27 +12,22 @@
 """
 
 import asyncio
-from collections.abc import Callable
-import dataclasses
-import math
 import uuid
 
 import msgspec
 import xxhash
 
 from fuchsiabarrow import exceptions
+from fuchsiabarrow.actions import calls
 from fuchsiabarrow.actions import journals
 from fuchsiabarrow.actions import keys
+from fuchsiabarrow.actions import outcomes
 from fuchsiabarrow.actions import writers
-from fuchsiabarrow.configuration import documents
-from fuchsiabarrow.ports import instances
-from fuchsiabarrow.ports import services
 from fuchsiabarrow.utils import clocks
 
-__all__ = ["ActionRequest", "ClaimRunner", "Outcome", "Settings"]
+__all__ = ["ClaimRunner", "Settings"]
 
 GUARDS_WITH_TAKEOVER = ("deduplicates", "fences")
-HTTP_SUCCESS = range(200, 300)
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -48,7 +43,6 @@
         join_poll_s: Time between looks at another entry's outcome.
         sends: Most sends of one call to services where repeats do no harm,
             and most instances tried where no byte had left.
-        retry_after_s: Advice to callers of actions without a final outcome.
     """
 
     claim_timeout_s: float = 2.0
@@ -58,51 +52,6 @@
     join_timeout_s: float = 3.0
     join_poll_s: float = 0.2
     sends: int = 3
-    retry_after_s: float = 1.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ActionRequest:
-    """A request to run an action.
-
-    Attributes:
-        action: Configuration of the action.
-        key: Checked idempotency key.
-        body: JSON body in bytes.
-        regions: Regions whose instances may run it; empty for all.
-        requested_at_s: Wall time at which it came in.
-        is_first: True only if the caller says that it never sent this key.
-    """
-
-    action: documents.Action
-    key: keys.ActionKey
-    body: bytes
-    requested_at_s: float
-    regions: tuple[str, ...] = ()
-    is_first: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Outcome:
-    """What became of a request.
-
-    Attributes:
-        state: ``COMPLETED``, ``FAILED``, ``NOT_RUN`` or ``UNKNOWN``.
-        status: Status of the service's answer, 0 without one.
-        body: The service's answer in bytes.
-        detail: Explanation for the caller.
-        retry_after_s: When to ask or send again, None if it is final.
-    """
-
-    state: journals.State
-    status: int = 0
-    body: bytes = b""
-    detail: str = ""
-    retry_after_s: float | None = None
-
-
-# Chooses an instance of (service, regions, avoided instance ids).
-ChooseInstance = Callable[[str, list[str], set[str]], instances.Instance | None]
 
 
 class ClaimRunner:
@@ -111,8 +60,7 @@
     Args:
         owner: Name of the entry.
         writer: Commits claims and outcomes.
-        service: Sends calls.
-        choose_instance: Chooses where to send.
+        sender: Sends calls.
         settings: Times and bounds.
         read_boot_time_s: Clock for the send window; counts suspension.
         read_wall_time_s: Clock for the records.
@@ -122,16 +70,14 @@
         self,
         owner: str,
         writer: writers.JournalWriter,
-        service: services.PlainService,
-        choose_instance: ChooseInstance,
+        sender: calls.CallSender,
         settings: Settings,
         read_boot_time_s: clocks.Clock = clocks.read_boot_time_s,
         read_wall_time_s: clocks.Clock = clocks.read_wall_time_s,
     ):
         self._owner = owner
         self._writer = writer
-        self._service = service
-        self._choose_instance = choose_instance
+        self._sender = sender
         self._settings = settings
         self._read_boot_time_s = read_boot_time_s
         self._read_wall_time_s = read_wall_time_s
@@ -149,10 +95,10 @@
         """Waits for the outcomes and given-back claims still to be written."""
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def run(self, request: ActionRequest) -> Outcome:
+    async def run(self, request: calls.ActionRequest) -> outcomes.Outcome:
         """Runs an action and returns what became of it."""
         if request.action.guard == "repeatable":
-            return await self._send_repeatable(request)
+            return await self._sender.send_repeatedly(request, fence=0)
         claimant = self._make_claimant(request)
         started_s = self._read_boot_time_s()
         valid_until_s = (
@@ -181,7 +127,7 @@
         except (TimeoutError, exceptions.StoreError):
             return None
 
-    async def look_up(self, key: keys.ActionKey) -> Outcome:
+    async def look_up(self, key: keys.ActionKey) -> outcomes.Outcome:
         """Returns what is recorded of a key.
 
         Raises:
@@ -189,15 +135,15 @@
         """
         record = await self._writer.read(key.journal, key.digest)
         if record is None:
-            return self._make_unknown("no entry has claimed this key so far")
+            return outcomes.make_unknown("no entry has claimed this key so far")
         if record.state is journals.State.NOT_RUN:
             now_s = self._read_wall_time_s()
             confirm = journals.ConfirmNotRun(key.digest, now_s)
             record = await self._apply_in_time(key, confirm) or record
-            return self._describe(record, now_s)
-        return self._describe(record)
+            return outcomes.describe(record, now_s)
+        return outcomes.describe(record)
 
-    def _make_claimant(self, request: ActionRequest) -> journals.Claimant:
+    def _make_claimant(self, request: calls.ActionRequest) -> journals.Claimant:
         return journals.Claimant(
             self._owner,
             uuid.uuid4().hex,
@@ -206,67 +152,24 @@
             self._read_wall_time_s(),
         )
 
-    # Outcomes.
-
-    def _make_unknown(self, detail: str) -> Outcome:
-        return Outcome(
-            journals.State.UNKNOWN,
-            detail=f"{detail}; ask for the outcome by its key, or send it again"
-            " with the same key",
-            retry_after_s=self._settings.retry_after_s,
-        )
-
-    def _make_not_run(self, detail: str) -> Outcome:
-        return Outcome(
-            journals.State.NOT_RUN,
-            detail=f"{detail}; send it again with the same key",
-            retry_after_s=self._settings.retry_after_s,
-        )
-
-    def _make_unclaimed(self, request: ActionRequest, why: str) -> Outcome:
-        """Returns the outcome of a request that this entry did not send.
-
-        Only its caller knows whether an earlier request with the key went to
-        another entry, which may have run it.
-        """
-        if request.is_first:
-            return self._make_not_run(why)
-        return self._make_unknown(f"{why}; an earlier send may have run")
-
-    def _describe(
-        self, record: journals.Record, requested_at_s: float = math.inf
-    ) -> Outcome:
-        """Returns what a record says to a request.
-
-        "Not run" is told only if it was settled after the request came in:
-        then no earlier request of the same caller can claim the key any more.
-        """
-        if record.state in journals.FINAL_STATES:
-            return Outcome(record.state, record.status, record.body)
-        if record.state is journals.State.NOT_RUN:
-            if record.settled_at_s >= requested_at_s:
-                return self._make_not_run("the call was not sent")
-            return self._make_unknown("an earlier send may still be under way")
-        if record.state is journals.State.CLAIMED:
-            return self._make_unknown("another request with this key is at it")
-        return self._make_unknown("the answer of the service was lost")
-
     # Without a claim.
 
     async def _go_without_claim(
-        self, request: ActionRequest, claimant: journals.Claimant
-    ) -> Outcome:
+        self, request: calls.ActionRequest, claimant: journals.Claimant
+    ) -> outcomes.Outcome:
         self._give_back_later(request, claimant)
         is_sent_anyway = request.action.guard == "deduplicates"
         if is_sent_anyway:
-            outcome = await self._send_deduplicated(request, fence=0)
+            outcome = await self._sender.send_repeatedly(request, fence=0)
             if outcome.state is not journals.State.NOT_RUN:
                 return outcome
-            return self._make_unclaimed(request, outcome.detail)
-        return self._make_unclaimed(request, "the claim could not be written")
+            return outcomes.make_unclaimed(request.is_first, outcome.detail)
+        return outcomes.make_unclaimed(
+            request.is_first, "the claim could not be written"
+        )
 
     def _give_back_later(
-        self, request: ActionRequest, claimant: journals.Claimant
+        self, request: calls.ActionRequest, claimant: journals.Claimant
     ) -> None:
         """Gives a claim back once nobody applies it any more."""
         state = journals.State.NOT_RUN
@@ -289,40 +192,23 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _send_repeatable(self, request: ActionRequest) -> Outcome:
-        return await self._send_deduplicated(request, fence=0)
-
-    async def _send_deduplicated(
-        self, request: ActionRequest, fence: int
-    ) -> Outcome:
-        """Sends until an answer comes; repeats do no harm."""
-        avoid: set[str] = set()
-        outcome = self._make_not_run("no instance took the call")
-        for _ in range(self._settings.sends):
-            sent = await self._send_once(request, fence, avoid)
-            if sent is None:
-                break
-            if sent.state in journals.FINAL_STATES:
-                return sent
-            if sent.state is journals.State.UNKNOWN:
-                outcome = sent
-        return outcome
-
     # With a claim.
 
     async def _send_claimed(
         self,
-        request: ActionRequest,
+        request: calls.ActionRequest,
         record: journals.Record,
         started_s: float,
-    ) -> Outcome:
+    ) -> outcomes.Outcome:
         """Sends a call whose claim this entry holds."""
         if self._read_boot_time_s() - started_s > self._settings.send_window_s:
-            outcome = self._make_not_run("the entry was paused before sending")
+            outcome = outcomes.make_not_run(
+                "the entry was paused before sending"
+            )
             return await self._settle(request, record, outcome)
         if request.action.guard == "deduplicates":
             return await self._send_claimed_deduplicated(request, record)
-        outcome = await self._send_to_any(request, record.fence)
+        outcome = await self._sender.send_to_any(request, record.fence)
         if (
             outcome.state is journals.State.UNKNOWN
             and request.action.guard == "fences"
@@ -332,76 +218,26 @@
         return await self._settle(request, record, outcome)
 
     async def _send_claimed_deduplicated(
-        self, request: ActionRequest, record: journals.Record
-    ) -> Outcome:
+        self, request: calls.ActionRequest, record: journals.Record
+    ) -> outcomes.Outcome:
         """Sends a claimed call to a service that deduplicates.
 
         While the store is down such calls are sent without a claim, so a claim
         does not prove that no earlier send is on its way. "Not run" is
         recorded as unknown and told only to a first sender.
         """
-        outcome = await self._send_deduplicated(request, record.fence)
+        outcome = await self._sender.send_repeatedly(request, record.fence)
         if outcome.state is not journals.State.NOT_RUN:
             return await self._settle(request, record, outcome)
-        unknown = self._make_unknown(outcome.detail)
+        unknown = outcomes.make_unknown(outcome.detail)
         await self._settle(request, record, unknown)
-        return self._make_unclaimed(request, outcome.detail)
-
-    async def _send_to_any(self, request: ActionRequest, fence: int) -> Outcome:
-        """Sends a call until an instance may have run it."""
-        avoid: set[str] = set()
-        for _ in range(self._settings.sends):
-            outcome = await self._send_once(request, fence, avoid)
-            if outcome is None:
-                break
-            if outcome.state is not journals.State.NOT_RUN:
-                return outcome
-        return self._make_not_run("no instance took the call")
-
-    async def _send_once(
-        self, request: ActionRequest, fence: int, avoid: set[str]
-    ) -> Outcome | None:
-        """Sends a call to one instance; None if there is none left."""
-        action = request.action
-        instance = self._choose_instance(
-            action.service, list(request.regions), avoid
-        )
-        if instance is None:
-            return None
-        call = self._make_call(request, instance, fence)
-        try:
-            answer = await self._service.call(call)
-        except exceptions.ServiceNotSentError as error:
-            avoid.add(instance.instance_id)
-            return self._make_not_run(str(error))
-        except exceptions.ServiceUncertainError as error:
-            return self._make_unknown(str(error))
-        if answer.did_not_run:
-            avoid.add(instance.instance_id)
-            return self._make_not_run("the service refused the call")
-        is_success = answer.status in HTTP_SUCCESS
-        state = (
-            journals.State.COMPLETED if is_success else journals.State.FAILED
-        )
-        return Outcome(state, answer.status, answer.body)
-
-    def _make_call(
-        self, request: ActionRequest, instance: instances.Instance, fence: int
-    ) -> services.Call:
-        return services.Call(
-            instance.address,
-            request.action.path,
-            request.key.text,
-            fence,
-            request.body,
-            request.action.timeout_s,
-        )
+        return outcomes.make_unclaimed(request.is_first, outcome.detail)
 
     # Another entry's claim.
 
     async def _join(
-        self, request: ActionRequest, record: journals.Record
-    ) -> Outcome:
+        self, request: calls.ActionRequest, record: journals.Record
+    ) -> outcomes.Outcome:
         """Waits for another claim's outcome, or takes it over if it may."""
         if record.request != xxhash.xxh3_128_hexdigest(request.body):
             raise exceptions.KeyFormatError(
@@ -427,9 +263,11 @@
             record = found or record
         if record.state is journals.State.UNKNOWN and may_take_over:
             return await self._take_over(request)
-        return self._describe(record, request.requested_at_s)
+        return outcomes.describe(record, request.requested_at_s)
 
-    async def _take_over(self, request: ActionRequest) -> Outcome:
+    async def _take_over(
+        self, request: calls.ActionRequest
+    ) -> outcomes.Outcome:
         """Claims with a larger fencing number and finds out what happened."""
         claimant = self._make_claimant(request)
         started_s = self._read_boot_time_s()
@@ -447,46 +285,32 @@
                     self._read_wall_time_s(),
                 ),
             )
-            return self._make_unknown("the store did not take the claim")
+            return outcomes.make_unknown("the store did not take the claim")
         if record.nonce != claimant.nonce:
-            return self._describe(record, request.requested_at_s)
+            return outcomes.describe(record, request.requested_at_s)
         if request.action.guard == "fences":
-            found = await self._ask(request, record.fence)
+            found = await self._sender.ask(request, record.fence)
             if found is not None:
                 return await self._settle(request, record, found)
         if self._read_boot_time_s() - started_s > self._settings.send_window_s:
-            outcome = self._make_unknown("the entry was paused before sending")
+            outcome = outcomes.make_unknown(
+                "the entry was paused before sending"
+            )
             return await self._settle(request, record, outcome)
         if request.action.guard == "fences":
-            outcome = await self._send_to_any(request, record.fence)
+            outcome = await self._sender.send_to_any(request, record.fence)
         else:
             return await self._send_claimed_deduplicated(request, record)
         return await self._settle(request, record, outcome)
 
-    async def _ask(self, request: ActionRequest, fence: int) -> Outcome | None:
-        """Asks the service what became of a key, fencing off older senders."""
-        instance = self._choose_instance(
-            request.action.service, list(request.regions), set()
-        )
-        if instance is None:
-            return self._make_unknown("no instance to ask")
-        call = self._make_call(request, instance, fence)
-        try:
-            answer = await self._service.ask(call)
-        except exceptions.ServiceError as error:
-            return self._make_unknown(str(error))
-        if answer is None:
-            return None
-        return Outcome(journals.State.COMPLETED, answer.status, answer.body)
-
     # Writing outcomes.
 
     async def _settle(
         self,
-        request: ActionRequest,
+        request: calls.ActionRequest,
         record: journals.Record,
-        outcome: Outcome,
-    ) -> Outcome:
+        outcome: outcomes.Outcome,
+    ) -> outcomes.Outcome:
         """Records an outcome, and returns what the caller may be told.
 
         If the claim was taken over meanwhile, "not run" is no longer this
@@ -510,13 +334,13 @@
         may_be_taken = request.action.guard in GUARDS_WITH_TAKEOVER
         if outcome.state is journals.State.NOT_RUN and not is_ours:
             if written is not None:
-                return self._describe(written, request.requested_at_s)
+                return outcomes.describe(written, request.requested_at_s)
             if may_be_taken:
-                return self._make_unknown(outcome.detail)
+                return outcomes.make_unknown(outcome.detail)
         return outcome
 
     def _write_later(
-        self, request: ActionRequest, operation: journals.Operation
+        self, request: calls.ActionRequest, operation: journals.Operation
     ) -> asyncio.Task:
         task = asyncio.create_task(
             self._writer.apply(request.key.journal, operation)
--- a/src/fuchsiabarrow/actions/service.py
+++ b/src/fuchsiabarrow/actions/service.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
+from fuchsiabarrow.actions import calls
 from fuchsiabarrow.actions import claims as claims_module
 from fuchsiabarrow.actions import keys as keys_module
+from fuchsiabarrow.actions import outcomes
 from fuchsiabarrow.actions import writers as writers_module
 
 __all__ = ["ActionsService", "Settings"]
@@ -46,9 +48,7 @@
         """Returns how many actions are under way."""
         return len(self._running)
 
-    async def run(
-        self, request: claims_module.ActionRequest
-    ) -> claims_module.Outcome:
+    async def run(self, request: calls.ActionRequest) -> outcomes.Outcome:
         """Runs an action to its outcome, also if the caller goes away."""
         key = (request.key.digest, request.body)
         task = self._running.get(key)
@@ -58,9 +58,7 @@
             task.add_done_callback(lambda done: self._running.pop(key, None))
         return await asyncio.shield(task)
 
-    async def look_up(
-        self, key: keys_module.ActionKey
-    ) -> claims_module.Outcome:
+    async def look_up(self, key: keys_module.ActionKey) -> outcomes.Outcome:
         """Returns what is recorded of a key."""
         return await self._runner.look_up(key)
 
--- a/src/fuchsiabarrow/actions/tests/schedules.py
+++ b/src/fuchsiabarrow/actions/tests/schedules.py
@@ -5,6 +5,7 @@
 import random
 
 from fuchsiabarrow import exceptions
+from fuchsiabarrow.actions import calls
 from fuchsiabarrow.actions import claims
 from fuchsiabarrow.actions import journals
 from fuchsiabarrow.actions import keys
@@ -80,9 +81,12 @@
         self.runner = claims.ClaimRunner(
             name,
             self.writer,
-            fakes.GatedService(service, self.gate, name),
-            lambda service, regions, avoid: (
-                None if INSTANCE.instance_id in avoid else INSTANCE
+            calls.CallSender(
+                fakes.GatedService(service, self.gate, name),
+                lambda service, regions, avoid: (
+                    None if INSTANCE.instance_id in avoid else INSTANCE
+                ),
+                claims.Settings().sends,
             ),
             claims.Settings(),
             loop.time,
@@ -156,7 +160,7 @@
         await asyncio.sleep(QUIET_S)
         store.heal()
         service.heal()
-        final = {key.text: await self._resend(key) for key in found}
+        final = {key.digest: await self._resend(key) for key in found}
         for entry in self._entries:
             await entry.die()
         return Result(
@@ -167,8 +171,8 @@
         """Sends once more after all trouble and returns the outcome."""
         entry = next(e for e in self._entries if e.is_alive)
         now_s = asyncio.get_running_loop().time()
-        self._sent.append((key.text, now_s))
-        request = claims.ActionRequest(self._action, key, b"{}", now_s)
+        self._sent.append((key.digest, now_s))
+        request = calls.ActionRequest(self._action, key, b"{}", now_s)
         return (await entry.send(request)).state
 
     async def _act_as_caller(self, key: keys.ActionKey) -> None:
@@ -182,9 +186,9 @@
                 await asyncio.sleep(0.1)
                 continue
             sent_at_s = loop.time()
-            self._sent.append((key.text, sent_at_s))
+            self._sent.append((key.digest, sent_at_s))
             task = entry.send(
-                claims.ActionRequest(
+                calls.ActionRequest(
                     self._action, key, b"{}", sent_at_s, is_first=number == 0
                 )
             )
@@ -194,7 +198,7 @@
                 continue
             outcome = task.result()
             self._received.append(
-                Received(key.text, sent_at_s, loop.time(), outcome.state)
+                Received(key.digest, sent_at_s, loop.time(), outcome.state)
             )
             if outcome.state in journals.FINAL_STATES:
                 return
--- a/src/fuchsiabarrow/commands/__init__.py
+++ b/src/fuchsiabarrow/commands/__init__.py
@@ -1,5 +1,5 @@
 """The command line."""
 
-from fuchsiabarrow.commands.program import main
+from fuchsiabarrow.commands import program
 
-__all__ = ["main"]
+__all__ = ["program"]
--- a/src/fuchsiabarrow/commands/demonstration.py
+++ b/src/fuchsiabarrow/commands/demonstration.py
@@ -156,7 +156,7 @@
         )
     )
     outcomes = [answer["outcome"] for _, answer in answers]
-    runs = world.service.runs.get(key, 0)
+    runs = world.service.runs.get(worlds.name_booking(key), 0)
     report.add(
         "what may not be repeated runs at most once",
         f"one deposit sent through two entries: outcomes {outcomes}, {runs}"
@@ -167,7 +167,7 @@
     key = str(uuid6.uuid7())
     _, answer = await caller.act("confirm-deposit", key, body)
     world.service.faults.down = False
-    runs = world.service.runs.get(key, 0)
+    runs = world.service.runs.get(worlds.name_booking(key), 0)
     report.add(
         "'not run' is true",
         f"service down: outcome {answer['outcome']}, {runs} runs",
--- a/src/fuchsiabarrow/entry/action_handlers.py
+++ b/src/fuchsiabarrow/entry/action_handlers.py
@@ -4,7 +4,7 @@
 import uuid6
 
 from fuchsiabarrow import exceptions
-from fuchsiabarrow.actions import claims
+from fuchsiabarrow.actions import calls
 from fuchsiabarrow.actions import keys
 from fuchsiabarrow.configuration import documents
 from fuchsiabarrow.entry import outcomes
@@ -77,7 +77,7 @@
 
     async def _read_action(
         self, request, name: str, organisation: documents.Organisation
-    ) -> claims.ActionRequest:
+    ) -> calls.ActionRequest:
         requested_at_s = clocks.read_wall_time_s()
         action_name = request.match_info["action"]
         action = self._find_action(action_name, organisation)
@@ -93,7 +93,7 @@
         key = requests.parse_key(text, name, action_name, self._action_keys)
         body = await request.read()
         requests.decode_body(body, object, "unknown")
-        return claims.ActionRequest(
+        return calls.ActionRequest(
             action,
             key,
             body,
--- a/src/fuchsiabarrow/entry/chats.py
+++ b/src/fuchsiabarrow/entry/chats.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from fuchsiabarrow import exceptions
-from fuchsiabarrow.actions import claims
+from fuchsiabarrow.actions import calls
 from fuchsiabarrow.actions import keys
 from fuchsiabarrow.configuration import documents
 from fuchsiabarrow.entry import outcomes
@@ -142,9 +142,7 @@
             body["action"] = triggered
         return aiohttp.web.json_response(body)
 
-    async def _trigger(
-        self, action: claims.ActionRequest | None
-    ) -> dict | None:
+    async def _trigger(self, action: calls.ActionRequest | None) -> dict | None:
         """Runs the action that a whole answer triggers; returns its outcome."""
         if action is None:
             return None
@@ -220,7 +218,7 @@
 
     def _make_action_request(
         self, request, name: str, organisation, body: ChatRequest
-    ) -> claims.ActionRequest | None:
+    ) -> calls.ActionRequest | None:
         """Returns the action that the answer triggers, checked beforehand."""
         if body.action is None:
             return None
@@ -242,7 +240,7 @@
                 "send an Idempotency-Key header with a UUIDv7 for the action",
             )
         key = requests.parse_key(text, name, action_name, self._action_keys)
-        return claims.ActionRequest(
+        return calls.ActionRequest(
             action,
             key,
             msgspec.json.encode(body.action.body, order="deterministic"),
--- a/src/fuchsiabarrow/entry/composition.py
+++ b/src/fuchsiabarrow/entry/composition.py
@@ -7,6 +7,7 @@
 import logbook
 from opentelemetry.sdk.trace import export
 
+from fuchsiabarrow.actions import calls
 from fuchsiabarrow.actions import claims
 from fuchsiabarrow.actions import forwarding
 from fuchsiabarrow.actions import retention
@@ -248,13 +249,17 @@
                 self._source,
             ),
         )
+        sender = calls.CallSender(
+            service_adapter.HttpPlainService(kernel.get("session")),
+            kernel.get("routing").choose_service,
+            settings.actions.claims.sends,
+        )
         runner = await kernel.add(
             "claims",
             claims.ClaimRunner(
                 settings.entry.name,
                 writer,
-                service_adapter.HttpPlainService(kernel.get("session")),
-                kernel.get("routing").choose_service,
+                sender,
                 settings.actions.claims,
             ),
         )
--- a/src/fuchsiabarrow/entry/outcomes.py
+++ b/src/fuchsiabarrow/entry/outcomes.py
@@ -3,8 +3,8 @@
 import aiohttp.web
 import msgspec
 
-from fuchsiabarrow.actions import claims
 from fuchsiabarrow.actions import journals
+from fuchsiabarrow.actions import outcomes
 from fuchsiabarrow.entry import problems
 
 __all__ = ["answer", "describe"]
@@ -17,7 +17,7 @@
 }
 
 
-def describe(outcome: claims.Outcome, key: str) -> dict:
+def describe(outcome: outcomes.Outcome, key: str) -> dict:
     """Returns an outcome as a JSON object.
 
     Args:
@@ -36,7 +36,7 @@
     return found
 
 
-def answer(outcome: claims.Outcome, key: str) -> aiohttp.web.Response:
+def answer(outcome: outcomes.Outcome, key: str) -> aiohttp.web.Response:
     """Returns the response to a request for an action."""
     if outcome.state is journals.State.COMPLETED:
         return aiohttp.web.json_response(describe(outcome, key))
@@ -52,7 +52,7 @@
     )
 
 
-def _explain(outcome: claims.Outcome) -> str:
+def _explain(outcome: outcomes.Outcome) -> str:
     return outcome.detail or "the service refused the call; see its answer"
 
 
--- a/src/fuchsiabarrow/entry/tests/test_interface.py
+++ b/src/fuchsiabarrow/entry/tests/test_interface.py
@@ -193,7 +193,7 @@
         status, found = await caller.act("confirm-deposit", KEY, {"deposit": 2})
         assert status == 422
         assert "another body" in found["detail"]
-        assert world.service.runs == {KEY: 1}
+        assert world.service.runs == {world_standins.name_booking(KEY): 1}
 
     run(check)
 
@@ -423,7 +423,7 @@
         for entry in caller.entries:
             await caller._read_stream(entry, body, resumed, key)
             assert resumed.action["outcome"] == "completed"
-        assert world.service.runs == {key: 1}
+        assert world.service.runs == {world_standins.name_booking(key): 1}
 
     run(check, entries=2)
 
@@ -473,3 +473,20 @@
         assert all(e.applied_positions == 0 for e in world.engines.values())
 
     run(check)
+
+
+@pytest.mark.parametrize("guard", ["deduplicates", "fences"])
+def test_organisations_that_send_the_same_key_get_each_their_own_booking(guard):
+    # Guards against a service's record of a key being shared by two.
+    async def check(world, entries, session, caller):
+        world.service.faults.check_fence = True
+        other = callers.Caller(
+            session, caller.entries, world_standins.OTHER_KEY
+        )
+        _, first = await caller.act("confirm-deposit", KEY, {"deposit": 1})
+        _, second = await other.act("confirm-deposit", KEY, {"deposit": 2})
+        assert first["answer"]["echo"] == {"deposit": 1}
+        assert second["answer"]["echo"] == {"deposit": 2}
+        assert sorted(world.service.runs.values()) == [1, 1]
+
+    run(check, guard=guard)
--- a/src/fuchsiabarrow/entry/tests/test_process_failures.py
+++ b/src/fuchsiabarrow/entry/tests/test_process_failures.py
@@ -158,7 +158,8 @@
                 status, found = await caller.act(
                     "confirm-deposit", key, body, second, attempt=3
                 )
-        assert await fleets.read_json(session, service, "/runs") == {key: 1}
+        runs = await fleets.read_json(session, service, "/runs")
+        assert runs == {worlds.name_booking(key): 1}
 
     run(fleet, check, profiles=())
 
@@ -184,7 +185,8 @@
             assert found["outcome"] == "unknown"
         _, found = await caller.ask("confirm-deposit", key)
         assert found["outcome"] == "unknown"
-        assert await fleets.read_json(session, service, "/runs") == {key: 1}
+        runs = await fleets.read_json(session, service, "/runs")
+        assert runs == {worlds.name_booking(key): 1}
 
     run(fleet, check, profiles=())
 
@@ -209,7 +211,8 @@
                     "confirm-deposit", key, body, second, attempt=2
                 )
         assert found["outcome"] == "completed"
-        assert await fleets.read_json(session, service, "/runs") == {key: 1}
+        runs = await fleets.read_json(session, service, "/runs")
+        assert runs == {worlds.name_booking(key): 1}
 
     more = "\n[actions.claims]\nlapse_s = 1.0\n"
     run(fleet, check, profiles=(), guard="fences", more=more)
@@ -237,7 +240,7 @@
                 await asyncio.sleep(0.2)
         service = fleet.processes["service"]
         runs = await fleets.read_json(session, service, "/runs")
-        assert runs[key] == 1
+        assert runs[worlds.name_booking(key)] == 1
 
     run(fleet, check)
 
@@ -313,7 +316,7 @@
         assert code == 0
         service = fleet.processes["service"]
         runs = await fleets.read_json(session, service, "/runs")
-        assert runs == dict.fromkeys(keys, 1)
+        assert runs == {worlds.name_booking(key): 1 for key in keys}
 
     run(fleet, check)
 
--- a/src/fuchsiabarrow/entry/tests/test_whole_path.py
+++ b/src/fuchsiabarrow/entry/tests/test_whole_path.py
@@ -48,7 +48,8 @@
             )
             assert (status, found["outcome"]) == (200, "completed")
         service = fleet.processes["service"]
-        assert await fleets.read_json(session, service, "/runs") == {key: 1}
+        runs = await fleets.read_json(session, service, "/runs")
+        assert runs == {worlds.name_booking(key): 1}
 
     async def check_patch(session):
         change = {"pipelines": {"surveys": {"model": worlds.MODEL}}}
--- a/src/fuchsiabarrow/ports/services.py
+++ b/src/fuchsiabarrow/ports/services.py
@@ -13,7 +13,7 @@
     Attributes:
         address: ``ip:port`` of the instance.
         path: Path of the call.
-        key: Idempotency key passed on to the service.
+        key: Digest of organisation, action and idempotency key.
         fence: Fencing number, for services that check it.
         body: JSON body in bytes.
         timeout_s: Bound on the whole call in seconds.
--- a/src/fuchsiabarrow/standins/worlds.py
+++ b/src/fuchsiabarrow/standins/worlds.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+from fuchsiabarrow.actions import keys
 from fuchsiabarrow.configuration import documents
 from fuchsiabarrow.ports import instances
 from fuchsiabarrow.standins import engines
@@ -9,7 +10,13 @@
 from fuchsiabarrow.standins import objects
 from fuchsiabarrow.standins import services
 
-__all__ = ["CALLER_KEY", "OPERATOR_KEY", "World", "make_configuration"]
+__all__ = [
+    "CALLER_KEY",
+    "OPERATOR_KEY",
+    "World",
+    "make_configuration",
+    "name_booking",
+]
 
 LAYERS = 12
 MODEL = "joinery-12"
@@ -73,6 +80,14 @@
     }
 
 
+def name_booking(
+    key: str, organisation: str = "shelfwright", action: str = "confirm-deposit"
+) -> str:
+    """Returns the key under which the plain service knows a booking."""
+    found = keys.make_key(key, organisation, action, 0.0, keys.Settings())
+    return found.digest
+
+
 def describe_engine(
     profile: engines.EngineProfile, address: str
 ) -> instances.Instance:
