Give calls between regions time for two round trips

Cause: each call between entries opens a connection, two round trips; with 0.5 s entries more than 250 ms apart would suspect each other all the time.

--- a/src/fuchsiabarrow/actions/forwarding.py
+++ b/src/fuchsiabarrow/actions/forwarding.py
@@ -21,8 +21,15 @@
     operation: journals.Operation
 
 
-def make_forward(peers: peers_service.PeersService) -> writers.Forward:
-    """Returns a function that lets a journal's owner apply an operation."""
+def make_forward(
+    peers: peers_service.PeersService, timeout_s: float
+) -> writers.Forward:
+    """Returns a function that lets a journal's owner apply an operation.
+
+    Args:
+        peers: Other entries.
+        timeout_s: Time for the owner to answer.
+    """
 
     async def forward(
         journal: str, operation: journals.Operation
@@ -31,7 +38,7 @@
         if owner is None:
             return None
         body = msgspec.msgpack.encode(_Forwarded(journal, operation))
-        answer = await peers.client.ask(owner.address, SERVICE, body)
+        answer = await peers.client.ask(owner.address, SERVICE, body, timeout_s)
         return (msgspec.msgpack.decode(answer, type=journals.Record | None),)
 
     return forward
--- a/src/fuchsiabarrow/actions/writers.py
+++ b/src/fuchsiabarrow/actions/writers.py
@@ -41,12 +41,15 @@
         size_limit_bytes: A journal takes no new claim from this size on.
         interval_s: Least time between two writes of a journal; the number of
             shards divided by it is the fleet's largest rate of writes.
+        forward_timeout_s: Time for the entry that a journal falls to; after
+            it an entry writes by itself.
     """
 
     retry_base_s: float = 0.005
     retry_limit_s: float = 0.5
     size_limit_bytes: int = 900_000
     interval_s: float = 0.05
+    forward_timeout_s: float = 0.5
 
 
 @dataclasses.dataclass(eq=False, slots=True)
--- a/src/fuchsiabarrow/entry/composition.py
+++ b/src/fuchsiabarrow/entry/composition.py
@@ -236,7 +236,10 @@
                 kernel.get("store"),
                 settings.actions.writer,
                 self._source,
-                forwarding.make_forward(kernel.get("peers")),
+                forwarding.make_forward(
+                    kernel.get("peers"),
+                    settings.actions.writer.forward_timeout_s,
+                ),
             ),
         )
         forwarding.answer_forwarded(kernel.get("peers"), writer)
--- a/src/fuchsiabarrow/peers/service.py
+++ b/src/fuchsiabarrow/peers/service.py
@@ -42,7 +42,7 @@
         address: ``ip:port`` for other entries.
         key: Key that all entries share; empty for none.
         seeds: Addresses of entries to ask first, if the store is down.
-        timeout_s: Bound on a call.
+        timeout_s: Bound on a call; two round trips between regions, and more.
         probe_period_s: Mean time between probes.
         helpers: Entries asked to probe one that did not answer.
         suspicion_s: Time for a suspected entry to object.
@@ -55,7 +55,7 @@
     address: str = "127.0.0.1:0"
     key: str = ""
     seeds: list[str] = []
-    timeout_s: float = 0.5
+    timeout_s: float = 1.0
     probe_period_s: float = 1.0
     helpers: int = 2
     suspicion_s: float = 3.0
--- a/src/fuchsiabarrow/peers/tests/test_service.py
+++ b/src/fuchsiabarrow/peers/tests/test_service.py
@@ -114,10 +114,12 @@
         for peers, call in zip(group.found, calls, strict=True):
             own = address_sides[peers.members.own.address]
 
-            async def cut(address, path, message, call=call, own=own):
+            async def cut(
+                address, path, message, limit=None, call=call, own=own
+            ):
                 if address_sides[address] != own:
                     raise fakes.exceptions.PeerError("cut; probed again")
-                return await call(address, path, message)
+                return await call(address, path, message, limit)
 
             peers.client._call = cut
         await wait_for_live(group.found, 3)
--- a/src/fuchsiabarrow/peers/transport.py
+++ b/src/fuchsiabarrow/peers/transport.py
@@ -146,7 +146,9 @@
         self._timeout = aiohttp.ClientTimeout(total=timeout_s)
         self._headers = {KEY_HEADER: key, "Connection": "close"}
 
-    async def _call(self, address: str, path: str, message) -> bytes:
+    async def _call(
+        self, address: str, path: str, message, timeout_s: float | None = None
+    ) -> bytes:
         """Sends a message and returns the body of the answer.
 
         Raises:
@@ -154,12 +156,15 @@
         """
         self.calls += 1
         sent = message.to_bytes()
+        timeout = self._timeout
+        if timeout_s is not None:
+            timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
             async with self._session.post(
                 f"http://{address}{path}",
                 data=sent,
                 headers=self._headers,
-                timeout=self._timeout,
+                timeout=timeout,
             ) as response:
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
@@ -208,14 +213,26 @@
         with _schema.ProbeResult.from_bytes(body) as answer:
             return bool(answer.isAlive)
 
-    async def ask(self, address: str, service: str, body: bytes) -> bytes:
+    async def ask(
+        self,
+        address: str,
+        service: str,
+        body: bytes,
+        timeout_s: float | None = None,
+    ) -> bytes:
         """Asks an entry's service and returns its answer.
 
+        Args:
+            address: ``ip:port`` of the entry.
+            service: Name of the service.
+            body: Question in bytes.
+            timeout_s: Bound on the call, None for that of all calls.
+
         Raises:
             PeerError: The entry did not answer, or cannot tell.
         """
         message = _schema.Question.new_message(service=service, body=body)
-        found = await self._call(address, "/ask", message)
+        found = await self._call(address, "/ask", message, timeout_s)
         with _schema.Answer.from_bytes(found) as answer:
             if not answer.isAnswered:
                 raise exceptions.PeerError(
