--- a/src/fuchsiabarrow/entry/tests/test_process_failures.py
+++ b/src/fuchsiabarrow/entry/tests/test_process_failures.py
@@ -245,6 +245,30 @@
     run(fleet, check)
 
 
+def test_new_entry_starts_from_its_peers_while_the_store_is_down(fleet):
+    async def check(session, caller):
+        url = f"http://{fleet.processes['entry-1'].operator_address}/v1/status"
+        key = {"Authorization": f"Bearer {worlds.OPERATOR_KEY}"}
+        async with session.get(url, headers=key) as answer:
+            members = (await answer.json())["members"]
+        seeds = [member["address"] for member in members]
+        await fleets.set_faults(session, fleet.processes["objects"], down=True)
+        loop = asyncio.get_running_loop()
+        more = f"\n[peers]\nseeds = {seeds}\n"
+        await loop.run_in_executor(
+            None, lambda: fleet.start_entries("entry-3", more=more)
+        )
+        await fleets.wait_ready(session, fleet, "entry-3")
+        fresh = fleet.processes["entry-3"]
+        number, _ = await read_configuration(session, fresh)
+        assert number == 1
+        caller.entries = [fresh.address]
+        works = await expected.chat_all(caller, ["a shelf"], 20)
+        await expected.check_answers(["a shelf"], works, 20)
+
+    run(fleet, check)
+
+
 def test_of_racing_patches_one_wins_and_the_rest_learn_the_number(fleet):
     async def check(session, caller):
         store = fleet.processes["objects"]
