--- a/src/fuchsiabarrow/commands/program.py
+++ b/src/fuchsiabarrow/commands/program.py
@@ -20,6 +20,8 @@
 __all__ = ["main"]
 
 EXIT_INVALID = 2
+PROGRAM = "fuchsiabarrow"
+VERSION_FLAG = "--version"
 
 
 def entry(*, settings: str) -> None:
@@ -204,11 +206,17 @@
 
 def main() -> None:
     """Runs the command named on the command line."""
+    version = f"{PROGRAM} {fuchsiabarrow.__version__}"
+    if VERSION_FLAG in sys.argv[1:]:
+        # The library takes it before the command only.
+        print(version)
+        return
     try:
         defopt.run(
             {f.__name__.replace("_", "-"): f for f in COMMANDS},
-            version=f"fuchsiabarrow {fuchsiabarrow.__version__}",
+            version=version,
             no_negated_flags=True,
+            argparse_kwargs={"prog": PROGRAM},
         )
     except exceptions.FuchsiabarrowError as error:
         print(error, file=sys.stderr)
--- a/src/fuchsiabarrow/commands/tests/test_program.py
+++ b/src/fuchsiabarrow/commands/tests/test_program.py
@@ -114,7 +114,10 @@
 def test_each_command_has_help(command):
     result = call(command, "--help")
     assert result.returncode == 0
-    assert "usage" in result.stdout
+    assert f"usage: fuchsiabarrow {command}" in result.stdout
+    version = call(command, "--version")
+    assert version.returncode == 0
+    assert version.stdout.startswith("fuchsiabarrow 0.")
 
 
 def test_settings_page_is_the_one_in_the_documentation():
--- a/src/fuchsiabarrow/entry/tests/test_interface.py
+++ b/src/fuchsiabarrow/entry/tests/test_interface.py
@@ -97,6 +97,24 @@
     run(check)
 
 
+def test_oversized_headers_and_raw_noise_do_no_harm():
+    async def check(world, entries, session, caller):
+        url = f"http://{entries[0].caller_address}{CHAT}"
+        async with session.post(url, headers={"X": "x" * 100_000}) as answer:
+            assert answer.status == 400
+        host, port = entries[0].caller_address.split(":")
+        for noise in (b"\x00" * 5000, b"GET / HTTP/9.9\r\n\r\n", b"POST"):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(noise)
+            writer.write_eof()
+            await reader.read()
+            writer.close()
+        answer = await caller.chat("quotes", "a shelf", 4)
+        assert answer.is_whole
+
+    run(check)
+
+
 def test_invalid_actions_are_refused_and_nothing_runs():
     cases = [
         (DEPOSIT, {}, b"{}", 400),
