Tell a call that never left from one whose answer was lost

Cause: a service instance that takes no connection (full backlog, a host that is gone) used up the whole time of the call, which then counted as uncertain: 'unknown' for a deposit of which no byte had left. Nor was the instance avoided afterwards. Change: a bound on connecting apart (1 s), which counts as not sent; instances of services get evidence like engines.

--- a/src/fuchsiabarrow/actions/calls.py
+++ b/src/fuchsiabarrow/actions/calls.py
@@ -48,6 +48,7 @@
         choose_instance: Chooses where to send.
         sends: Most sends of one call to services where repeats do no harm, and
             most instances tried where no byte had left.
+        report: Called with an instance id and whether it took a connection.
     """
 
     def __init__(
@@ -55,10 +56,12 @@
         service: services.PlainService,
         choose_instance: ChooseInstance,
         sends: int,
+        report: Callable[[str, bool], None] = lambda instance_id, took: None,
     ):
         self._service = service
         self._choose_instance = choose_instance
         self._sends = sends
+        self._report = report
 
     async def send_repeatedly(
         self, request: ActionRequest, fence: int
@@ -123,10 +126,12 @@
         try:
             answer = await self._service.call(call)
         except exceptions.ServiceNotSentError as error:
+            self._report(instance.instance_id, False)
             avoid.add(instance.instance_id)
             return outcomes.make_not_run(str(error))
         except exceptions.ServiceUncertainError as error:
             return outcomes.make_unknown(str(error))
+        self._report(instance.instance_id, True)
         if answer.did_not_run:
             avoid.add(instance.instance_id)
             return outcomes.make_not_run("the service refused the call")
--- a/src/fuchsiabarrow/adapters/services.py
+++ b/src/fuchsiabarrow/adapters/services.py
@@ -11,8 +11,10 @@
 HTTP_OK = 200
 HTTP_NO_CONTENT = 204
 MAX_ANSWER_BYTES = 256 * 1024
-# The deadline of a call is kept here, not by the library.
-NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
+# The deadline of a whole call is kept here, not by the library.
+CONNECT_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=1.0)
+# Raised before the first byte of a call is sent.
+NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
 class HttpPlainService:
@@ -32,7 +34,7 @@
         """Implements `fuchsiabarrow.ports.services.PlainService.call`."""
         try:
             return await deadlines.wait_for(self._post(call), call.timeout_s)
-        except aiohttp.ClientConnectorError as error:
+        except NOT_CONNECTED as error:
             raise exceptions.ServiceNotSentError(
                 f"no connection to {call.address}; try another instance"
             ) from error
@@ -53,7 +55,7 @@
             f"http://{call.address}{call.path}",
             data=call.body,
             headers=headers,
-            timeout=NO_TIMEOUT,
+            timeout=CONNECT_TIMEOUT,
         ) as response:
             body = await _read_body(response)
         did_not_run = response.headers.get("Did-Not-Run") == "true"
--- a/src/fuchsiabarrow/entry/composition.py
+++ b/src/fuchsiabarrow/entry/composition.py
@@ -256,6 +256,7 @@
             service_adapter.HttpPlainService(kernel.get("session")),
             kernel.get("routing").choose_service,
             settings.actions.claims.sends,
+            kernel.get("routing").report_service,
         )
         runner = await kernel.add(
             "claims",
--- a/src/fuchsiabarrow/entry/tests/test_interface.py
+++ b/src/fuchsiabarrow/entry/tests/test_interface.py
@@ -4,6 +4,7 @@
 import contextlib
 import io
 import logging
+import socket
 import sys
 
 import aiohttp
@@ -14,6 +15,7 @@
 
 from fuchsiabarrow.commands import demonstration
 from fuchsiabarrow.entry import composition
+from fuchsiabarrow.ports import instances
 from fuchsiabarrow.standins import callers
 from fuchsiabarrow.standins import worlds as world_standins
 from fuchsiabarrow.streams.tests import worlds
@@ -493,6 +495,39 @@
     run(check)
 
 
+def test_service_that_takes_no_connection_is_passed_over_and_then_avoided():
+    # Guards against "unknown" for calls of which no byte had left.
+    async def check(world, entries, session, caller):
+        with socket.socket() as full:
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            address = full.getsockname()
+            held = [socket.socket() for _ in range(4)]
+            for connection in held:
+                connection.setblocking(False)
+                connection.connect_ex(address)
+            listed = instances.Instance(
+                "w-0", f"127.0.0.1:{address[1]}", "service", "workshop"
+            )
+            world.listing.put(listed)
+            evidence = entries[0].kernel.get("routing").evidence
+            async with asyncio.timeout(5):
+                while evidence.find("w-0") is None:
+                    await asyncio.sleep(0.02)
+            keys = []
+            while not evidence.find("w-0").failures:
+                keys.append(str(uuid6.uuid7()))
+                _, found = await caller.act("confirm-deposit", keys[-1], {})
+                assert found["outcome"] == "completed"
+                assert len(keys) < 50
+            for connection in held:
+                connection.close()
+        named = [world_standins.name_booking(key) for key in keys]
+        assert world.service.runs == dict.fromkeys(named, 1)
+
+    run(check)
+
+
 @pytest.mark.parametrize("guard", ["deduplicates", "fences"])
 def test_organisations_that_send_the_same_key_get_each_their_own_booking(guard):
     # Guards against a service's record of a key being shared by two.
--- a/src/fuchsiabarrow/routing/service.py
+++ b/src/fuchsiabarrow/routing/service.py
@@ -246,6 +246,14 @@
         for listener in self._list_listeners:
             await listener()
 
+    def report_service(self, instance_id: str, took_connection: bool) -> None:
+        """Notes whether a plain service's instance took a connection."""
+        now_s = asyncio.get_running_loop().time()
+        if took_connection:
+            self.evidence.record_success(instance_id, 0.0, now_s)
+        else:
+            self.evidence.record_failure(instance_id, now_s)
+
     def get_pool(self, model: str) -> list[instances.Instance]:
         """Returns the listed engines that serve a model, leaving ones too."""
         return [
