Probe instances that failed before streams meet them again

Cause: a soak with an engine lost every 0.4 s made 2.5 attempts for each recovery (514 to 635 'silent' an entry in 25 s): the lost engines stayed on the list, and when an exclusion ended, all streams met on the engine that looked idle, each losing 0.4 s; in 40 s six streams ran out of the retry budget.

Ruled out: longer exclusions (an instance that is back would stand idle); a larger budget (the attempts are the fault).

Change: an instance that failed is trusted again only when a probe succeeded.

--- a/src/fuchsiabarrow/adapters/__init__.py
+++ b/src/fuchsiabarrow/adapters/__init__.py
@@ -5,6 +5,7 @@
     "instances",
     "objects",
     "orders",
+    "probes",
     "services",
     "sessions",
 ]
--- a/src/fuchsiabarrow/adapters/engines.py
+++ b/src/fuchsiabarrow/adapters/engines.py
@@ -24,6 +24,7 @@
 # A silent peer does not answer a closing handshake either.
 CLOSE_TIMEOUT_S = 0.05
 HTTP_OK = 200
+STEPS_PATH = "/v1/steps"
 # Answered by an engine at once, whatever it is busy with.
 PROBE = ["probe", 0]
 
@@ -80,7 +81,7 @@
     ):
         self._session = session
         self._instance_id = instance_id
-        self._url = f"http://{address}/v1/steps"
+        self._url = f"http://{address}{STEPS_PATH}"
         self._import_url = f"http://{address}/v1/cache-imports"
         self._settings = settings
         self._count = count
--- a/src/fuchsiabarrow/entry/composition.py
+++ b/src/fuchsiabarrow/entry/composition.py
@@ -17,6 +17,7 @@
 from fuchsiabarrow.adapters import instances as instance_adapter
 from fuchsiabarrow.adapters import objects as object_adapter
 from fuchsiabarrow.adapters import orders as order_adapter
+from fuchsiabarrow.adapters import probes
 from fuchsiabarrow.adapters import services as service_adapter
 from fuchsiabarrow.adapters import sessions
 from fuchsiabarrow.configuration import documents
@@ -149,6 +150,9 @@
                 kernel.get("listing"),
                 kernel.get("peers"),
                 settings.entry.name,
+                probes.make_probe(
+                    kernel.get("session"), settings.engines.connect_timeout_s
+                ),
                 settings.routing,
                 self._source,
             ),
--- a/src/fuchsiabarrow/routing/chains.py
+++ b/src/fuchsiabarrow/routing/chains.py
@@ -52,8 +52,8 @@
 ) -> tuple[Hop, ...]:
     """Returns the hops of a chain that covers the layers once, in order.
 
-    Instances that are leaving are never used. Excluded instances and those to
-    avoid are used only if no chain exists without them.
+    Instances that are leaving are never used. Those that failed or are to be
+    avoided are used only if no chain exists without them.
 
     Args:
         states: Instances that serve the model.
@@ -70,8 +70,7 @@
     trusted = [
         state
         for state in staying
-        if state.excluded_until_s <= now_s
-        and state.instance.instance_id not in avoid
+        if state.is_trusted(now_s) and state.instance.instance_id not in avoid
     ]
     for usable in (trusted, staying):
         candidates = _draw_candidates(usable, estimate_cost, source)
--- a/src/fuchsiabarrow/routing/evidence.py
+++ b/src/fuchsiabarrow/routing/evidence.py
@@ -1,9 +1,10 @@
 """What an entry knows of each instance; free of I/O.
 
 The platform's list lags, so an entry's own evidence goes before it: a refused
-or reset connection, silence, a drain answer. Evidence of death ends by itself,
-so that an instance that came back is tried again; evidence of leaving stays
-until the instance has left the list, or was not renewed for a while.
+or reset connection, silence, a drain answer. An instance that failed is trusted
+again when a probe succeeded, so that no stream has to find out; evidence of
+leaving stays until the instance has left the list, or was not renewed for a
+while.
 """
 
 from collections.abc import Iterable
@@ -49,8 +50,8 @@
         hop_s: Average time of a hop in seconds.
         measured_at_s: When `hop_s` was last updated.
         failures: Failures since the last success.
-        excluded_until_s: No new work before this time, unless nobody else
-            holds a layer.
+        excluded_until_s: No new work and no probe before this time, unless
+            nobody else holds a layer.
         is_leaving: No new work at all.
     """
 
@@ -62,6 +63,15 @@
     excluded_until_s: float = -math.inf
     is_leaving: bool = False
 
+    def is_trusted(self, now_s: float) -> bool:
+        """Tells whether new work may go there while others can do it too."""
+        has_time = self.excluded_until_s <= now_s
+        return has_time and self.failures == 0 and not self.is_leaving
+
+    def needs_probe(self, now_s: float) -> bool:
+        """Tells whether it failed and it is time to look whether it is back."""
+        return self.failures > 0 and self.excluded_until_s <= now_s
+
 
 class Evidence:
     """Evidence about all instances, from the list and from own calls.
@@ -138,6 +148,12 @@
         state.failures += 1
         state.excluded_until_s = now_s + delay_s
 
+    def record_probe_success(self, instance_id: str) -> None:
+        """Notes that an instance that failed answers again."""
+        state = self._states.get(instance_id)
+        if state is not None:
+            state.failures = 0
+
     def record_busy(self, instance_id: str, now_s: float) -> None:
         """Notes a busy answer."""
         state = self._states.get(instance_id)
--- a/src/fuchsiabarrow/routing/service.py
+++ b/src/fuchsiabarrow/routing/service.py
@@ -33,6 +33,11 @@
 # makes a list implausible.
 LOSS_LIMIT = 0.5
 LOSS_LEAST = 3
+# Time between looks for instances that are due for a probe.
+PROBE_POLL_S = 0.1
+
+# Tells whether an instance answers; it has a bound of its own on its time.
+Probe = Callable[[instances.Instance], Awaitable[bool]]
 
 _log = logbook.Logger(__name__)
 
@@ -74,6 +79,7 @@
         listing: The platform's list.
         peers: Other entries.
         entry_name: Name of this entry.
+        probe: Tells whether an instance answers, within a bounded time.
         settings: Periods and weights.
         source: Random source.
     """
@@ -83,6 +89,7 @@
         listing: instances.InstanceList,
         peers: peers_service.PeersService,
         entry_name: str,
+        probe: Probe,
         settings: Settings,
         source: random.Random,
     ):
@@ -93,20 +100,29 @@
         self._list_listeners: list[Callable[[], Awaitable[None]]] = []
         self._peers = peers
         self._entry_name = entry_name
+        self._probe = probe
         self._settings = settings
         self._source = source
-        self._task: asyncio.Task | None = None
+        self._tasks: set[asyncio.Task] = set()
+        self._probed: set[str] = set()
 
     async def __aenter__(self) -> "RoutingService":
         self._peers.add_listener(LEAVING_KIND, self._accept_leaving)
         self._peers.add_listener(HELD_KIND, self._accept_held)
         await self._read_list()
-        self._task = asyncio.create_task(self._follow())
+        self._start_task(self._follow())
+        self._start_task(self._run_probes())
         return self
 
     async def __aexit__(self, *details) -> None:
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _start_task(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def add_list_listener(self, listener: Callable[[], Awaitable[None]]):
         """Awaits `listener` after each read of the list."""
@@ -131,8 +147,7 @@
             (
                 state
                 for state in states
-                if not state.is_leaving
-                and state.excluded_until_s <= now_s
+                if state.is_trusted(now_s)
                 and state.instance.instance_id not in avoid
             ),
             self._entry_name,
@@ -162,8 +177,7 @@
             state
             for state in self._find_states("engine", model, regions)
             if state.instance.instance_id != hop.instance_id
-            and not state.is_leaving
-            and state.excluded_until_s <= now_s
+            and state.is_trusted(now_s)
             and state.instance.first_layer <= hop.first_layer
             and hop.end_layer <= state.instance.end_layer
         ]
@@ -198,7 +212,7 @@
             for state in self._find_states("service", service, regions)
             if not state.is_leaving and state.instance.instance_id not in avoid
         ]
-        trusted = [s for s in staying if s.excluded_until_s <= now_s]
+        trusted = [s for s in staying if s.is_trusted(now_s)]
         usable = trusted or staying
         if not usable:
             return None
@@ -222,6 +236,30 @@
             await asyncio.sleep(jitter.spread_period_s(period_s, self._source))
             await self._read_list()
 
+    async def _run_probes(self) -> None:
+        """Looks whether instances that failed are back."""
+        while True:
+            await asyncio.sleep(
+                jitter.spread_period_s(PROBE_POLL_S, self._source)
+            )
+            now_s = asyncio.get_running_loop().time()
+            for state in self.evidence.get_states():
+                name = state.instance.instance_id
+                if state.needs_probe(now_s) and name not in self._probed:
+                    self._probed.add(name)
+                    self._start_task(self._probe_once(state.instance))
+
+    async def _probe_once(self, instance: instances.Instance) -> None:
+        name = instance.instance_id
+        try:
+            if await self._probe(instance):
+                self.evidence.record_probe_success(name)
+            else:
+                now_s = asyncio.get_running_loop().time()
+                self.evidence.record_failure(name, now_s)
+        finally:
+            self._probed.discard(name)
+
     async def _read_list(self) -> None:
         try:
             listed = await self._listing.read()
--- a/src/fuchsiabarrow/routing/tests/test_service.py
+++ b/src/fuchsiabarrow/routing/tests/test_service.py
@@ -25,6 +25,8 @@
 
     def __init__(self):
         self.found = list(ENGINES)
+        self.answers = True
+        self.probes = []
 
     async def read(self):
         if self.found is None:
@@ -35,8 +37,20 @@
 def run(check):
     async def main():
         listing = Listing()
+        listing.answers = True
+
+        async def probe(instance):
+            listing.probes.append(instance.instance_id)
+            await asyncio.sleep(0.05)
+            return listing.answers
+
         routing = service.RoutingService(
-            listing, fakes.FakePeers(), "entry-1", SETTINGS, random.Random(1)
+            listing,
+            fakes.FakePeers(),
+            "entry-1",
+            probe,
+            SETTINGS,
+            random.Random(1),
         )
         async with routing:
             await check(listing, routing)
@@ -99,3 +113,37 @@
             routing.choose_chain("m", 4, ["elsewhere"], frozenset())
 
     run(check)
+
+
+def test_instance_that_failed_gets_no_work_until_a_probe_succeeded():
+    # Guards against streams that find out one by one that it is still dead.
+    async def check(listing, routing):
+        listing.answers = False
+        now_s = asyncio.get_running_loop().time()
+        routing.evidence.record_failure("e0", now_s)
+        for _ in range(60):
+            await asyncio.sleep(0.5)
+            for _ in range(5):
+                (hop,) = routing.choose_chain("m", 4, [], frozenset())
+                assert hop.instance_id != "e0"
+        assert 3 <= len(listing.probes) <= 10
+        listing.answers = True
+        await asyncio.sleep(15)
+        chosen = {
+            routing.choose_chain("m", 4, [], frozenset())[0].instance_id
+            for _ in range(100)
+        }
+        assert "e0" in chosen
+
+    run(check)
+
+
+def test_instances_that_failed_are_used_if_nobody_else_holds_the_layers():
+    async def check(listing, routing):
+        listing.answers = False
+        for engine in ENGINES:
+            now_s = asyncio.get_running_loop().time()
+            routing.evidence.record_failure(engine.instance_id, now_s)
+        assert routing.choose_chain("m", 4, [], frozenset())
+
+    run(check)
--- a/src/fuchsiabarrow/streams/tests/test_failures.py
+++ b/src/fuchsiabarrow/streams/tests/test_failures.py
@@ -210,6 +210,23 @@
     loops.run(check())
 
 
+def test_engine_that_came_back_at_its_address_gets_work_again():
+    async def check():
+        async with worlds.start() as (world, (entry,), caller):
+            await caller.chat(world_standins.PIPELINE, "x", 5)
+            dead = find_busy(world, 5)
+            port = int(dead.server.address.rpartition(":")[2])
+            await dead.crash()
+            await caller.chat(world_standins.PIPELINE, "y", 5)
+            async with engines.EngineStandin(dead.profile, port) as back:
+                async with asyncio.timeout(20):
+                    while not back.applied_positions:
+                        works = await worlds.chat_all(caller, PROMPTS, 20)
+                        await worlds.check_answers(PROMPTS, works, 20)
+
+    loops.run(check())
+
+
 def test_connection_to_an_instance_that_left_the_list_is_closed():
     async def check():
         async with worlds.start() as (world, (entry,), caller):
