Outlive a connection that closes before it answered the probe

Cause: reading such a connection raised a TypeError that nothing caught; the task that keeps the connection ended, and every later step to that engine waited for its 10 s.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -1,8 +1,8 @@
 """Answers and deposits while stages are killed and frozen without end.
 
 Every 0.4 s one engine is killed or frozen and a new one started; two in three
-of the lost ones stay on the instance list. Callers check every answer against an
-undisturbed run, and every deposit is sent until its outcome is final.
+of the lost ones stay on the instance list. Callers check every answer against
+an undisturbed run, and every deposit is sent until its outcome is final.
 """
 
 import asyncio
--- a/src/fuchsiabarrow/adapters/engines.py
+++ b/src/fuchsiabarrow/adapters/engines.py
@@ -204,7 +204,11 @@
             )
             stack.push_async_callback(socket.close)
             await socket.send_bytes(msgspec.msgpack.encode([PROBE]))
-            await socket.receive_bytes()
+            message = await socket.receive()
+            if message.type is not aiohttp.WSMsgType.BINARY:
+                raise aiohttp.ClientConnectionError(
+                    "the connection was closed before it answered a probe"
+                )
             stack.pop_all()
         return socket
 
