Let streams wait for the only holder of a range; keep background work alive

An entry now writes before it reads.

Ruled out: more attempts (the dead holder would be asked more often). Change: an instance that failed a stream is used by it again only when a probe has succeeded; the stream waits meanwhile, up to no_chain_limit_s.

--- a/src/fuchsiabarrow/actions/retention.py
+++ b/src/fuchsiabarrow/actions/retention.py
@@ -17,6 +17,7 @@
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import clocks
 from fuchsiabarrow.utils import jitter
+from fuchsiabarrow.utils import tasks
 
 __all__ = ["JournalSweeper"]
 
@@ -56,20 +57,22 @@
         self._task: asyncio.Task | None = None
 
     async def __aenter__(self) -> "JournalSweeper":
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(
+            tasks.repeat(
+                "journal_sweep",
+                self.sweep,
+                lambda: jitter.spread_period_s(
+                    self._settings.bucket_s, self._source
+                ),
+                pauses_first=True,
+            )
+        )
         return self
 
     async def __aexit__(self, *details) -> None:
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
 
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(
-                jitter.spread_period_s(self._settings.bucket_s, self._source)
-            )
-            await self.sweep()
-
     async def sweep(self) -> None:
         """Deletes what expired since the last call."""
         now_s = self._read_wall_time_s()
--- a/src/fuchsiabarrow/adapters/engines.py
+++ b/src/fuchsiabarrow/adapters/engines.py
@@ -12,15 +12,19 @@
 import dataclasses
 
 import aiohttp
+import logbook
 import msgspec
 
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.ports import engines
+from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import deadlines
 
 __all__ = ["EngineLink", "Settings"]
 
 
+_log = logbook.Logger(__name__)
+
 # A silent peer does not answer a closing handshake either.
 CLOSE_TIMEOUT_S = 0.05
 HTTP_OK = 200
@@ -189,7 +193,13 @@
                 except (aiohttp.ClientError, TimeoutError, OSError) as error:
                     self._give_up(error)
                     continue
-            socket = await self._serve_connection(socket)
+            try:
+                socket = await self._serve_connection(socket)
+            except Exception as error:
+                # Whatever it was, the next connection starts afresh.
+                _log.exception(logs.format_event("link_error", error=error))
+                socket = None
+                self._give_up(error)
 
     async def _open(self) -> aiohttp.ClientWebSocketResponse:
         """Opens a connection and waits for the answer to a probe."""
--- a/src/fuchsiabarrow/configuration/service.py
+++ b/src/fuchsiabarrow/configuration/service.py
@@ -18,6 +18,7 @@
 from fuchsiabarrow.ports import objects
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import jitter
+from fuchsiabarrow.utils import tasks
 
 __all__ = ["ConfigurationService", "Settings"]
 
@@ -26,6 +27,8 @@
 # Entries tell each other the head under this key.
 ITEM_KIND = "configuration"
 ITEM_KEY = f"{ITEM_KIND}/{HEAD_NAME}"
+# Time between two looks at news, also after a failure.
+NEWS_PAUSE_S = 0.01
 ITEM_LIFETIME_S = 10 * 365 * 86400.0
 PART_KIND = "configuration-part"
 
@@ -89,7 +92,12 @@
         self._peers.add_listener(ITEM_KIND, lambda item: self._news.set())
         self._peers.add_answer(PART_KIND, self._answer_part)
         self._news.set()
-        works = (self._follow_store(), self._follow_peers())
+        works = (
+            tasks.repeat(
+                "store_poll", self._poll_store, self._get_poll_period_s
+            ),
+            tasks.repeat("peer_news", self._follow_peers, lambda: NEWS_PAUSE_S),
+        )
         self._tasks = [asyncio.create_task(work) for work in works]
         return self
 
@@ -241,35 +249,33 @@
             await self._consider(found, is_from_store=True)
             raise exceptions.VersionMismatchError(self.head.number)
 
-    async def _follow_store(self) -> None:
-        """Polls the head, at a rate that all entries share."""
-        while True:
-            try:
-                await self.refresh()
-            except exceptions.StoreError as error:
-                _log.warning(logs.format_event("store_down", error=error))
-            except exceptions.ConfigurationError as error:
-                _log.error(logs.format_event("bad_configuration", error=error))
-            period_s = self._peers.get_period_s(
-                self._settings.poll_rate_per_s, self._settings.poll_least_s
-            )
-            await asyncio.sleep(jitter.spread_period_s(period_s, self._source))
+    async def _poll_store(self) -> None:
+        """Reads the head once; an outage is nothing unusual."""
+        try:
+            await self.refresh()
+        except exceptions.StoreError as error:
+            _log.warning(logs.format_event("store_down", error=error))
+
+    def _get_poll_period_s(self) -> float:
+        """Returns the time to the next read, at a rate all entries share."""
+        period_s = self._peers.get_period_s(
+            self._settings.poll_rate_per_s, self._settings.poll_least_s
+        )
+        return jitter.spread_period_s(period_s, self._source)
 
     async def _follow_peers(self) -> None:
-        """Adopts the heads that other entries tell."""
-        while True:
-            await self._news.wait()
-            self._news.clear()
-            item = self._peers.get_item(ITEM_KEY)
-            if item is None or item.version <= self.head.number:
-                continue
+        """Waits for news of a head and adopts it; tried again on failure."""
+        await self._news.wait()
+        item = self._peers.get_item(ITEM_KEY)
+        if item is not None and item.version > self.head.number:
             found = msgspec.json.decode(item.value, type=parts.Head)
             try:
                 await self._consider(found, is_from_store=False)
-            except exceptions.FuchsiabarrowError as error:
+            except exceptions.StoreError as error:
                 _log.warning(logs.format_event("head_delayed", error=error))
-                await asyncio.sleep(self._settings.retry_base_s)
-                self._news.set()
+                return
+        if self._peers.get_item(ITEM_KEY) is item:
+            self._news.clear()
 
     async def _adopt(self, head: parts.Head, is_from_store: bool) -> None:
         """Fetches the parts that are missing and puts a head in force."""
--- a/src/fuchsiabarrow/orders/service.py
+++ b/src/fuchsiabarrow/orders/service.py
@@ -21,6 +21,7 @@
 from fuchsiabarrow.ports import orders
 from fuchsiabarrow.routing import service as routing_service
 from fuchsiabarrow.telemetry import logs
+from fuchsiabarrow.utils import tasks
 
 __all__ = ["OrdersService", "Settings"]
 
@@ -77,7 +78,11 @@
         self._task: asyncio.Task | None = None
 
     async def __aenter__(self) -> "OrdersService":
-        self._task = asyncio.create_task(self._run())
+        self._task = asyncio.create_task(
+            tasks.repeat(
+                "duties", self._perform_duties, self._leases.get_period_s
+            )
+        )
         return self
 
     async def __aexit__(self, *details) -> None:
@@ -94,14 +99,6 @@
         for name in self._leases.get_held():
             await self._leases.give_up(name)
 
-    async def _run(self) -> None:
-        while True:
-            try:
-                await self._perform_duties()
-            except Exception as error:
-                _log.exception(logs.format_event("duty_error", error=error))
-            await asyncio.sleep(self._leases.get_period_s())
-
     async def _perform_duties(self) -> None:
         models = self._configuration.models
         wanted = [name for name, model in models.items() if model.ranges]
--- a/src/fuchsiabarrow/peers/service.py
+++ b/src/fuchsiabarrow/peers/service.py
@@ -24,6 +24,7 @@
 from fuchsiabarrow.utils import clocks
 from fuchsiabarrow.utils import jitter
 from fuchsiabarrow.utils import listeners
+from fuchsiabarrow.utils import tasks
 
 __all__ = ["PeersService", "Settings"]
 
@@ -140,8 +141,10 @@
         )
         self._publish_member(self.members.own)
         await self._contact_others()
-        self._start_task(self._run_probes())
-        self._start_task(self._run_rejoin())
+        self._repeat(
+            "peer_probe", self._run_probe, self._settings.probe_period_s
+        )
+        self._repeat("rejoin", self._rejoin, self._settings.rejoin_period_s)
 
     async def leave(self) -> None:
         """Tells others that this entry stops, and waits until some know."""
@@ -205,6 +208,14 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _repeat(self, name: str, work, period_s: float) -> None:
+        def get_pause_s() -> float:
+            return jitter.spread_period_s(period_s, self._source)
+
+        self._start_task(
+            tasks.repeat(name, work, get_pause_s, pauses_first=True)
+        )
+
     # Items.
 
     def _take_over(self, found: list[items_module.Item]) -> None:
@@ -314,17 +325,13 @@
 
     # Membership.
 
-    async def _run_probes(self) -> None:
-        while True:
-            period_s = self._settings.probe_period_s
-            await asyncio.sleep(jitter.spread_period_s(period_s, self._source))
-            self._expire(clocks.read_wall_time_s())
-            await self._probe_next()
-            now_s = asyncio.get_running_loop().time()
-            for dead in self.members.find_lapsed(
-                now_s, self._settings.suspicion_s
-            ):
-                self._publish_member(dead)
+    async def _run_probe(self) -> None:
+        """Forgets what expired, probes one entry and declares lapsed ones."""
+        self._expire(clocks.read_wall_time_s())
+        await self._probe_next()
+        now_s = asyncio.get_running_loop().time()
+        for dead in self.members.find_lapsed(now_s, self._settings.suspicion_s):
+            self._publish_member(dead)
 
     def _expire(self, now_s: float) -> None:
         for item in self._table.expire(now_s):
@@ -357,12 +364,16 @@
     # Joining.
 
     async def _contact_others(self) -> None:
-        """Finds entries from the seeds and the store and compares tables."""
+        """Finds entries from the seeds and the store and compares tables.
+
+        This entry writes its address before it reads those of the others: of
+        two that start at once, the one that wrote later sees the other.
+        """
         addresses = set(self._settings.seeds)
         try:
+            await self._register()
             stored = await self._store.list(ENTRY_KIND)
             addresses.update(item.value.decode() for item in stored)
-            await self._register(stored)
         except exceptions.StoreError as error:
             _log.warning(logs.format_event("join_without_store", error=error))
         addresses.discard(self._server.address)
@@ -371,22 +382,19 @@
         )
         await asyncio.gather(*(self._exchange(a, []) for a in chosen))
 
-    async def _register(self, stored: list[objects.Stored]) -> None:
+    async def _register(self) -> None:
         """Writes this entry's address to the store for those that join."""
         name = self.members.own.name
-        own = next((item for item in stored if item.name == name), None)
+        own = await self._store.get(ENTRY_KIND, name)
         version = own.version if own else objects.ABSENT_VERSION
         value = self._server.address.encode()
         if own is None or own.value != value:
             await self._store.put(ENTRY_KIND, name, value, version)
 
-    async def _run_rejoin(self) -> None:
-        """Calls entries that were declared dead: a partition may be over."""
-        while True:
-            period_s = self._settings.rejoin_period_s
-            await asyncio.sleep(jitter.spread_period_s(period_s, self._source))
-            dead = self.members.get_dead()
-            if dead:
-                await self._exchange(self._source.choice(dead).address, [])
-            elif len(self.members.get_live()) == 1:
-                await self._contact_others()
+    async def _rejoin(self) -> None:
+        """Calls an entry that was declared dead: a partition may be over."""
+        dead = self.members.get_dead()
+        if dead:
+            await self._exchange(self._source.choice(dead).address, [])
+        elif self.count_live() == 1:
+            await self._contact_others()
--- a/src/fuchsiabarrow/peers/tests/test_service.py
+++ b/src/fuchsiabarrow/peers/tests/test_service.py
@@ -37,10 +37,12 @@
         self.stack = stack
         self.store = Store(random.Random(1))
         self.found: list[service.PeersService] = []
+        self.started = 0
 
     async def start(self, **options) -> service.PeersService:
         session = await self.stack.enter_async_context(sessions.make_session())
-        number = len(self.found)
+        number = self.started
+        self.started += 1
         peers = service.PeersService(
             session,
             members.Member(f"e{number}", ""),
@@ -91,6 +93,22 @@
     run(check)
 
 
+@pytest.mark.parametrize("delay_s", [0.0, 0.002, 0.005, 0.02])
+def test_entries_that_start_at_once_know_each_other_at_once(delay_s):
+    # Guards against entries that read the store before the others had written.
+    async def check(group):
+        group.store.delay_s = 0.01
+
+        async def start_later(number):
+            await asyncio.sleep(number * delay_s)
+            return await group.start(rejoin_period_s=3600.0)
+
+        found = await asyncio.gather(*(start_later(n) for n in range(4)))
+        await wait_for_live(found, 4)
+
+    run(check, count=0)
+
+
 def test_entry_that_died_is_known_to_all_and_one_that_left_at_once():
     async def check(group):
         await group.found[5].__aexit__(None, None, None)
--- a/src/fuchsiabarrow/routing/service.py
+++ b/src/fuchsiabarrow/routing/service.py
@@ -20,6 +20,7 @@
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import clocks
 from fuchsiabarrow.utils import jitter
+from fuchsiabarrow.utils import tasks
 
 __all__ = ["RoutingService", "Settings"]
 
@@ -110,8 +111,21 @@
         self._peers.add_listener(LEAVING_KIND, self._accept_leaving)
         self._peers.add_listener(HELD_KIND, self._accept_held)
         await self._read_list()
-        self._start_task(self._follow())
-        self._start_task(self._run_probes())
+        self._start_task(
+            tasks.repeat(
+                "instance_list",
+                self._read_list,
+                self._get_list_period_s,
+                pauses_first=True,
+            )
+        )
+        self._start_task(
+            tasks.repeat(
+                "instance_probes",
+                self._start_probes,
+                lambda: jitter.spread_period_s(PROBE_POLL_S, self._source),
+            )
+        )
         return self
 
     async def __aexit__(self, *details) -> None:
@@ -228,26 +242,21 @@
             and (not regions or state.instance.region in regions)
         ]
 
-    async def _follow(self) -> None:
-        while True:
-            period_s = self._peers.get_period_s(
-                self._settings.list_rate_per_s, self._settings.list_least_s
-            )
-            await asyncio.sleep(jitter.spread_period_s(period_s, self._source))
-            await self._read_list()
-
-    async def _run_probes(self) -> None:
-        """Looks whether instances that failed are back."""
-        while True:
-            await asyncio.sleep(
-                jitter.spread_period_s(PROBE_POLL_S, self._source)
-            )
-            now_s = asyncio.get_running_loop().time()
-            for state in self.evidence.get_states():
-                name = state.instance.instance_id
-                if state.needs_probe(now_s) and name not in self._probed:
-                    self._probed.add(name)
-                    self._start_task(self._probe_once(state.instance))
+    def _get_list_period_s(self) -> float:
+        """Returns the time to the next read, at a rate all entries share."""
+        period_s = self._peers.get_period_s(
+            self._settings.list_rate_per_s, self._settings.list_least_s
+        )
+        return jitter.spread_period_s(period_s, self._source)
+
+    async def _start_probes(self) -> None:
+        """Starts to look whether instances that failed are back."""
+        now_s = asyncio.get_running_loop().time()
+        for state in self.evidence.get_states():
+            name = state.instance.instance_id
+            if state.needs_probe(now_s) and name not in self._probed:
+                self._probed.add(name)
+                self._start_task(self._probe_once(state.instance))
 
     async def _probe_once(self, instance: instances.Instance) -> None:
         name = instance.instance_id
--- a/src/fuchsiabarrow/streams/drivers.py
+++ b/src/fuchsiabarrow/streams/drivers.py
@@ -258,14 +258,26 @@
             chain = self._choose_chain(self._avoid)
         except exceptions.ChainUnavailableError:
             return None
+        names = [hop.instance_id for hop in chain]
+        if any(self._has_failed_here(name, now_s) for name in names):
+            return None
         if not suspects.is_on_probation(fingerprint, now_s):
             return chain
-        names = [hop.instance_id for hop in chain]
         if suspects.find_occupied(fingerprint) & set(names):
             return None
         suspects.start_probation(fingerprint, names)
         return chain
 
+    def _has_failed_here(self, instance_id: str, now_s: float) -> bool:
+        """Tells whether an instance failed this stream and is not back.
+
+        If it is the only holder of some layers, the stream waits for it or for
+        another one instead of spending its attempts on it.
+        """
+        state = self._tools.routing.evidence.find(instance_id)
+        is_back = state is not None and state.is_trusted(now_s)
+        return instance_id in self._avoid and not is_back
+
     def _choose_chain(self, avoid: set[str]) -> tuple[chains.Hop, ...]:
         return self._tools.routing.choose_chain(
             self._request.model,
--- a/src/fuchsiabarrow/streams/service.py
+++ b/src/fuchsiabarrow/streams/service.py
@@ -19,6 +19,7 @@
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.telemetry import metrics as metrics_module
 from fuchsiabarrow.utils import clocks
+from fuchsiabarrow.utils import tasks as tasks_module
 
 __all__ = ["StreamsService"]
 
@@ -77,7 +78,10 @@
 
     async def __aenter__(self) -> "StreamsService":
         self._peers.add_listener(BLOCKED_KIND, self._accept_blocked)
-        self._sweeper = asyncio.create_task(self._sweep())
+        period_s = self._settings.linger_s / 4
+        self._sweeper = asyncio.create_task(
+            tasks_module.repeat("stream_sweep", self._sweep, lambda: period_s)
+        )
         return self
 
     async def __aexit__(self, *details) -> None:
@@ -173,18 +177,16 @@
 
     async def _sweep(self) -> None:
         """Forgets streams that nobody reads or resumes."""
-        linger_s = self._settings.linger_s
-        while True:
-            await asyncio.sleep(linger_s / 4)
-            now_s = asyncio.get_running_loop().time()
-            for request_id, stream in list(self._streams.items()):
-                if stream.readers or now_s - stream.idle_since_s < linger_s:
-                    continue
-                stream.fail(_make_failure("nobody read the answer"))
-                task = self._tasks.get(request_id)
-                if task is not None:
-                    task.cancel()
-                del self._streams[request_id]
+        now_s = asyncio.get_running_loop().time()
+        for request_id, stream in list(self._streams.items()):
+            idle_s = now_s - stream.idle_since_s
+            if stream.readers or idle_s < self._settings.linger_s:
+                continue
+            stream.fail(_make_failure("nobody read the answer"))
+            task = self._tasks.get(request_id)
+            if task is not None:
+                task.cancel()
+            del self._streams[request_id]
 
 
 def _make_failure(why: str) -> exceptions.StreamFailedError:
--- a/src/fuchsiabarrow/streams/tests/test_failures.py
+++ b/src/fuchsiabarrow/streams/tests/test_failures.py
@@ -227,6 +227,36 @@
     loops.run(check())
 
 
+def test_streams_wait_for_the_only_holder_of_a_range_to_come_back():
+    # Guards against streams that spend all attempts on it while it is away.
+    profiles = tuple(
+        p for p in world_standins.PROFILES if p.instance_id[-1] == "1"
+    )
+
+    async def check():
+        async with worlds.start(profiles) as (world, (entry,), caller):
+            tries = [
+                asyncio.create_task(
+                    caller.chat(world_standins.PIPELINE, text, TOKENS, tries=1)
+                )
+                for text in PROMPTS
+            ]
+            await wait_for_steps(world, 200)
+            dead = world.engines["b-1"]
+            port = int(dead.server.address.rpartition(":")[2])
+            await dead.crash()
+            await asyncio.sleep(1.0)
+            async with engines.EngineStandin(dead.profile, port):
+                await worlds.check_answers(PROMPTS, tries, TOKENS)
+            metrics = entry.kernel.get("metrics")
+            spent = metrics.registry.get_sample_value(
+                "fuchsiabarrow_attempts_total", {"cause": "unreachable"}
+            )
+            assert (spent or 0) <= len(PROMPTS)
+
+    loops.run(check())
+
+
 def test_connection_to_an_instance_that_left_the_list_is_closed():
     async def check():
         async with worlds.start() as (world, (entry,), caller):
--- a/src/fuchsiabarrow/utils/__init__.py
+++ b/src/fuchsiabarrow/utils/__init__.py
@@ -7,4 +7,5 @@
     "jitter",
     "listeners",
     "loops",
+    "tasks",
 ]
