--- a/src/fuchsiabarrow/commands/demonstration.py
+++ b/src/fuchsiabarrow/commands/demonstration.py
@@ -23,6 +23,7 @@
 STREAMS = 16
 TOKENS = 120
 SEED = 7
+STOP_LIMIT_S = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,7 +70,7 @@
                 "caller_address": "127.0.0.1:0",
                 "operator_address": "127.0.0.1:0",
                 "region": "tt-north",
-                "stop_limit_s": 5.0,
+                "stop_limit_s": STOP_LIMIT_S,
                 **(entry_options or {}),
             },
             "platform": {
@@ -113,22 +114,31 @@
     return time.monotonic() - started_s
 
 
-async def _show_streams(report, world, caller) -> None:
-    """Kills a stage and withdraws another while answers are streamed."""
-    prompts = [f"quote {index} for a bookshelf" for index in range(STREAMS)]
-    works = [
+def _start_streams(caller, prompts: list[str]) -> list[asyncio.Task]:
+    return [
         asyncio.create_task(caller.chat(worlds.PIPELINE, prompt, TOKENS))
         for prompt in prompts
     ]
-    await asyncio.sleep(0.25)
-    await world.engines["b-1"].crash()
-    await asyncio.sleep(0.15)
-    world.set_leaving("c-1")
+
+
+async def _count_whole(prompts: list[str], works: list[asyncio.Task]) -> int:
+    """Returns how many answers equal an undisturbed run."""
     answers = await asyncio.gather(*works)
-    whole = sum(
+    return sum(
         answer.is_whole and answer.pieces == _expect(prompt, TOKENS)
         for prompt, answer in zip(prompts, answers, strict=True)
     )
+
+
+async def _show_streams(report, world, caller) -> None:
+    """Kills a stage and withdraws another while answers are streamed."""
+    prompts = [f"quote {index} for a bookshelf" for index in range(STREAMS)]
+    works = _start_streams(caller, prompts)
+    await asyncio.sleep(0.25)
+    await world.engines["b-1"].crash()
+    await asyncio.sleep(0.15)
+    world.set_leaving("c-1")
+    whole = await _count_whole(prompts, works)
     report.add(
         "each caller gets its own whole answer",
         f"{whole} of {STREAMS} streams equal an undisturbed run, with stage"
@@ -194,24 +204,17 @@
 async def _show_stop(report, entry, caller) -> None:
     """Stops an entry while callers keep sending."""
     prompts = [f"survey {index} at the plaza" for index in range(STREAMS)]
-    works = [
-        asyncio.create_task(caller.chat(worlds.PIPELINE, prompt, TOKENS))
-        for prompt in prompts
-    ]
+    works = _start_streams(caller, prompts)
     await asyncio.sleep(0.1)
     started_s = time.monotonic()
     await entry.drain()
     taken_s = time.monotonic() - started_s
-    answers = await asyncio.gather(*works)
-    whole = sum(
-        answer.is_whole and answer.pieces == _expect(prompt, TOKENS)
-        for prompt, answer in zip(prompts, answers, strict=True)
-    )
+    whole = await _count_whole(prompts, works)
     report.add(
         "a planned stop is graceful",
         f"an entry stopped in {taken_s:.2f} s; {whole} of {STREAMS} answers"
         " whole",
-        whole == STREAMS and taken_s < 5,
+        whole == STREAMS and taken_s < STOP_LIMIT_S,
     )
 
 
--- /dev/null
+++ b/src/fuchsiabarrow/entry/tests/test_chats.py
@@ -0,0 +1,156 @@
+"""Chat completions: whole, streamed, resumed, refused."""
+
+import asyncio
+
+import msgspec
+
+from fuchsiabarrow.entry.tests import interfaces
+from fuchsiabarrow.standins import callers
+from fuchsiabarrow.standins import worlds as world_standins
+from fuchsiabarrow.streams.tests import worlds
+
+INVALID_CHATS = [
+    (b"", 400),
+    (b"{", 400),
+    (b"\xff\xfe", 400),
+    (b"[]", 400),
+    (b"null", 400),
+    (b'{"model": 3, "messages": []}', 400),
+    (msgspec.json.encode({**interfaces.VALID, "messages": []}), 400),
+    (
+        msgspec.json.encode(
+            {**interfaces.VALID, "messages": [{"role": "user"}]}
+        ),
+        400,
+    ),
+    (msgspec.json.encode({**interfaces.VALID, "model": "unknown"}), 404),
+    (msgspec.json.encode({**interfaces.VALID, "max_tokens": 0}), 400),
+    (msgspec.json.encode({**interfaces.VALID, "max_tokens": 10**9}), 400),
+    (msgspec.json.encode({**interfaces.VALID, "max_tokens": "4"}), 400),
+    (
+        msgspec.json.encode(
+            {
+                **interfaces.VALID,
+                "messages": [{"role": "user", "content": "x" * 5000}],
+            }
+        ),
+        400,
+    ),
+    (b"[" * 100_000, 400),
+    (b" " * 300_000, 413),
+]
+
+
+def test_invalid_chats_are_refused_and_nothing_runs():
+    async def check(world, entries, session, caller):
+        for body, expected in INVALID_CHATS:
+            status, headers, found = await interfaces.send(
+                session,
+                entries[0],
+                "POST",
+                interfaces.CHAT,
+                world_standins.CALLER_KEY,
+                data=body,
+            )
+            assert status == expected, body[:60]
+            assert headers["Content-Type"] == "application/problem+json"
+            assert found["outcome"] == "not_run"
+            assert found["status"] == status
+            assert found["detail"]
+        assert all(e.applied_positions == 0 for e in world.engines.values())
+
+    interfaces.run(check)
+
+
+def test_oversized_headers_and_raw_noise_do_no_harm():
+    async def check(world, entries, session, caller):
+        url = f"http://{entries[0].caller_address}{interfaces.CHAT}"
+        async with session.post(url, headers={"X": "x" * 100_000}) as answer:
+            assert answer.status == 400
+        host, port = entries[0].caller_address.split(":")
+        for noise in (b"\x00" * 5000, b"GET / HTTP/9.9\r\n\r\n", b"POST"):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(noise)
+            writer.write_eof()
+            await reader.read()
+            writer.close()
+        answer = await caller.chat("quotes", "a shelf", 4)
+        assert answer.is_whole
+
+    interfaces.run(check)
+
+
+def test_whole_answer_has_usage_and_models_are_listed():
+    async def check(world, entries, session, caller):
+        key = world_standins.CALLER_KEY
+        _, _, found = await interfaces.send(
+            session,
+            entries[0],
+            "POST",
+            interfaces.CHAT,
+            key,
+            json=interfaces.VALID,
+        )
+        text = found["choices"][0]["message"]["content"]
+        assert text == "".join(worlds.expect("a shelf", 4))
+        assert found["usage"]["completion_tokens"] == 4
+        _, _, models = await interfaces.send(
+            session, entries[0], "GET", "/v1/models", key
+        )
+        assert [model["id"] for model in models["data"]] == ["quotes"]
+
+    interfaces.run(check)
+
+
+def test_stream_is_resumed_at_the_same_entry_without_running_again():
+    async def check(world, entries, session, caller):
+        answer = await caller.chat("quotes", "a shelf", 30)
+        steps = sum(e.applied_positions for e in world.engines.values())
+        resumed = callers.Answer(last_id=answer.last_id)
+        body = {**interfaces.VALID, "stream": True, "max_tokens": 30}
+        await caller._read_stream(caller.entries[0], body, resumed)
+        assert resumed.is_whole
+        assert resumed.pieces == []
+        after = sum(e.applied_positions for e in world.engines.values())
+        assert after == steps
+
+    interfaces.run(check)
+
+
+def test_stream_that_cannot_be_resumed_as_it_was_says_so():
+    async def check(world, entries, session, caller):
+        answer = await caller.chat("quotes", "a shelf", 10)
+        changed = callers.Answer(last_id=f"gone-1.5.{'ab' * 8}")
+        body = {**interfaces.VALID, "stream": True, "max_tokens": 10}
+        await caller._read_stream(caller.entries[0], body, changed)
+        assert answer.is_whole
+        assert not changed.is_whole
+        assert changed.pieces == []
+        assert "cannot be resumed" in changed.errors[-1]["detail"]
+
+    interfaces.run(check)
+
+
+def test_short_capacity_refuses_early_and_says_when_to_come_back():
+    async def check(world, entries, session, caller):
+        service = entries[0].kernel.get("configuration")
+        limits = {"limits": {"streams": 2, "waiting": 1, "wait_s": 0.2}}
+        await service.patch(limits, 1, "desk")
+        works = await worlds.chat_all(caller, ["a", "b"], 900)
+        await asyncio.sleep(0.1)
+        status, headers, found = await interfaces.send(
+            session,
+            entries[0],
+            "POST",
+            interfaces.CHAT,
+            world_standins.CALLER_KEY,
+            json=interfaces.VALID,
+        )
+        assert status == 429
+        assert int(headers["Retry-After"]) >= 1
+        assert found["outcome"] == "not_run"
+        for work in works:
+            work.cancel()
+        await asyncio.gather(*works, return_exceptions=True)
+
+    interfaces.run(check)
