Show what each caller received; prove cut connections and shared drain answers

Three tests more: connections cut while the engine goes on, and a drain answer to one entry that keeps all three away from the engine. The demo prints a row for each answer.

--- a/src/fuchsiabarrow/commands/demonstration.py
+++ b/src/fuchsiabarrow/commands/demonstration.py
@@ -20,7 +20,8 @@
 
 __all__ = ["make_settings", "run"]
 
-STREAMS = 16
+STREAMS = 8
+EXCERPT_TOKENS = 5
 TOKENS = 120
 SEED = 7
 STOP_LIMIT_S = 5.0
@@ -32,20 +33,38 @@
 
     Attributes:
         rows: (promise, what was seen, whether it held).
+        answers: A line for each answer that a caller received.
     """
 
     rows: list[tuple[str, str, bool]] = dataclasses.field(default_factory=list)
+    answers: list[str] = dataclasses.field(default_factory=list)
 
     def add(self, promise: str, seen: str, held: bool) -> None:
         """Adds a row."""
         self.rows.append((promise, seen, held))
 
+    def add_answer(
+        self, prompt: str, answer: callers.Answer, is_right: bool
+    ) -> None:
+        """Adds what a caller received."""
+        end = "whole" if answer.is_whole else "CUT OFF"
+        match = "as undisturbed" if is_right else "DIFFERENT"
+        text = "".join(answer.pieces[:EXCERPT_TOKENS])
+        self.answers.append(
+            f"{prompt:28}  {len(answer.pieces):3} tokens  {end}  {match}"
+            f"  {len(set(answer.entries))} entries  {text}..."
+        )
+
     def print(self) -> bool:
-        """Prints the table; returns whether every promise held."""
+        """Prints the tables; returns whether every promise held."""
+        print("What each caller received:")
+        for line in self.answers:
+            print(f"  {line}")
+        print("\nWhat was promised:")
         width = max(len(row[0]) for row in self.rows)
         for promise, seen, held in self.rows:
             verdict = "held" if held else "BROKEN"
-            print(f"{verdict:6}  {promise:{width}}  {seen}")
+            print(f"  {verdict:6}  {promise:{width}}  {seen}")
         return all(held for _, _, held in self.rows)
 
 
@@ -121,13 +140,17 @@
     ]
 
 
-async def _count_whole(prompts: list[str], works: list[asyncio.Task]) -> int:
+async def _count_whole(
+    report: Report, prompts: list[str], works: list[asyncio.Task]
+) -> int:
     """Returns how many answers equal an undisturbed run."""
     answers = await asyncio.gather(*works)
-    return sum(
-        answer.is_whole and answer.pieces == _expect(prompt, TOKENS)
-        for prompt, answer in zip(prompts, answers, strict=True)
-    )
+    whole = 0
+    for prompt, answer in zip(prompts, answers, strict=True):
+        is_right = answer.pieces == _expect(prompt, TOKENS)
+        whole += answer.is_whole and is_right
+        report.add_answer(prompt, answer, is_right)
+    return whole
 
 
 async def _show_streams(report, world, caller) -> None:
@@ -138,7 +161,7 @@
     await world.engines["b-1"].crash()
     await asyncio.sleep(0.15)
     world.set_leaving("c-1")
-    whole = await _count_whole(prompts, works)
+    whole = await _count_whole(report, prompts, works)
     report.add(
         "each caller gets its own whole answer",
         f"{whole} of {STREAMS} streams equal an undisturbed run, with stage"
@@ -209,7 +232,7 @@
     started_s = time.monotonic()
     await entry.drain()
     taken_s = time.monotonic() - started_s
-    whole = await _count_whole(prompts, works)
+    whole = await _count_whole(report, prompts, works)
     report.add(
         "a planned stop is graceful",
         f"an entry stopped in {taken_s:.2f} s; {whole} of {STREAMS} answers"
--- a/src/fuchsiabarrow/standins/servers.py
+++ b/src/fuchsiabarrow/standins/servers.py
@@ -34,10 +34,15 @@
     async def __aexit__(self, *details) -> None:
         await self._runner.cleanup()
 
+    def cut(self) -> None:
+        """Resets every connection; new ones work."""
+        if self._runner.server is None:
+            return
+        for connection in list(self._runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
     async def kill(self) -> None:
         """Resets every connection and stops listening."""
-        if self._runner.server is not None:
-            for connection in list(self._runner.server.connections):
-                if connection.transport is not None:
-                    connection.transport.abort()
+        self.cut()
         await self._runner.cleanup()
--- a/src/fuchsiabarrow/streams/tests/test_failures.py
+++ b/src/fuchsiabarrow/streams/tests/test_failures.py
@@ -148,6 +148,40 @@
     run_streams(silence)
 
 
+@pytest.mark.parametrize("layer", [0, 5, 11])
+def test_connections_are_cut_while_the_engine_goes_on(layer):
+    async def cut(world, entry):
+        for _ in range(3):
+            await wait_for_steps(world, 600)
+            find_busy(world, layer).server.cut()
+            await asyncio.sleep(0.05)
+
+    run_streams(cut)
+
+
+def test_drain_answer_to_one_entry_keeps_all_entries_away():
+    async def check():
+        async with worlds.start(entries=3) as (world, entries, caller):
+            first, others = entries[0], entries[1:]
+            engine = world.engines["b-1"]
+            engine.faults.draining = True
+            caller.entries = [first.caller_address]
+            evidence = first.kernel.get("routing").evidence
+            works = []
+            async with asyncio.timeout(30):
+                while not evidence.is_leaving("b-1"):
+                    works += await worlds.chat_all(caller, ["new"], 50)
+                    await asyncio.sleep(0.01)
+            async with asyncio.timeout(3):
+                for entry in others:
+                    known = entry.kernel.get("routing").evidence
+                    while not known.is_leaving("b-1"):
+                        await asyncio.sleep(0.01)
+            await worlds.check_answers(["new"] * len(works), works, 50)
+
+    loops.run(check())
+
+
 def test_engine_busy_with_a_long_batch_is_not_taken_for_silent():
     slow = engines.EngineProfile("b-1", MODEL, 0, 12, batch_s=0.6)
 
