--- a/src/fuchsiabarrow/actions/outcomes.py
+++ b/src/fuchsiabarrow/actions/outcomes.py
@@ -83,5 +83,5 @@
             return make_not_run("the call was not sent")
         return make_unknown("an earlier send may still be under way")
     if record.state is journals.State.CLAIMED:
-        return make_unknown("another request with this key is at it")
+        return make_unknown("another request with this key is in progress")
     return make_unknown("the answer of the service was lost")
--- a/src/fuchsiabarrow/streams/drivers.py
+++ b/src/fuchsiabarrow/streams/drivers.py
@@ -240,7 +240,7 @@
     # Chains.
 
     async def _find_chain(self) -> tuple[chains.Hop, ...]:
-        """Waits for a chain, on probation for one without other suspects."""
+        """Waits for a chain, in isolation for one without other suspects."""
         settings = self._tools.settings
         loop = asyncio.get_running_loop()
         limit_s = loop.time() + settings.no_chain_limit_s
@@ -261,11 +261,11 @@
         names = [hop.instance_id for hop in chain]
         if any(self._has_failed_here(name, now_s) for name in names):
             return None
-        if not suspects.is_on_probation(fingerprint, now_s):
+        if not suspects.is_isolated(fingerprint, now_s):
             return chain
         if suspects.find_occupied(fingerprint) & set(names):
             return None
-        suspects.start_probation(fingerprint, names)
+        suspects.start_isolation(fingerprint, names)
         return chain
 
     def _has_failed_here(self, instance_id: str, now_s: float) -> bool:
--- a/src/fuchsiabarrow/streams/service.py
+++ b/src/fuchsiabarrow/streams/service.py
@@ -156,7 +156,7 @@
             stream.fail(_make_failure("internal error"))
         finally:
             self._metrics.streams.dec()
-            self.suspects.end_probation(request.fingerprint)
+            self.suspects.end_isolation(request.fingerprint)
             self._tasks.pop(request.request_id, None)
             stream.idle_since_s = asyncio.get_running_loop().time()
 
@@ -172,8 +172,8 @@
     def _accept_blocked(self, item: items.Item) -> None:
         now_s = asyncio.get_running_loop().time()
         if not self.suspects.is_blocked(item.name, now_s):
-            limit = self._settings.suspects.strike_limit
-            self.suspects.add_strikes(item.name, limit, now_s)
+            limit = self._settings.suspects.crash_limit
+            self.suspects.add_crashes(item.name, limit, now_s)
 
     async def _sweep(self) -> None:
         """Forgets streams that nobody reads or resumes."""
