Blame no neighbour for a crash that another request caused

Isolation kept out other isolated requests only, so the poison, in its first or second try, came onto the engine of an isolated neighbour, and the crash counted against the neighbour. Isolation also lasted until the end of a stream instead of its next token, and requests that were making tokens were counted as suspects.

Ruled out: a larger limit (the poison would crash more engines).

Change: a crash counts only against attempts that had made no token; an isolated attempt shares its engines with no other attempt without a token, fresh ones included, until its next token.

--- a/src/fuchsiabarrow/limits/suspects.py
+++ b/src/fuchsiabarrow/limits/suspects.py
@@ -1,21 +1,23 @@
 """Finds requests that crash their upstreams; free of I/O.
 
-Engines batch, so a crash counts against every request with a step on the
-engine; a new token clears the count, because a request that crashes its
-upstreams comes no further on any of them. After one crash a request is tried
-again freely: most deaths have no request to blame. After more it is isolated:
-an engine runs at most one such request at a time, so that the next crash names
-its cause and does not count against its neighbours. At the limit a request is
-given up, and its fingerprint is kept, so that its caller cannot send it
+Engines batch, so a crash counts against every request that the engine ran and
+that had not yet made a token in this attempt: one that goes on making tokens
+is not what crashed it, and one that crashes its upstreams is filled anew each
+time and crashes the next. A new token clears the count. After one crash a
+request is tried again freely: most deaths have no request to blame. After more
+it is isolated until its next token: on its engines runs no other request
+without a token, so that the next crash names its cause. At the limit a request
+is given up, and its fingerprint is kept, so that its caller cannot send it
 through the fleet again.
 """
 
 import collections
+import dataclasses
 
 import msgspec
 import xxhash
 
-__all__ = ["Settings", "Suspects", "compute_fingerprint"]
+__all__ = ["Placement", "Settings", "Suspects", "compute_fingerprint"]
 
 
 # Crashes from which a request shares no engine with another suspect.
@@ -50,6 +52,21 @@
     return xxhash.xxh3_128_hexdigest(content)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class Placement:
+    """An attempt that has made no token yet.
+
+    Attributes:
+        fingerprint: Request of the attempt.
+        instance_ids: Instances that it runs on.
+        is_isolated: Whether no other such attempt may run there.
+    """
+
+    fingerprint: str
+    instance_ids: frozenset[str]
+    is_isolated: bool
+
+
 class Suspects:
     """Crash counts and blocks by fingerprint.
 
@@ -62,7 +79,7 @@
         self._crashes: collections.OrderedDict[str, tuple[int, float]] = (
             collections.OrderedDict()
         )
-        self._isolated: dict[str, str] = {}
+        self._placements: set[Placement] = set()
 
     def is_isolated(self, fingerprint: str, now_s: float) -> bool:
         """Tells whether a request must be the only suspect on its engines."""
@@ -80,21 +97,47 @@
         crashes, until_s = self._crashes.get(fingerprint, (0, 0.0))
         return crashes if now_s < until_s else 0
 
-    def record_crash(
-        self, instance_id: str, fingerprint: str, now_s: float
-    ) -> bool:
-        """Notes that an instance crashed while it ran a request.
+    def place(
+        self, fingerprint: str, instance_ids: list[str], now_s: float
+    ) -> Placement | None:
+        """Notes that an attempt starts on instances.
 
-        While an isolated request runs on the instance, the crash counts only
-        against it: the others shared a batch with it.
+        Returns:
+            The placement, or None if the attempt has to wait: it, or another
+            attempt there without a token, is isolated.
+        """
+        is_isolated = self.is_isolated(fingerprint, now_s)
+        wanted = frozenset(instance_ids)
+        for other in self._placements:
+            is_shared = not wanted.isdisjoint(other.instance_ids)
+            if is_shared and (is_isolated or other.is_isolated):
+                return None
+        placement = Placement(fingerprint, wanted, is_isolated)
+        self._placements.add(placement)
+        return placement
+
+    def end(self, placement: Placement | None) -> None:
+        """Notes that an attempt has made a token, or has ended."""
+        self._placements.discard(placement)
+
+    def find_isolated(self) -> frozenset[str]:
+        """Returns the instances on which an isolated attempt runs."""
+        return frozenset(
+            instance_id
+            for placement in self._placements
+            if placement.is_isolated
+            for instance_id in placement.instance_ids
+        )
+
+    def record_crash(self, placement: Placement, now_s: float) -> bool:
+        """Notes that an instance crashed on which an attempt ran.
 
         Returns:
             True if the request is to be given up.
         """
-        named = self._isolated.get(instance_id)
-        if named is not None and named != fingerprint:
-            return False
-        return self.add_crashes(fingerprint, 1, now_s)
+        if placement not in self._placements:
+            return False  # It had made a token.
+        return self.add_crashes(placement.fingerprint, 1, now_s)
 
     def add_crashes(self, fingerprint: str, added: int, now_s: float) -> bool:
         """Adds crashes; returns True if the request is to be given up."""
@@ -109,24 +152,3 @@
     def clear(self, fingerprint: str) -> None:
         """Drops the crashes of a request that came further."""
         self._crashes.pop(fingerprint, None)
-
-    def find_occupied(self, fingerprint: str) -> frozenset[str]:
-        """Returns the instances on which another suspect runs."""
-        return frozenset(
-            instance_id
-            for instance_id, named in self._isolated.items()
-            if named != fingerprint
-        )
-
-    def start_isolation(
-        self, fingerprint: str, instance_ids: list[str]
-    ) -> None:
-        """Notes that a suspect runs on instances, if no other does."""
-        for instance_id in instance_ids:
-            self._isolated.setdefault(instance_id, fingerprint)
-
-    def end_isolation(self, fingerprint: str) -> None:
-        """Notes that a suspect runs nowhere any more."""
-        ended = [k for k, v in self._isolated.items() if v == fingerprint]
-        for instance_id in ended:
-            del self._isolated[instance_id]
--- a/src/fuchsiabarrow/limits/tests/test_suspects.py
+++ b/src/fuchsiabarrow/limits/tests/test_suspects.py
@@ -12,40 +12,67 @@
     return suspects.Suspects(SETTINGS)
 
 
-def crash(found, instance, *fingerprints):
-    return [found.record_crash(instance, name, 0.0) for name in fingerprints]
+def crash(found, *placements):
+    """Lets an engine crash on which attempts without a token ran."""
+    results = [found.record_crash(placement, 0.0) for placement in placements]
+    for placement in placements:
+        found.end(placement)
+    return results
+
+
+def place(found, fingerprint, *instance_ids):
+    return found.place(fingerprint, list(instance_ids), 0.0)
 
 
 def test_request_is_given_up_after_the_limit_of_crashes(found):
-    results = [crash(found, f"i{n}", "bad")[0] for n in range(3)]
+    results = [crash(found, place(found, "bad", f"i{n}"))[0] for n in range(3)]
     assert results == [False, False, True]
     assert found.is_blocked("bad", 1.0)
     assert not found.is_blocked("bad", SETTINGS.block_s + 1.0)
 
 
 def test_request_that_came_further_has_no_crashes(found):
-    crash(found, "i1", "good")
-    crash(found, "i2", "good")
+    crash(found, place(found, "good", "i1"))
+    crash(found, place(found, "good", "i2"))
     found.clear("good")
-    assert crash(found, "i3", "good") == [False]
+    assert crash(found, place(found, "good", "i3")) == [False]
+
 
+def test_crash_does_not_count_against_an_attempt_that_made_a_token(found):
+    for number in range(9):
+        placement = place(found, "good", f"i{number}")
+        found.end(placement)
+        assert not found.record_crash(placement, 0.0)
+    assert found.count_crashes("good", 0.0) == 0
 
-def test_crash_does_not_count_against_neighbours_of_an_isolated_request(found):
+
+def test_isolated_request_shares_no_engine_with_another_without_a_token(found):
     for number in range(2):
-        crash(found, f"i{number}", "bad", "good")
+        crash(
+            found,
+            place(found, "bad", f"i{number}"),
+            place(found, "good", f"i{number}"),
+        )
     assert found.is_isolated("bad", 0.0)
-    found.start_isolation("bad", ["i3"])
-    assert crash(found, "i3", "bad", "good", "new") == [True, False, False]
+    isolated = place(found, "bad", "i3", "i4")
+    assert isolated.is_isolated
+    assert found.find_isolated() == {"i3", "i4"}
+    # Neither another suspect nor a fresh request may join it.
+    assert place(found, "good", "i4", "i5") is None
+    assert place(found, "new", "i4") is None
+    assert place(found, "new", "i6") is not None
+    assert crash(found, isolated) == [True]
     assert found.count_crashes("good", 0.0) == 2
-    assert found.count_crashes("new", 0.0) == 0
+    assert place(found, "good", "i4") is not None
 
 
-def test_an_engine_runs_one_isolated_request_at_a_time(found):
-    found.start_isolation("first", ["i1", "i2"])
-    found.start_isolation("second", ["i2", "i3"])
-    assert found.find_occupied("second") == {"i1", "i2"}
-    found.end_isolation("first")
-    assert found.find_occupied("second") == set()
+def test_isolated_request_waits_for_those_without_a_token(found):
+    for number in range(2):
+        crash(found, place(found, "good", f"i{number}"))
+    other = place(found, "new", "i3")
+    assert place(found, "good", "i3") is None
+    found.end(other)
+    assert place(found, "good", "i3") is not None
 
 
 def test_number_of_kept_fingerprints_is_bounded():
--- a/src/fuchsiabarrow/streams/drivers.py
+++ b/src/fuchsiabarrow/streams/drivers.py
@@ -109,6 +109,7 @@
         self._failures = 0
         self._failed_at_s: float | None = None
         self._checked_at_s = 0.0
+        self._placement: suspects_module.Placement | None = None
 
     async def run(self) -> None:
         """Makes attempts until the answer is whole.
@@ -116,6 +117,12 @@
         Raises:
             StreamFailedError: The stream is given up.
         """
+        try:
+            await self._run_attempts()
+        finally:
+            self._tools.suspects.end(self._placement)
+
+    async def _run_attempts(self) -> None:
         number = 0
         while not self._stream.is_ended():
             chain = await self._find_chain()
@@ -172,6 +179,7 @@
         return True
 
     def _note_progress(self) -> None:
+        self._tools.suspects.end(self._placement)
         self._tools.suspects.clear(self._request.fingerprint)
         if self._failed_at_s is not None:
             now_s = asyncio.get_running_loop().time()
@@ -191,7 +199,7 @@
         self._failures += 1
         routing, name = self._tools.routing, error.instance_id
         if cause is recovery.Cause.DIED:
-            self._note_crash(name, now_s)
+            self._note_crash(now_s)
         if cause in recovery.FAILURES:
             routing.evidence.record_failure(name, now_s)
         elif cause is recovery.Cause.DRAINING:
@@ -207,13 +215,10 @@
             )
         )
 
-    def _note_crash(self, instance_id: str, now_s: float) -> None:
-        fingerprint = self._request.fingerprint
-        is_given_up = self._tools.suspects.record_crash(
-            instance_id, fingerprint, now_s
-        )
+    def _note_crash(self, now_s: float) -> None:
+        is_given_up = self._tools.suspects.record_crash(self._placement, now_s)
         if is_given_up:
-            self._tools.tell_blocked(fingerprint)
+            self._tools.tell_blocked(self._request.fingerprint)
 
     def _check_goes_on(self, error, cause: recovery.Cause) -> None:
         """Raises StreamFailedError if no other attempt is to be made."""
@@ -240,7 +245,7 @@
     # Chains.
 
     async def _find_chain(self) -> tuple[chains.Hop, ...]:
-        """Waits for a chain, in isolation for one without other suspects."""
+        """Waits for a chain on which the next attempt may run."""
         settings = self._tools.settings
         loop = asyncio.get_running_loop()
         limit_s = loop.time() + settings.no_chain_limit_s
@@ -254,19 +259,16 @@
 
     def _try_find_chain(self, now_s: float) -> tuple[chains.Hop, ...] | None:
         suspects, fingerprint = self._tools.suspects, self._request.fingerprint
+        suspects.end(self._placement)
         try:
-            chain = self._choose_chain(self._avoid)
+            chain = self._choose_chain(self._avoid | suspects.find_isolated())
         except exceptions.ChainUnavailableError:
             return None
         names = [hop.instance_id for hop in chain]
         if any(self._has_failed_here(name, now_s) for name in names):
             return None
-        if not suspects.is_isolated(fingerprint, now_s):
-            return chain
-        if suspects.find_occupied(fingerprint) & set(names):
-            return None
-        suspects.start_isolation(fingerprint, names)
-        return chain
+        self._placement = suspects.place(fingerprint, names, now_s)
+        return None if self._placement is None else chain
 
     def _has_failed_here(self, instance_id: str, now_s: float) -> bool:
         """Tells whether an instance failed this stream and is not back.
--- a/src/fuchsiabarrow/streams/service.py
+++ b/src/fuchsiabarrow/streams/service.py
@@ -156,7 +156,6 @@
             stream.fail(_make_failure("internal error"))
         finally:
             self._metrics.streams.dec()
-            self.suspects.end_isolation(request.fingerprint)
             self._tasks.pop(request.request_id, None)
             stream.idle_since_s = asyncio.get_running_loop().time()
 
--- a/src/fuchsiabarrow/streams/tests/test_poison.py
+++ b/src/fuchsiabarrow/streams/tests/test_poison.py
@@ -8,7 +8,7 @@
 from fuchsiabarrow.utils import loops
 
 FIRST_STAGES = 6
-STRIKE_LIMIT = 3
+CRASH_LIMIT = 3
 TOKENS = 120
 NEIGHBOURS = [f"rack {number}" for number in range(12)]
 POISON = "please crash-the-engine now"
@@ -38,7 +38,7 @@
             )
             assert not answer.is_whole
             crashes = sum(e.crashes for e in world.engines.values())
-            assert 1 <= crashes <= STRIKE_LIMIT
+            assert 1 <= crashes <= CRASH_LIMIT
             assert answer.errors[0]["outcome"] == "failed"
             # Later sends to the same entry are refused before any step.
             assert answer.errors[-1]["type"].endswith("request-blocked")
