--- a/src/fuchsiabarrow/actions/writers.py
+++ b/src/fuchsiabarrow/actions/writers.py
@@ -225,14 +225,12 @@
         """
         copy = self._copies.pop(journal, None)
         if copy is not None:
-            results = await self._write_batch(journal, copy, batch)
-            if results is not None:
+            is_written, results = await self._write_batch(journal, copy, batch)
+            if is_written:
                 return results
         copy = await self._read_copy(journal)
-        results = await self._write_batch(journal, copy, batch)
-        if results is not None:
-            return results
-        return self._apply(copy, batch)[1]
+        _, results = await self._write_batch(journal, copy, batch)
+        return results
 
     async def _read_copy(self, journal: str) -> _Copy:
         stored = await self._store.get(JOURNAL_KIND, journal)
@@ -248,11 +246,15 @@
 
     async def _write_batch(
         self, journal: str, copy: _Copy, batch: list[_Request]
-    ) -> list[journals.Record | None] | None:
-        """Applies a batch to a copy and writes it; None if nothing changed."""
+    ) -> tuple[bool, list[journals.Record | None]]:
+        """Applies a batch to a copy and writes it if that changed it.
+
+        Returns:
+            Whether it was written, and the record after each operation.
+        """
         after, results = self._apply(copy, batch)
         if after is copy.journal:
-            return None
+            return False, results
         value = msgspec.msgpack.encode(after)
         if len(value) > self._settings.size_limit_bytes:
             _refuse_claims(journal, batch)
@@ -267,7 +269,7 @@
         self._copies[journal] = _Copy(after, version)
         while len(self._copies) > MAX_COPIES:
             self._copies.popitem(last=False)
-        return results
+        return True, results
 
     def _compute_delay_s(self, failures: int) -> float:
         return jitter.compute_backoff_s(
