--- /dev/null
+++ b/src/fuchsiabarrow/catalogs/engines.py
@@ -0,0 +1,109 @@
+"""Published constants of engines that serve a request along a path.
+
+Times are those of the slowest reference kind with factor 1; a kind of
+accelerator multiplies them by its own factors.
+"""
+
+import dataclasses
+
+__all__ = ["AcceleratorKind", "EngineModel", "WEIGHTS_MARGIN_MB"]
+
+# Memory left free beside weights, so that rounding cannot overfill a runner.
+WEIGHTS_MARGIN_MB = 1.0
+TOKENS_PER_K = 1000.0
+BYTES_PER_MB = 1e6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AcceleratorKind:
+    """A kind of accelerator.
+
+    Attributes:
+        name: Name that instances give.
+        memory_mb: Memory for weights and context.
+        step_factor: Multiplies the time of a decoding step.
+        read_factor: Multiplies the time to read prompts.
+    """
+
+    name: str
+    memory_mb: float
+    step_factor: float
+    read_factor: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineModel:
+    """How long an engine's work takes and what it holds.
+
+    Attributes:
+        layers: Layers of the model.
+        layer_mb: Weights of one layer.
+        slots: Requests that one instance runs as the first of a path.
+        context_bytes: Memory of one token of context over all layers.
+        step_ms: Fixed time of a decoding step over all layers.
+        step_per_request_ms: Extra time of a step for each request in it.
+        step_per_k_context_ms: Extra time for 1,000 tokens of its context.
+        read_tokens_per_s: Prompt tokens read a second, over all layers.
+        tokens_per_event: Tokens in one event of a stream.
+        load_s: Time to load all layers.
+        usual_prompt: Mean prompt in tokens.
+        usual_answer: Mean answer in tokens.
+        activation_bytes: Sent on between instances for each token.
+        pipe_mbps: Shared bandwidth between two failure domains.
+        domain_delay_ms: One-way delay between two failure domains.
+        kinds: Kinds of accelerators by name.
+    """
+
+    layers: int
+    layer_mb: float
+    slots: int
+    context_bytes: float
+    step_ms: float
+    step_per_request_ms: float
+    step_per_k_context_ms: float
+    read_tokens_per_s: float
+    tokens_per_event: int
+    load_s: float
+    usual_prompt: float
+    usual_answer: float
+    activation_bytes: float
+    pipe_mbps: float
+    domain_delay_ms: float
+    kinds: dict[str, AcceleratorKind]
+
+    def count_context_tokens(self, kind: str, layer_count: int) -> float:
+        """Returns the context tokens that fit beside `layer_count` layers."""
+        memory_mb = self.kinds[kind].memory_mb
+        free_mb = memory_mb - layer_count * self.layer_mb
+        token_mb = self.context_bytes / self.layers * layer_count / BYTES_PER_MB
+        return max(0.0, free_mb / token_mb) if layer_count else 0.0
+
+    def count_layers_beside(self, kind: str, context_tokens: float) -> int:
+        """Returns the most layers that leave room for that much context."""
+        context_mb = self.context_bytes / self.layers / BYTES_PER_MB
+        per_layer_mb = self.layer_mb + context_tokens * context_mb
+        return int(
+            (self.kinds[kind].memory_mb - WEIGHTS_MARGIN_MB) / per_layer_mb
+        )
+
+    def compute_step_ms(
+        self, kind: str, requests: float, context_tokens: float
+    ) -> float:
+        """Returns the time of one token step over all layers.
+
+        Args:
+            kind: Kind of accelerator.
+            requests: Requests that write in this step.
+            context_tokens: Their context, summed.
+        """
+        factor = self.kinds[kind].step_factor
+        return factor * (
+            self.step_ms
+            + requests * self.step_per_request_ms
+            + context_tokens / TOKENS_PER_K * self.step_per_k_context_ms
+        )
+
+    def compute_read_ms(self, kind: str, prompt_tokens: float) -> float:
+        """Returns the time to read a prompt through all layers."""
+        factor = self.kinds[kind].read_factor
+        return factor * prompt_tokens / self.read_tokens_per_s * 1000.0
--- a/src/fuchsiabarrow/commands/program.py
+++ b/src/fuchsiabarrow/commands/program.py
@@ -14,6 +14,7 @@
 from fuchsiabarrow.commands import standins
 from fuchsiabarrow.configuration import documents
 from fuchsiabarrow.entry import settings as settings_module
+from fuchsiabarrow.platform import settings as platform_settings
 from fuchsiabarrow.standins import engines
 from fuchsiabarrow.utils import loops
 
@@ -34,6 +35,17 @@
     loops.run(daemons.run_entry(found))
 
 
+def route(*, settings: str = "") -> None:
+    """Run one entry on the platform until SIGTERM, then stop it gracefully.
+
+    Args:
+        settings: Settings file of the platform; the environment names it
+            otherwise.
+    """
+    path = settings or platform_settings.find_path()
+    loops.run(daemons.run_router(platform_settings.read_file(path)))
+
+
 def check(file: str) -> None:
     """Check a settings file (.toml) or a configuration (.json).
 
@@ -190,6 +202,7 @@
 
 COMMANDS = [
     entry,
+    route,
     check,
     key,
     settings,
--- /dev/null
+++ b/src/fuchsiabarrow/entry/router.py
@@ -0,0 +1,266 @@
+"""Composition root of an entry that serves whole requests on the platform."""
+
+import asyncio
+import contextlib
+import random
+
+import aiohttp.web
+import logbook
+
+from fuchsiabarrow.catalogs import service as catalog_service
+from fuchsiabarrow.fleet import directory as directory_module
+from fuchsiabarrow.fleet import followers
+from fuchsiabarrow.fleet import lists
+from fuchsiabarrow.fleet import loads
+from fuchsiabarrow.fleet import upstreams
+from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import service as forwarding_service
+from fuchsiabarrow.kernel import registry
+from fuchsiabarrow.peers import load_reports
+from fuchsiabarrow.placement import service as placement_service
+from fuchsiabarrow.platform import exchanges
+from fuchsiabarrow.platform import front as front_module
+from fuchsiabarrow.platform import runners
+from fuchsiabarrow.platform import settings as settings_module
+from fuchsiabarrow.platform import store as store_module
+from fuchsiabarrow.platform import wire
+from fuchsiabarrow.telemetry import logs
+from fuchsiabarrow.utils import listeners
+
+__all__ = ["Router"]
+
+SERVERS_KIND = "servers"
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+STORE_TIMEOUT_S = 1.0
+# Connections to the store: two watches, and calls beside them.
+STORE_CONNECTIONS = 6
+# Time after SIGTERM in which the platform still sends new connections: two
+# missed readiness checks, a second apart, and their way.
+READY_LAG_S = 2.4
+# Time before SIGKILL by which the process has ended.
+STOP_SLACK_S = 0.5
+STOP_POLL_S = 0.05
+
+_log = logbook.Logger(__name__)
+
+
+class Router:
+    """One running entry.
+
+    Attributes:
+        kernel: Services by name.
+
+    Args:
+        settings: What the platform tells this process.
+        seed: Seeds the random choices, None for the system's randomness.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.PlatformSettings,
+        seed: int | None = None,
+    ):
+        self.kernel = registry.Kernel()
+        self._settings = settings
+        self._source = random.Random(seed)
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> "Router":
+        await self._stack.enter_async_context(self.kernel)
+        try:
+            await self._add_knowledge()
+            await self._add_forwarding()
+            await self._add_entries()
+            await self._add_placement()
+            await self._add_interfaces()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        _log.info(
+            logs.format_event(
+                "started",
+                entry=self._settings.name,
+                failure_domain=self._settings.failure_domain,
+                callers=self._settings.caller_address,
+            )
+        )
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        await self._stack.aclose()
+
+    async def _add_knowledge(self) -> None:
+        kernel, settings = self.kernel, self._settings
+        read_time_s = asyncio.get_running_loop().time
+        session = await kernel.add(
+            "session",
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    limit=STORE_CONNECTIONS, keepalive_timeout=10.0
+                ),
+                auto_decompress=False,
+            ),
+        )
+        store = store_module.StoreClient(
+            session, settings.store_address, STORE_TIMEOUT_S
+        )
+        await kernel.add("store", contextlib.nullcontext(store))
+        directory = directory_module.Directory(read_time_s)
+        await kernel.add("directory", contextlib.nullcontext(directory))
+        keeper = catalog_service.CatalogKeeper(
+            wire.decode_catalog, CONFIGURATION_NAME, read_time_s
+        )
+        await kernel.add("catalogs", contextlib.nullcontext(keeper))
+        await kernel.add(
+            "catalog_follower",
+            followers.Follower(
+                store,
+                CONFIGURATION_KIND,
+                keeper.make_sink(),
+                self._source,
+                lists.SETTLE_S,
+            ),
+        )
+        await kernel.add(
+            "upstream_follower",
+            followers.Follower(
+                store,
+                SERVERS_KIND,
+                lists.make_sink(directory, wire.decode_upstream),
+                self._source,
+                lists.SETTLE_S,
+            ),
+        )
+
+    async def _add_forwarding(self) -> None:
+        kernel, settings = self.kernel, self._settings
+        ledger = loads.Ledger(asyncio.get_running_loop().time)
+        await kernel.add("ledger", contextlib.nullcontext(ledger))
+        forwarding_settings = forwarding_service.Settings(
+            failure_domain=settings.failure_domain,
+            budget_ratio=settings.budget_ratio,
+            budget_extra=settings.budget_extra,
+        )
+        pool = await kernel.add(
+            "pool",
+            connections.ConnectionPool(forwarding_settings.connect_timeout_s),
+        )
+        control = runners.RunnerControl(pool)
+        await kernel.add("control", contextlib.nullcontext(control))
+        await kernel.add(
+            "forwarding",
+            forwarding_service.ForwardingService(
+                kernel.get("directory"),
+                ledger,
+                exchanges.RunnerCodec(),
+                pool,
+                control,
+                kernel.get("catalogs").get,
+                lambda: kernel.get("entries").count_live(),
+                forwarding_settings,
+                self._source,
+            ),
+        )
+
+    async def _add_entries(self) -> None:
+        kernel, settings = self.kernel, self._settings
+        forwarding = kernel.get("forwarding")
+
+        def note_suspect(upstream: upstreams.Upstream, sender: str) -> None:
+            forwarding.note_failure(upstream, f"told by {sender}")
+
+        await kernel.add(
+            "entries",
+            load_reports.LoadReports(
+                kernel.get("directory"),
+                kernel.get("ledger"),
+                note_suspect,
+                load_reports.Settings(
+                    settings.name,
+                    f"{settings.ip}:{settings.entry_port}",
+                    tuple(
+                        f"{ip}:{settings.entry_port}"
+                        for ip in settings.seed_ips
+                    ),
+                ),
+                self._source,
+            ),
+        )
+
+    async def _add_placement(self) -> None:
+        kernel = self.kernel
+        await kernel.add(
+            "placement",
+            placement_service.PlacementService(
+                kernel.get("directory"),
+                kernel.get("catalogs").get,
+                kernel.get("control").place,
+                kernel.get("control").read_report,
+                kernel.get("entries").is_first,
+            ),
+        )
+
+    async def _add_interfaces(self) -> None:
+        kernel, settings = self.kernel, self._settings
+        front = front_module.Front(
+            kernel.get("catalogs"), kernel.get("forwarding"), settings.revoke_s
+        )
+        await kernel.add("front", contextlib.nullcontext(front))
+        await kernel.add(
+            "front_listener",
+            listeners.ServerListener(
+                front.make_server(), settings.caller_address
+            ),
+        )
+        app = aiohttp.web.Application()
+        app.router.add_get("/ready", self._answer_ready)
+        await kernel.add(
+            "ready_listener", listeners.Listener(app, settings.ready_address)
+        )
+
+    async def _answer_ready(self, _) -> aiohttp.web.Response:
+        is_ready = self.is_ready()
+        return aiohttp.web.Response(
+            status=200 if is_ready else 503,
+            text="ready\n" if is_ready else "not ready\n",
+        )
+
+    def is_ready(self) -> bool:
+        """Tells whether this entry can serve callers."""
+        kernel = self.kernel
+        keeper = kernel.get("catalogs")
+        return (
+            not kernel.get("front").is_stopping
+            and keeper.catalog is not None
+            and keeper.get_age_s() < self._settings.revoke_s
+            and bool(kernel.get("directory").get_all())
+        )
+
+    async def drain(self) -> None:
+        """Stops gracefully: no new work, then the end of what runs."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        limit_s = self._settings.grace_s - STOP_SLACK_S
+        kernel = self.kernel
+        forwarding = kernel.get("forwarding")
+        _log.info(
+            logs.format_event(
+                "stopping", limit_s=limit_s, running=forwarding.running
+            )
+        )
+        kernel.get("front").stop()
+        entries = kernel.get("entries")
+        entries.is_stopping = True
+        await entries.tell_now()
+        await asyncio.sleep(min(READY_LAG_S, limit_s))
+        await kernel.get("front_listener").stop_accepting()
+        while forwarding.running and loop.time() - began_s < limit_s:
+            await asyncio.sleep(STOP_POLL_S)
+        _log.info(
+            logs.format_event(
+                "stopped",
+                took_s=round(loop.time() - began_s, 2),
+                running=forwarding.running,
+            )
+        )
--- a/src/fuchsiabarrow/exceptions.py
+++ b/src/fuchsiabarrow/exceptions.py
@@ -12,6 +12,7 @@
     "InstanceRefusedError",
     "InstanceSilentError",
     "InstanceUnreachableError",
+    "InvalidObjectError",
     "KeyFormatError",
     "KeyExpiredError",
     "OverloadedError",
@@ -23,9 +24,13 @@
     "StepRefusedError",
     "StoreConflictError",
     "StoreError",
+    "StoreHistoryError",
     "StoreUnavailableError",
     "StoreUncertainError",
     "StreamFailedError",
+    "UpstreamError",
+    "UpstreamLostError",
+    "UpstreamUnreachableError",
     "VersionMismatchError",
 ]
 
@@ -65,6 +70,10 @@
     """A conditional write named a version that is not the current one."""
 
 
+class StoreHistoryError(StoreError):
+    """The store forgot the changes since a revision; list again."""
+
+
 class StoreUnavailableError(StoreError):
     """The call certainly had no effect; retry it after a delay."""
 
@@ -73,6 +82,10 @@
     """The answer was lost; read the object back to learn the effect."""
 
 
+class InvalidObjectError(FuchsiabarrowError):
+    """An object of another writer cannot be used; it is left out."""
+
+
 class InstanceError(FuchsiabarrowError):
     """A step on an engine instance failed.
 
@@ -141,6 +154,18 @@
         self.retry_after_s = retry_after_s
 
 
+class UpstreamError(FuchsiabarrowError):
+    """A whole request could not be served by an upstream."""
+
+
+class UpstreamUnreachableError(UpstreamError):
+    """No byte of the request left; it did not run."""
+
+
+class UpstreamLostError(UpstreamError):
+    """The answer was lost or cut short; the request may have run."""
+
+
 class PeerError(FuchsiabarrowError):
     """Another entry did not answer."""
 
--- /dev/null
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -0,0 +1,529 @@
+"""Serves one request to a language model over a path of instances.
+
+The first instance of the path gets the request and streams the events; the
+others are named in it. A stream whose path breaks goes on over another one: the
+first instance is told to use other instances for the rest, or, where that is
+not possible, the request is sent again to resume after the last whole event.
+"""
+
+import asyncio
+import dataclasses
+import enum
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+import logbook
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.catalogs import documents
+from fuchsiabarrow.fleet import loads
+from fuchsiabarrow.fleet import paths
+from fuchsiabarrow.fleet import upstreams
+from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import events
+from fuchsiabarrow.forwarding import messages
+from fuchsiabarrow.telemetry import logs
+
+if TYPE_CHECKING:
+    from fuchsiabarrow.forwarding import service as service_module
+
+__all__ = ["EngineControl", "EngineReport", "GenerationRun", "RepathOutcome"]
+
+# Least silence after which the first instance is asked what it waits for.
+LEAST_SILENCE_S = 0.12
+# The same before the first event, which waits for the prompt to be read.
+FIRST_SILENCE_S = 0.3
+# Silence counts from a multiple of the usual time between events.
+SILENCE_FACTOR = 4.0
+LONGEST_SILENCE_S = 1.0
+REPORT_TIMEOUT_S = 0.25
+REPATH_TIMEOUT_S = 0.25
+# Pause before the next look for a path, for a stream that has begun.
+PATH_RETRY_S = 0.1
+# Spread of the costs of equal paths among entries that choose at once.
+TIE_BREAK = 0.05
+MAX_ERROR_BYTES = 1_048_576
+# Share of the longest answer that is reserved when the caller gives no hint.
+ANSWER_SMOOTHING = 0.3
+HTTP_MISDIRECTED = 421
+
+_log = logbook.Logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What an instance says of itself.
+
+    Attributes:
+        pace_factor: How many times slower than its kind it works.
+        stalled: Requests that wait for another instance, and its address.
+        is_busy: Whether an order is being carried out.
+        order_count: Orders accepted since its start.
+    """
+
+    pace_factor: float
+    stalled: tuple[tuple[str, str], ...]
+    is_busy: bool
+    order_count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RepathOutcome:
+    """What an instance said to a change of path.
+
+    Attributes:
+        is_accepted: Whether the request goes on over the new path.
+        at_fault: ``ip:port`` of an instance that is not there.
+        detail: Status or error, for the log.
+    """
+
+    is_accepted: bool
+    at_fault: str
+    detail: str
+
+
+class EngineControl(Protocol):
+    """Reports and orders of engines."""
+
+    async def read_report(
+        self, upstream: upstreams.Upstream, timeout_s: float
+    ) -> EngineReport:
+        """Returns what an instance says; raises ``UpstreamError``."""
+
+    async def change_path(
+        self,
+        upstream: upstreams.Upstream,
+        request_id: str,
+        parts: tuple[paths.Part, ...],
+        timeout_s: float,
+    ) -> RepathOutcome:
+        """Has a running request go on over other instances; never raises."""
+
+
+class _Result(enum.Enum):
+    DONE = enum.auto()
+    NOT_RUN = enum.auto()
+    LOST = enum.auto()
+
+
+class GenerationRun:
+    """One request to a language model.
+
+    Args:
+        forwarding: Service that it belongs to.
+        request: The request.
+        caller: Gets the answer.
+        service: Where it goes.
+    """
+
+    def __init__(
+        self,
+        forwarding: "service_module.ForwardingService",
+        request: messages.Request,
+        caller: messages.Caller,
+        service: documents.Service,
+    ):
+        self._forwarding = forwarding
+        self._request = request
+        self._caller = caller
+        self._service = service
+        self._model = service.engine
+        self._parts: tuple[paths.Part, ...] = ()
+        self._reservation: loads.Reservation | None = None
+        self._connection: connections.Connection | None = None
+        self._excluded: set[tuple[str, int]] = set()
+        self._entered: dict[tuple[str, int], upstreams.Upstream] = {}
+        self._may_have_run = False
+        self._sends = 0
+        self._last_event_id = request.last_event_id
+        self._event_count = 0
+        self._progress_s = 0.0
+        self._interval_s = 0.0
+        self._watchdog: asyncio.TimerHandle | None = None
+        self._inquiry: asyncio.Task | None = None
+        self._detail = ""
+
+    # Final answers.
+
+    async def serve(self) -> None:
+        """Takes the request to its final answer."""
+        request, forwarding = self._request, self._forwarding
+        loop = asyncio.get_running_loop()
+        forwarding.add_stream(self)
+        try:
+            async with asyncio.timeout(
+                max(0.0, request.answer_by_s - loop.time())
+            ):
+                refusal = await self._run()
+        except TimeoutError:
+            refusal = messages.Refusal(
+                messages.RefusalReason.TIMEOUT,
+                not self._may_have_run,
+                forwarding.draw_retry_after_s(),
+                f"no whole answer in {request.route.timeout_s} s",
+            )
+        finally:
+            forwarding.remove_stream(self)
+            self._stop_watching()
+            if self._reservation is not None:
+                self._reservation.__exit__()
+        if refusal is None:
+            return
+        if self._caller.is_started:
+            self._log("stream_aborted", why=refusal.detail)
+            self._caller.abort()
+        else:
+            await self._caller.refuse(refusal)
+
+    async def _run(self) -> messages.Refusal | None:
+        forwarding = self._forwarding
+        while True:
+            parts = self._choose()
+            if parts is None:
+                if not self._caller.is_started:
+                    return self._make_refusal(
+                        messages.RefusalReason.OVERLOADED, "no path has room"
+                    )
+                await asyncio.sleep(PATH_RETRY_S)
+                self._excluded.clear()
+                continue
+            if self._sends and not forwarding.spend_retry(self._service.name):
+                return self._make_refusal(
+                    messages.RefusalReason.UPSTREAM_FAILED,
+                    f"retry budget spent; {self._detail}",
+                )
+            result = await self._attempt(parts)
+            if result is _Result.DONE:
+                return None
+            if result is _Result.LOST and not self._may_go_on():
+                return self._make_refusal(
+                    messages.RefusalReason.UPSTREAM_FAILED, self._detail
+                )
+
+    def _make_refusal(
+        self, reason: messages.RefusalReason, detail: str
+    ) -> messages.Refusal:
+        return messages.Refusal(
+            reason,
+            not self._may_have_run,
+            self._forwarding.draw_retry_after_s(),
+            detail,
+        )
+
+    def _may_go_on(self) -> bool:
+        """Returns whether the request may be sent again after it ran."""
+        route = self._request.route
+        if not route.may_repeat:
+            return False
+        directory = self._forwarding.directory
+        alive = [
+            upstream
+            for upstream in self._entered.values()
+            if directory.get(upstream.instance_id) is not None
+            and not directory.is_avoided(upstream)
+        ]
+        return len(alive) < route.max_attempts
+
+    def _log(self, event: str, **fields: object) -> None:
+        _log.info(
+            logs.format_event(
+                event,
+                request_id=self._request.request_id,
+                path=_format_path(self._parts),
+                events=self._event_count,
+                **fields,
+            )
+        )
+
+    # Paths.
+
+    def _estimate_demand(self) -> paths.Demand:
+        generation = self._request.generation
+        expected = generation.expected_answer_tokens
+        if expected is None:
+            expected = self._model.usual_answer
+        # The hint is right at the median; a longer answer needs more room.
+        expected = (1 - ANSWER_SMOOTHING) * expected + (
+            ANSWER_SMOOTHING * generation.max_answer_tokens
+        )
+        answer = min(float(generation.max_answer_tokens), expected)
+        return paths.Demand(float(generation.prompt_tokens), answer)
+
+    def _choose(
+        self, prefix: tuple[paths.Part, ...] = ()
+    ) -> tuple[paths.Part, ...] | None:
+        forwarding, model = self._forwarding, self._model
+        demand = self._estimate_demand()
+        directory, ledger = forwarding.directory, forwarding.ledger
+        candidates = [
+            paths.make_candidate(
+                upstream,
+                model,
+                demand,
+                ledger.get(upstream.key),
+                directory.get_pace_factor(upstream),
+            )
+            for upstream in directory.get_usable(self._service.name)
+            if upstream.layers is not None
+            and upstream.key not in self._excluded
+            and upstream.kind in model.kinds
+        ]
+        found = paths.choose_path(
+            candidates,
+            model,
+            demand,
+            forwarding.settings.failure_domain,
+            lambda: TIE_BREAK * forwarding.source.random(),
+            prefix,
+        )
+        if found is None:
+            return None
+        if not paths.is_whole(found, model.layers):
+            self._log("path_invalid", found=_format_path(tuple(found)))
+            return None
+        return tuple(found)
+
+    def _take_path(self, parts: tuple[paths.Part, ...]) -> None:
+        """Books the room on a path in place of the one before."""
+        if self._reservation is not None:
+            self._reservation.__exit__()
+        self._parts = parts
+        demand = self._estimate_demand()
+        self._reservation = paths.reserve_path(
+            self._forwarding.ledger, list(parts), demand
+        )
+        self._reservation.__enter__()
+
+    # Attempts.
+
+    async def _attempt(self, parts: tuple[paths.Part, ...]) -> _Result:
+        """Sends the request over a path and passes on what comes."""
+        forwarding, request = self._forwarding, self._request
+        self._take_path(parts)
+        first = parts[0].upstream
+        try:
+            connection = await forwarding.pool.open(
+                first.address, request.route.may_repeat
+            )
+        except exceptions.UpstreamUnreachableError as error:
+            self._detail = str(error)
+            forwarding.note_failure(first, "connect")
+            return _Result.NOT_RUN
+        async with connection:
+            self._connection = connection
+            try:
+                return await self._exchange(connection, first)
+            except exceptions.UpstreamUnreachableError as error:
+                self._detail = str(error)
+                return _Result.NOT_RUN
+            except exceptions.UpstreamLostError as error:
+                self._detail = str(error)
+                self._log("attempt_lost", why=self._detail)
+                is_suspect = any(
+                    forwarding.directory.is_avoided(part.upstream)
+                    for part in self._parts
+                )
+                if not connection.is_reused and not is_suspect:
+                    forwarding.note_failure(first, "lost")
+                return _Result.LOST
+            finally:
+                self._connection = None
+                self._stop_watching()
+
+    async def _exchange(
+        self, connection: connections.Connection, first: upstreams.Upstream
+    ) -> _Result:
+        forwarding, request = self._forwarding, self._request
+        loop = asyncio.get_running_loop()
+        left_s = request.deadline_s - loop.time()
+        connection.send(
+            forwarding.codec.encode_request(
+                request,
+                messages.Target(first, self._parts),
+                left_s,
+                self._last_event_id,
+            )
+        )
+        self._sends += 1
+        self._watch()
+        message = await connection.read_head()
+        head = forwarding.codec.decode_head(message)
+        if head.request_id and head.request_id != request.request_id:
+            raise exceptions.UpstreamLostError(
+                f"{first.address}: answer to another request"
+            )
+        if head.is_not_run:
+            return self._note_not_run(head, first)
+        self._may_have_run = True
+        self._entered[first.key] = first
+        if not head.is_success:
+            return await self._pass_failure(connection, head)
+        return await self._relay(connection, head)
+
+    def _note_not_run(
+        self, head: messages.AnswerHead, first: upstreams.Upstream
+    ) -> _Result:
+        """Leaves out the instance that could not take its part."""
+        directory = self._forwarding.directory
+        at_fault = directory.find_address(head.at_fault) or first
+        self._excluded.add(at_fault.key)
+        self._detail = f"not run: status {head.status} of {at_fault.address}"
+        self._log(
+            "attempt_not_run",
+            status=head.status,
+            at_fault=at_fault.instance_id,
+            list_age_s=round(directory.get_age_s(), 3),
+        )
+        return _Result.NOT_RUN
+
+    async def _pass_failure(
+        self, connection: connections.Connection, head: messages.AnswerHead
+    ) -> _Result:
+        """Passes an upstream's own failure on, or tries another path."""
+        body = await connection.read_all(MAX_ERROR_BYTES)
+        self._detail = f"status {head.status}"
+        self._excluded.add(self._parts[0].upstream.key)
+        if self._caller.is_started or self._may_go_on():
+            return _Result.LOST
+        await self._caller.answer(head, body)
+        return _Result.DONE
+
+    async def _relay(
+        self, connection: connections.Connection, head: messages.AnswerHead
+    ) -> _Result:
+        reader = events.EventReader()
+        loop = asyncio.get_running_loop()
+        while data := await connection.read_some():
+            now_s = loop.time()
+            if found := reader.feed(data):
+                self._note_progress(now_s, len(found))
+                if not self._caller.is_started:
+                    await self._caller.start(head)
+                self._last_event_id = found[-1].event_id or self._last_event_id
+                self._event_count += len(found)
+                await self._caller.write(b"".join(e.data for e in found))
+                self._progress_s = loop.time()
+        if reader.rest:
+            raise exceptions.UpstreamLostError("ended inside an event")
+        if not self._caller.is_started:
+            await self._caller.start(head)
+        await self._caller.finish()
+        return _Result.DONE
+
+    # Watching for silence.
+
+    def _note_progress(self, now_s: float, count: int) -> None:
+        if self._event_count == 0 and self._reservation is not None:
+            self._reservation.finish_reading()
+        else:
+            interval_s = (now_s - self._progress_s) / count
+            self._interval_s += 0.2 * (interval_s - self._interval_s)
+        self._progress_s = now_s
+
+    def _watch(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._progress_s = loop.time()
+        self._set_watchdog(FIRST_SILENCE_S)
+
+    def _set_watchdog(self, delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._watchdog = loop.call_later(delay_s, self._check_silence)
+
+    def _stop_watching(self) -> None:
+        if self._watchdog is not None:
+            self._watchdog.cancel()
+            self._watchdog = None
+        if self._inquiry is not None:
+            self._inquiry.cancel()
+            self._inquiry = None
+
+    def _get_silence_s(self) -> float:
+        if self._event_count == 0:
+            return FIRST_SILENCE_S
+        return min(
+            LONGEST_SILENCE_S,
+            max(LEAST_SILENCE_S, SILENCE_FACTOR * self._interval_s),
+        )
+
+    def _check_silence(self) -> None:
+        loop = asyncio.get_running_loop()
+        limit_s = self._get_silence_s()
+        silent_s = loop.time() - self._progress_s
+        if silent_s < limit_s:
+            self._set_watchdog(limit_s - silent_s)
+            return
+        if self._inquiry is None or self._inquiry.done():
+            self._inquiry = asyncio.create_task(self._inquire(silent_s))
+        self._set_watchdog(max(LONGEST_SILENCE_S / 2, limit_s))
+
+    async def _inquire(self, silent_s: float) -> None:
+        """Asks the first instance what a silent stream waits for."""
+        forwarding = self._forwarding
+        first = self._parts[0].upstream
+        try:
+            report = await forwarding.control.read_report(
+                first, REPORT_TIMEOUT_S
+            )
+        except exceptions.UpstreamError as error:
+            self._log("first_silent", silent_s=round(silent_s, 3), why=error)
+            forwarding.note_failure(first, "report")
+            return
+        addresses = {address for _, address in report.stalled}
+        self._log(
+            "stream_silent",
+            silent_s=round(silent_s, 3),
+            stalled=",".join(sorted(addresses)),
+            pace_factor=report.pace_factor,
+        )
+        forwarding.directory.set_pace_factor(first, report.pace_factor)
+        for address in addresses:
+            upstream = forwarding.directory.find_address(address)
+            if upstream is not None:
+                forwarding.note_failure(upstream, "stalled", is_told=True)
+
+    def note_suspect(self, upstream: upstreams.Upstream) -> None:
+        """Leaves an instance that is believed not to answer."""
+        keys = [part.upstream.key for part in self._parts]
+        if upstream.key not in keys or self._connection is None:
+            return
+        if keys[0] == upstream.key or self._event_count == 0:
+            self._break_off("instance suspected")
+        else:
+            self._inquiry = asyncio.create_task(self._repath(upstream))
+
+    def _break_off(self, why: str) -> None:
+        if self._connection is not None:
+            self._connection.break_off(why)
+
+    async def _repath(self, upstream: upstreams.Upstream) -> None:
+        """Has the first instance go on over other instances."""
+        prefix = (self._parts[0],)
+        parts = self._choose(prefix)
+        if parts is None:
+            self._break_off("no other path from the first instance")
+            return
+        outcome = await self._forwarding.control.change_path(
+            parts[0].upstream,
+            self._request.request_id,
+            parts,
+            REPATH_TIMEOUT_S,
+        )
+        self._log(
+            "path_changed",
+            suspect=upstream.instance_id,
+            new_path=_format_path(parts),
+            is_accepted=outcome.is_accepted,
+            detail=outcome.detail,
+        )
+        if outcome.is_accepted:
+            self._take_path(parts)
+            self._reservation.finish_reading()
+            self._progress_s = asyncio.get_running_loop().time()
+        else:
+            self._break_off("path not changed")
+
+
+def _format_path(parts: tuple[paths.Part, ...]) -> str:
+    return ",".join(
+        f"{part.upstream.instance_id}={part.first}-{part.end}" for part in parts
+    )
--- /dev/null
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -0,0 +1,349 @@
+"""Serves whole requests: attempts, retries within the budget, final answers."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import random
+
+import logbook
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.catalogs import documents
+from fuchsiabarrow.fleet import directory as directory_module
+from fuchsiabarrow.fleet import loads
+from fuchsiabarrow.fleet import upstreams
+from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import generations
+from fuchsiabarrow.forwarding import messages
+from fuchsiabarrow.limits import budgets
+from fuchsiabarrow.telemetry import logs
+
+__all__ = ["ForwardingService", "Settings"]
+
+MAX_ANSWER_BYTES = 16 * 1_048_576
+HTTP_SERVER_ERROR = 500
+# Time kept for a refusal to reach the caller before its deadline.
+ANSWER_SLACK_S = 0.02
+
+_log = logbook.Logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of the forwarding.
+
+    Attributes:
+        failure_domain: Failure domain of this entry.
+        budget_ratio: Repeats that a request earns, over all entries.
+        budget_extra: Repeats that may be saved up, over all entries.
+        connect_timeout_s: Longest time to open a connection.
+        least_left_s: A request with less time left is not sent.
+        retry_after_s: Mean time after which refused callers may come back.
+    """
+
+    failure_domain: str
+    budget_ratio: float = 0.2
+    budget_extra: float = 100.0
+    connect_timeout_s: float = 0.4
+    least_left_s: float = 0.02
+    retry_after_s: float = 0.6
+
+
+class ForwardingService:
+    """Takes each request to its final answer.
+
+    Attributes:
+        running: Number of requests being served.
+
+    Args:
+        directory: Upstreams.
+        ledger: Work in flight.
+        codec: Encodes requests and decodes answers.
+        pool: Connections.
+        control: Reports and orders of engines.
+        get_catalog: Returns the configuration in force.
+        count_entries: Returns how many entries share the retry budget.
+        settings: Bounds.
+        source: Random source.
+    """
+
+    def __init__(
+        self,
+        directory: directory_module.Directory,
+        ledger: loads.Ledger,
+        codec: messages.Codec,
+        pool: connections.ConnectionPool,
+        control: generations.EngineControl,
+        get_catalog: Callable[[], documents.Catalog | None],
+        count_entries: Callable[[], int],
+        settings: Settings,
+        source: random.Random,
+    ):
+        self.running = 0
+        self.directory = directory
+        self.ledger = ledger
+        self.codec = codec
+        self.pool = pool
+        self.control = control
+        self.settings = settings
+        self.source = source
+        self._get_catalog = get_catalog
+        self._count_entries = count_entries
+        self._budgets: dict[str, budgets.RetryBudget] = {}
+        self._streams: set[generations.GenerationRun] = set()
+
+    async def __aenter__(self) -> "ForwardingService":
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        pass
+
+    # What both kinds of requests share.
+
+    def spend_retry(self, service: str) -> bool:
+        """Takes one repeat from the budget of a service."""
+        return self._get_budget(service).spend()
+
+    def _get_budget(self, service: str) -> budgets.RetryBudget:
+        share = self.settings.budget_extra / max(1, self._count_entries())
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = budgets.RetryBudget(self.settings.budget_ratio, share)
+            self._budgets[service] = budget
+        else:
+            budget.change(self.settings.budget_ratio, share)
+        return budget
+
+    def choose_service(self, request: messages.Request) -> str:
+        """Draws the service of a request by the weights of its route."""
+        names = [name for name, _ in request.route.services]
+        weights = [weight for _, weight in request.route.services]
+        if len(names) == 1:
+            return names[0]
+        return self.source.choices(names, weights)[0]
+
+    def draw_retry_after_s(self) -> float:
+        """Returns when a refused caller may come back, spread at random."""
+        mean_s = self.settings.retry_after_s
+        return self.source.uniform(0.5 * mean_s, 1.5 * mean_s)
+
+    def note_failure(
+        self, upstream: upstreams.Upstream, why: str, is_told: bool = False
+    ) -> None:
+        """Avoids an upstream and moves the streams that depend on it.
+
+        Args:
+            upstream: The upstream.
+            why: Evidence, for the log.
+            is_told: Whether other entries are to be told.
+        """
+        was_avoided = self.directory.is_avoided(upstream)
+        avoid_s = self.directory.note_failure(upstream, is_told)
+        if was_avoided:
+            return
+        _log.info(
+            logs.format_event(
+                "upstream_avoided",
+                instance=upstream.instance_id,
+                address=upstream.address,
+                why=why,
+                for_s=avoid_s,
+                list_age_s=round(self.directory.get_age_s(), 3),
+            )
+        )
+        self.move_streams(upstream)
+
+    def move_streams(self, upstream: upstreams.Upstream) -> None:
+        """Wakes the streams that pass through an upstream."""
+        for stream in list(self._streams):
+            stream.note_suspect(upstream)
+
+    def add_stream(self, stream: generations.GenerationRun) -> None:
+        """Has a stream told about upstreams that fail."""
+        self._streams.add(stream)
+
+    def remove_stream(self, stream: generations.GenerationRun) -> None:
+        """Stops telling a stream."""
+        self._streams.discard(stream)
+
+    async def serve(
+        self, request: messages.Request, caller: messages.Caller
+    ) -> None:
+        """Serves one request to its final answer."""
+        self.running += 1
+        try:
+            service_name = self.choose_service(request)
+            self._get_budget(service_name).earn()
+            catalog = self._get_catalog()
+            service = catalog.services.get(service_name)
+            if service is None:
+                await caller.refuse(
+                    messages.Refusal(
+                        messages.RefusalReason.NO_UPSTREAM,
+                        True,
+                        self.draw_retry_after_s(),
+                        f"service {service_name} is not configured",
+                    )
+                )
+            elif service.engine is not None and request.generation:
+                run = generations.GenerationRun(self, request, caller, service)
+                await run.serve()
+            else:
+                await PlainRun(self, request, caller, service).serve()
+        finally:
+            self.running -= 1
+
+
+class PlainRun:
+    """One request to a plain service.
+
+    Args:
+        forwarding: Service that it belongs to.
+        request: The request.
+        caller: Gets the answer.
+        service: Where it goes.
+    """
+
+    def __init__(
+        self,
+        forwarding: ForwardingService,
+        request: messages.Request,
+        caller: messages.Caller,
+        service: documents.Service,
+    ):
+        self._forwarding = forwarding
+        self._request = request
+        self._caller = caller
+        self._service = service
+        self._tried: set[tuple[str, int]] = set()
+        self._ran = 0
+        self._sent = 0
+        self._failure: tuple[messages.AnswerHead, bytes] | None = None
+
+    async def serve(self) -> None:
+        """Takes the request to its final answer."""
+        request = self._request
+        loop = asyncio.get_running_loop()
+        left_s = request.answer_by_s - loop.time() - ANSWER_SLACK_S
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                refusal = await self._run()
+        except TimeoutError:
+            refusal = messages.Refusal(
+                messages.RefusalReason.TIMEOUT,
+                self._ran == 0,
+                self._forwarding.draw_retry_after_s(),
+                f"no answer in {request.route.timeout_s} s",
+            )
+        if refusal is None:
+            return
+        if self._failure is not None:
+            await self._caller.answer(*self._failure)
+        else:
+            await self._caller.refuse(refusal)
+
+    async def _run(self) -> messages.Refusal | None:
+        """Tries upstreams; returns a refusal, or None if it was answered."""
+        forwarding, request = self._forwarding, self._request
+        detail = "no upstream"
+        while True:
+            upstream = self._choose()
+            if upstream is None:
+                break
+            if self._sent and not forwarding.spend_retry(self._service.name):
+                detail = "retry budget spent"
+                break
+            self._tried.add(upstream.key)
+            load = {upstream.key: loads.Load(1, 1)}
+            with loads.Reservation(forwarding.ledger, load):
+                detail = await self._try(upstream)
+            if detail is None:
+                return None
+            may_repeat = request.route.may_repeat or self._ran == 0
+            if not may_repeat or self._ran >= request.route.max_attempts:
+                break
+        is_not_run = self._ran == 0
+        reason = messages.RefusalReason.UPSTREAM_FAILED
+        if is_not_run:
+            reason = messages.RefusalReason.NO_UPSTREAM
+        return messages.Refusal(
+            reason, is_not_run, forwarding.draw_retry_after_s(), detail
+        )
+
+    def _choose(self) -> upstreams.Upstream | None:
+        """Returns an upstream that was not tried, the least loaded one."""
+        forwarding = self._forwarding
+        usable = [
+            u
+            for u in forwarding.directory.get_usable(self._service.name)
+            if u.key not in self._tried
+        ]
+        if not usable and not self._tried:
+            # Evidence against all of them is evidence against none.
+            usable = [
+                u
+                for u in forwarding.directory.get_service(self._service.name)
+                if not u.is_leaving
+            ]
+        own_domain = forwarding.settings.failure_domain
+
+        def compute_cost(upstream: upstreams.Upstream) -> tuple:
+            requests = forwarding.ledger.get(upstream.key).requests
+            is_far = upstream.failure_domain != own_domain
+            crowding = requests / max(1, upstream.slots)
+            return (crowding, is_far, forwarding.source.random())
+
+        return min(usable, key=compute_cost, default=None)
+
+    async def _try(self, upstream: upstreams.Upstream) -> str | None:
+        """Sends the request once; returns why it failed, or None."""
+        forwarding, request = self._forwarding, self._request
+        may_reuse = request.route.may_repeat
+        try:
+            connection = await forwarding.pool.open(upstream.address, may_reuse)
+        except exceptions.UpstreamUnreachableError as error:
+            forwarding.note_failure(upstream, "connect")
+            return str(error)
+        async with connection:
+            try:
+                return await self._exchange(connection, upstream)
+            except exceptions.UpstreamUnreachableError as error:
+                return str(error)
+            except exceptions.UpstreamLostError as error:
+                if not connection.is_reused:
+                    forwarding.note_failure(upstream, "lost")
+                return str(error)
+
+    async def _exchange(
+        self,
+        connection: connections.Connection,
+        upstream: upstreams.Upstream,
+    ) -> str | None:
+        forwarding, request = self._forwarding, self._request
+        left_s = request.deadline_s - asyncio.get_running_loop().time()
+        target = messages.Target(upstream)
+        data = forwarding.codec.encode_request(request, target, left_s, "")
+        connection.send(data)
+        self._sent += 1
+        self._ran += 1
+        head = forwarding.codec.decode_head(await connection.read_head())
+        if head.request_id and head.request_id != request.request_id:
+            raise exceptions.UpstreamLostError(
+                f"{upstream.address}: answer to another request"
+            )
+        body = await connection.read_all(MAX_ANSWER_BYTES)
+        if head.is_not_run:
+            self._ran -= 1
+            return f"not run by {upstream.instance_id}: status {head.status}"
+        forwarding.directory.note_success(upstream)
+        may_retry = (
+            head.status >= HTTP_SERVER_ERROR
+            and request.route.may_repeat
+            and self._ran < request.route.max_attempts
+        )
+        if may_retry:
+            self._failure = (head, body)
+            return f"status {head.status}"
+        self._failure = None
+        await self._caller.answer(head, body)
+        return None
--- /dev/null
+++ b/src/fuchsiabarrow/placement/service.py
@@ -0,0 +1,250 @@
+"""Brings instances to hold the layers of the plan.
+
+One entry at a time sends the orders: the first by name of those that are alive
+and know the current list. Two that both believe so do no harm, since an order
+names how many orders the instance has accepted before and is refused if that is
+not so any more.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+
+import logbook
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.catalogs import documents
+from fuchsiabarrow.fleet import directory as directory_module
+from fuchsiabarrow.fleet import upstreams
+from fuchsiabarrow.forwarding import generations
+from fuchsiabarrow.placement import plans
+from fuchsiabarrow.telemetry import logs
+from fuchsiabarrow.utils import tasks
+
+__all__ = ["OrderOutcome", "PlacementService", "Settings"]
+
+_log = logbook.Logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderOutcome:
+    """What an instance said to an order.
+
+    Attributes:
+        is_accepted: Whether it has begun, or holds the layers already.
+        is_refused: Whether it certainly will not carry the order out.
+        detail: Status or error, for the log.
+    """
+
+    is_accepted: bool
+    is_refused: bool
+    detail: str
+
+
+# Orders an upstream to hold layers if it has accepted so many orders before.
+SendOrder = Callable[
+    [upstreams.Upstream, upstreams.LayerRange, int], Awaitable[OrderOutcome]
+]
+ReadReport = Callable[
+    [upstreams.Upstream, float], Awaitable[generations.EngineReport]
+]
+REPORT_TIMEOUT_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of the placement.
+
+    Attributes:
+        period_s: Time between two looks at the plan.
+        settle_s: How long the list must not change before the first plan.
+        longest_settle_s: Longest wait for that.
+        list_age_s: Oldest list by which orders are given.
+        pending_s: How long an accepted order may take to show in the list.
+        lost_pending_s: The same for an order whose answer was lost.
+        parallel_orders: Orders sent at the same time.
+    """
+
+    period_s: float = 0.5
+    settle_s: float = 1.2
+    longest_settle_s: float = 5.0
+    list_age_s: float = 3.0
+    pending_s: float = 20.0
+    lost_pending_s: float = 3.0
+    parallel_orders: int = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pending:
+    layers: upstreams.LayerRange
+    until_s: float
+
+
+class PlacementService:
+    """Gives orders while this entry has the duty to.
+
+    Args:
+        directory: The instances.
+        get_catalog: Returns the configuration in force, or None.
+        send_order: Sends one order; never raises.
+        read_report: Returns what an upstream says of itself.
+        is_on_duty: Tells whether this entry gives orders now.
+        settings: Periods and bounds.
+    """
+
+    def __init__(
+        self,
+        directory: directory_module.Directory,
+        get_catalog: Callable[[], documents.Catalog | None],
+        send_order: SendOrder,
+        read_report: ReadReport,
+        is_on_duty: Callable[[], bool],
+        settings: Settings = Settings(),
+    ):
+        self._directory = directory
+        self._get_catalog = get_catalog
+        self._send_order = send_order
+        self._read_report = read_report
+        # Upstreams that may have accepted orders that this entry has not seen.
+        self._doubtful: set[tuple[str, int]] = set()
+        self._is_on_duty = is_on_duty
+        self._settings = settings
+        self._pending: dict[tuple[str, int], _Pending] = {}
+        self._seen: set[tuple[str, int]] = set()
+        self._changed_at_s = 0.0
+        self._first_seen_s: float | None = None
+        self._task: asyncio.Task | None = None
+
+    async def __aenter__(self) -> "PlacementService":
+        self._task = asyncio.create_task(
+            tasks.repeat("placement", self.run_once, self._get_period_s)
+        )
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def _get_period_s(self) -> float:
+        return self._settings.period_s
+
+    async def run_once(self) -> None:
+        """Compares plan and list once and gives the orders that are due."""
+        catalog = self._get_catalog()
+        if catalog is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._forget_done(now_s)
+        for service in catalog.services.values():
+            if service.engine is not None:
+                await self._run_service(service, now_s)
+
+    async def _run_service(
+        self, service: documents.Service, now_s: float
+    ) -> None:
+        instances = [
+            u
+            for u in self._directory.get_service(service.name)
+            if not u.is_leaving
+        ]
+        if not instances or not self._is_settled(instances, now_s):
+            return
+        is_current = self._directory.get_age_s() < self._settings.list_age_s
+        if not is_current or not self._is_on_duty():
+            return
+        pending = {key: p.layers for key, p in self._pending.items()}
+        usable = [i for i in instances if not self._directory.is_avoided(i)]
+        assignments = plans.plan_assignments(usable, service.engine, pending)
+        if not assignments:
+            assignments = plans.plan_moves(usable, service.engine, pending)
+        limit = asyncio.Semaphore(self._settings.parallel_orders)
+        await asyncio.gather(*(self._order(a, limit) for a in assignments))
+
+    def _is_settled(
+        self, instances: list[upstreams.Upstream], now_s: float
+    ) -> bool:
+        """Tells whether the list is whole enough for a plan."""
+        keys = {instance.key for instance in instances}
+        if self._first_seen_s is None:
+            self._first_seen_s = now_s
+        if not keys <= self._seen:
+            self._changed_at_s = now_s
+        self._seen = keys
+        if any(instance.layers is not None for instance in instances):
+            return True
+        settings = self._settings
+        return (
+            now_s - self._changed_at_s >= settings.settle_s
+            or now_s - self._first_seen_s >= settings.longest_settle_s
+        )
+
+    def _forget_done(self, now_s: float) -> None:
+        for key, pending in list(self._pending.items()):
+            known = self._directory.get(key[0])
+            is_gone = known is None or known.key != key
+            is_done = not is_gone and known.layers == pending.layers
+            if is_gone or is_done or now_s > pending.until_s:
+                del self._pending[key]
+            if is_gone:
+                self._doubtful.discard(key)
+
+    async def _count_orders(self, upstream: upstreams.Upstream) -> int:
+        """Returns how many orders an upstream has accepted.
+
+        Raises:
+            UpstreamError: It does not say, or is carrying one out.
+        """
+        if upstream.layers is None and upstream.key not in self._doubtful:
+            # Upstreams start empty; the order is refused if it is not so.
+            return 0
+        report = await self._read_report(upstream, REPORT_TIMEOUT_S)
+        if report.is_busy:
+            raise exceptions.UpstreamError(
+                f"{upstream.address} is busy with an order; try later"
+            )
+        return report.order_count
+
+    async def _order(
+        self, assignment: plans.Assignment, limit: asyncio.Semaphore
+    ) -> None:
+        upstream, layers = assignment.upstream, assignment.layers
+        async with limit:
+            try:
+                count = await self._count_orders(upstream)
+            except exceptions.UpstreamError as error:
+                _log.info(
+                    logs.format_event(
+                        "order_put_off",
+                        instance=upstream.instance_id,
+                        why=error,
+                    )
+                )
+                return
+            outcome = await self._send_order(upstream, layers, count)
+        settings = self._settings
+        _log.info(
+            logs.format_event(
+                "order",
+                instance=upstream.instance_id,
+                kind=upstream.kind,
+                failure_domain=upstream.failure_domain,
+                first=layers.first,
+                end=layers.end,
+                after_orders=count,
+                list_age_s=round(self._directory.get_age_s(), 3),
+                is_accepted=outcome.is_accepted,
+                detail=outcome.detail,
+            )
+        )
+        self._doubtful.add(upstream.key)
+        if outcome.is_refused:
+            return
+        wait_s = (
+            settings.pending_s
+            if outcome.is_accepted
+            else settings.lost_pending_s
+        )
+        until_s = asyncio.get_running_loop().time() + wait_s
+        self._pending[upstream.key] = _Pending(layers, until_s)
--- /dev/null
+++ b/src/fuchsiabarrow/platform/runners.py
@@ -0,0 +1,178 @@
+"""Reports of runners and orders to them."""
+
+import asyncio
+
+import msgspec
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.fleet import paths
+from fuchsiabarrow.fleet import upstreams
+from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import generations
+from fuchsiabarrow.placement import service as placement
+from fuchsiabarrow.platform import exchanges
+from fuchsiabarrow.platform import names
+
+__all__ = ["RunnerControl"]
+
+HTTP_OK = 200
+HTTP_ACCEPTED = 202
+HTTP_CLIENT_ERROR = 400
+HTTP_SERVER_ERROR = 500
+MAX_ANSWER_BYTES = 262_144
+ORDER_TIMEOUT_S = 0.6
+
+
+class _Stalled(msgspec.Struct, frozen=True):
+    # The runner at "address" keeps the request "id" waiting.
+    id: str
+    address: str
+
+
+class _Report(msgspec.Struct, frozen=True):
+    # Factor by which this runner is slower than its kind.
+    pace: float = 1.0
+    busy: bool = False
+    # Orders accepted; the field of the same name in the list counts something
+    # else there.
+    sequence: int = 0
+    stalled: list[_Stalled] | None = None
+
+
+class _Fault(msgspec.Struct, frozen=True):
+    address: str = ""
+
+
+class RunnerControl:
+    """Implements `fuchsiabarrow.forwarding.generations.EngineControl`.
+
+    Args:
+        pool: Connections to runners.
+    """
+
+    def __init__(self, pool: connections.ConnectionPool):
+        self._pool = pool
+
+    async def read_report(
+        self, upstream: upstreams.Upstream, timeout_s: float
+    ) -> generations.EngineReport:
+        """Returns what a runner says of itself."""
+        status, body = await self._call(
+            upstream, "GET", names.REPORT_PATH, b"", timeout_s
+        )
+        if status != HTTP_OK:
+            raise exceptions.UpstreamLostError(
+                f"{upstream.address}: report has status {status}"
+            )
+        try:
+            report = msgspec.json.decode(body, type=_Report)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            raise exceptions.UpstreamLostError(
+                f"{upstream.address}: report cannot be read ({error})"
+            ) from error
+        stalled = tuple((s.id, s.address) for s in report.stalled or ())
+        return generations.EngineReport(
+            report.pace, stalled, report.busy, report.sequence
+        )
+
+    async def change_path(
+        self,
+        upstream: upstreams.Upstream,
+        request_id: str,
+        parts: tuple[paths.Part, ...],
+        timeout_s: float,
+    ) -> generations.RepathOutcome:
+        """Has a running request go on over other runners."""
+        order = {
+            "operation": "repath",
+            "id": request_id,
+            "path": exchanges.format_path(parts),
+        }
+        try:
+            status, body = await self._call(
+                upstream,
+                "POST",
+                names.ORDER_PATH,
+                msgspec.json.encode(order),
+                timeout_s,
+            )
+        except exceptions.UpstreamError as error:
+            return generations.RepathOutcome(False, "", str(error))
+        at_fault = ""
+        if status >= HTTP_CLIENT_ERROR:
+            at_fault = _decode_fault(body)
+        return generations.RepathOutcome(
+            status in (HTTP_OK, HTTP_ACCEPTED), at_fault, f"status {status}"
+        )
+
+    async def place(
+        self,
+        upstream: upstreams.Upstream,
+        layers: upstreams.LayerRange,
+        after_orders: int,
+    ) -> placement.OrderOutcome:
+        """Orders a runner to hold layers, if it took no other order."""
+        order = {
+            "operation": "place",
+            "start_key": layers.first,
+            "to": layers.end,
+            # New work is refused; what passes through may finish.
+            "drain_mode": "queue",
+            "precondition": after_orders,
+        }
+        try:
+            status, body = await self._call(
+                upstream,
+                "POST",
+                names.ORDER_PATH,
+                msgspec.json.encode(order),
+                ORDER_TIMEOUT_S,
+            )
+        except exceptions.UpstreamUnreachableError as error:
+            return placement.OrderOutcome(False, True, str(error))
+        except exceptions.UpstreamError as error:
+            return placement.OrderOutcome(False, False, str(error))
+        is_accepted = status in (HTTP_OK, HTTP_ACCEPTED)
+        text = body[:80].decode("latin-1") if not is_accepted else ""
+        is_refused = HTTP_CLIENT_ERROR <= status < HTTP_SERVER_ERROR
+        return placement.OrderOutcome(
+            is_accepted, is_refused, f"status {status} {text}".strip()
+        )
+
+    async def _call(
+        self,
+        upstream: upstreams.Upstream,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+    ) -> tuple[int, bytes]:
+        head = (
+            f"{method} {path} HTTP/1.1\r\n"
+            f"Host: {upstream.address}\r\n"
+            f"{names.EXPECT_INSTANCE}: {upstream.instance_id}\r\n"
+        )
+        if body:
+            head += (
+                "Content-Type: application/json\r\n"
+                f"Content-Length: {len(body)}\r\n"
+            )
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._pool.open(upstream.address)
+                async with connection:
+                    connection.send(head.encode() + b"\r\n" + body)
+                    message = await connection.read_head()
+                    answer = await connection.read_all(MAX_ANSWER_BYTES)
+        except TimeoutError as error:
+            raise exceptions.UpstreamLostError(
+                f"{upstream.address}: no answer in {timeout_s} s"
+            ) from error
+        return message.code, answer
+
+
+def _decode_fault(body: bytes) -> str:
+    try:
+        return msgspec.json.decode(body, type=_Fault).address
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return ""
--- /dev/null
+++ b/src/fuchsiabarrow/platform/settings.py
@@ -0,0 +1,164 @@
+"""The settings file that the platform writes for each process."""
+
+import dataclasses
+import os
+import pathlib
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.utils import addresses
+
+__all__ = ["PlatformSettings", "find_path", "parse", "read_file"]
+
+SETTINGS_VARIABLE = "FUCHSIABARROW_SETTINGS"
+DEFAULT_PATH = "/etc/fuchsiabarrow/node.conf"
+MS_PER_S = 1000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """What the platform tells a process.
+
+    Attributes:
+        name: Name of the instance.
+        ip: Address of the instance.
+        failure_domain: Failure domain of the instance.
+        caller_address: ``ip:port`` for callers.
+        ready_address: ``ip:port`` for the platform's readiness checks.
+        operator_address: ``ip:port`` for metrics; empty if not served.
+        entry_port: Port for other entries.
+        seed_ips: Addresses of instances that may be up.
+        store_address: ``ip:port`` of the object store.
+        drain_s: Time in which a leaving upstream must get no more work.
+        grace_s: Time from SIGTERM to SIGKILL.
+        apply_s: Time in which a configuration must be in force.
+        revoke_s: Age of the configuration from which keys are not trusted.
+        budget_ratio: Repeats that a request earns, over all entries.
+        budget_window_s: Window of the retry budget.
+        budget_extra: Repeats allowed beyond that in a window.
+        stall_s: How long work waits for an upstream that is gone.
+        max_open_files: Descriptors that the process may hold.
+        memory_mb: Memory that the process may use.
+    """
+
+    name: str
+    ip: str
+    failure_domain: str
+    caller_address: str
+    ready_address: str
+    operator_address: str
+    entry_port: int
+    seed_ips: tuple[str, ...]
+    store_address: str
+    drain_s: float
+    grace_s: float
+    apply_s: float
+    revoke_s: float
+    budget_ratio: float
+    budget_window_s: float
+    budget_extra: float
+    stall_s: float
+    max_open_files: int
+    memory_mb: int
+
+
+def find_path() -> str:
+    """Returns the path of the settings file of this process."""
+    return os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH)
+
+
+def read_file(path: str) -> PlatformSettings:
+    """Reads and checks the settings file.
+
+    Raises:
+        SettingsError: Names the file, the field, what is wrong and the remedy.
+    """
+    try:
+        text = pathlib.Path(path).read_text()
+    except OSError as error:
+        raise exceptions.SettingsError(
+            f"{path}: cannot be read ({error.strerror}); name a readable file"
+            f" in {SETTINGS_VARIABLE}"
+        ) from None
+    try:
+        return parse(text)
+    except exceptions.SettingsError as error:
+        raise exceptions.SettingsError(f"{path}: {error}") from None
+
+
+def parse(text: str) -> PlatformSettings:
+    """Decodes the lines of a settings file; unknown fields are passed over.
+
+    Raises:
+        SettingsError: A field is missing or has a wrong value.
+    """
+    fields = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator and not line.lstrip().startswith("#"):
+            fields[name.strip()] = value.strip()
+    ports = _get(fields, "internal_ports").split(",")
+    seeds = [seed for seed in fields.get("seeds", "").split(",") if seed]
+    return PlatformSettings(
+        name=_get(fields, "node_name"),
+        ip=_get(fields, "ip"),
+        failure_domain=_get(fields, "zone"),
+        caller_address=_get_address(fields, "listen.front"),
+        ready_address=_get_address(fields, "listen.ready"),
+        operator_address=fields.get("listen.control", ""),
+        entry_port=int(_check_number("internal_ports", ports[0])),
+        seed_ips=tuple(seed.rpartition(":")[0] for seed in seeds),
+        store_address=_get_address(fields, "provider.address"),
+        drain_s=_get_number(fields, "bounds.drain_ms") / MS_PER_S,
+        grace_s=_get_number(fields, "bounds.grace_s"),
+        apply_s=_get_number(fields, "bounds.config_apply_ms") / MS_PER_S,
+        revoke_s=_read_revocation_s(fields),
+        budget_ratio=_get_number(fields, "bounds.budget_ratio"),
+        budget_window_s=_get_number(fields, "bounds.budget_window_s"),
+        budget_extra=_get_number(fields, "bounds.budget_extra"),
+        stall_s=_get_number(fields, "bounds.stall_ms") / MS_PER_S,
+        max_open_files=int(_get_number(fields, "limits.max_fds")),
+        memory_mb=int(_get_number(fields, "limits.memory_mb")),
+    )
+
+
+def _read_revocation_s(fields: dict[str, str]) -> float:
+    """Returns infinity where a key that was taken away may still be used."""
+    if fields.get("bounds.strict_revoke") != "true":
+        return float("inf")
+    return _get_number(fields, "bounds.revoke_ms") / MS_PER_S
+
+
+def _get(fields: dict[str, str], name: str) -> str:
+    value = fields.get(name, "")
+    if not value:
+        raise exceptions.SettingsError(
+            f"{name} is missing; add a line {name}=VALUE"
+        )
+    return value
+
+
+def _get_address(fields: dict[str, str], name: str) -> str:
+    value = _get(fields, name)
+    try:
+        addresses.parse_address(value)
+    except ValueError as error:
+        raise exceptions.SettingsError(
+            f"{name}: {error}; write ip:port"
+        ) from None
+    return value
+
+
+def _get_number(fields: dict[str, str], name: str) -> float:
+    return _check_number(name, _get(fields, name))
+
+
+def _check_number(name: str, text: str) -> float:
+    try:
+        number = float(text)
+    except ValueError:
+        number = -1.0
+    if not 0 <= number < float("inf"):
+        raise exceptions.SettingsError(
+            f"{name}: {text!r} is not a number of 0 or more; correct it"
+        )
+    return number
--- /dev/null
+++ b/src/fuchsiabarrow/platform/store.py
@@ -0,0 +1,142 @@
+"""Client of the platform's object store."""
+
+import urllib.parse
+
+import aiohttp
+import msgspec
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.platform import wire
+from fuchsiabarrow.ports import collections
+
+__all__ = ["StoreClient"]
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
+HTTP_GONE = 410
+MS_PER_S = 1000
+# Time beyond the wait of a watch in which its answer must come.
+ANSWER_SLACK_S = 0.4
+
+
+class StoreClient:
+    """Calls of the object store; each has a connection from a small pool.
+
+    Args:
+        session: HTTP session, owned by the caller.
+        address: ``ip:port`` of the store.
+        timeout_s: Bound on a call that does not wait.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, address: str, timeout_s: float
+    ):
+        self._session = session
+        self._base = f"http://{address}/objects"
+        self._timeout_s = timeout_s
+
+    async def list(
+        self, kind: str, is_stale_fine: bool = False
+    ) -> collections.Snapshot:
+        """Implements `fuchsiabarrow.ports.collections.Collections.list`."""
+        found: list[wire.StoredObject] = []
+        query = {"serializable": "1"} if is_stale_fine else {}
+        revision = None
+        while True:
+            listing = await self._read(kind, query, wire.Listing)
+            found.extend(listing.entries)
+            if revision is None:
+                # Changes between two pages come again with the watch.
+                revision = listing.store_revision
+            if not listing.more or not listing.entries:
+                return collections.Snapshot(
+                    tuple(wire.make_stored(entry) for entry in found), revision
+                )
+            query = {**query, "after": listing.entries[-1].metadata.name}
+
+    async def watch(
+        self, kind: str, revision: int, wait_s: float
+    ) -> collections.Changes:
+        """Implements `fuchsiabarrow.ports.collections.Collections.watch`."""
+        query = {
+            "watch": str(revision),
+            "wait_ms": str(int(wait_s * MS_PER_S)),
+        }
+        answer = await self._read(
+            kind, query, wire.WatchAnswer, wait_s + ANSWER_SLACK_S
+        )
+        changes = tuple(
+            collections.Change(wire.make_stored(event.object), event.tombstone)
+            for event in answer.events
+        )
+        return collections.Changes(changes, answer.store_revision)
+
+    async def create(self, kind: str, name: str, spec: object) -> bool:
+        """Creates an object; returns False if it exists already."""
+        body = msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
+        status, _ = await self._call("POST", kind, {}, body, self._timeout_s)
+        return status != HTTP_CONFLICT
+
+    async def replace(self, kind: str, name: str, spec: object) -> bool:
+        """Replaces an object unconditionally; False if it does not exist."""
+        body = msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
+        path = f"{kind}/{urllib.parse.quote(name, safe='')}"
+        status, _ = await self._call("PUT", path, {}, body, self._timeout_s)
+        return status != HTTP_NOT_FOUND
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Deletes an object; it need not exist."""
+        path = f"{kind}/{urllib.parse.quote(name, safe='')}"
+        await self._call("DELETE", path, {}, None, self._timeout_s)
+
+    async def _read(self, kind, query, answer_type, timeout_s=None):
+        status, body = await self._call(
+            "GET", kind, query, None, timeout_s or self._timeout_s
+        )
+        if status == HTTP_GONE:
+            raise exceptions.StoreHistoryError(
+                f"{kind}: changes since {query.get('watch')} are gone;"
+                " list again"
+            )
+        try:
+            return msgspec.json.decode(body, type=answer_type)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            raise exceptions.StoreUnavailableError(
+                f"{kind}: the store's answer cannot be read ({error});"
+                " retry after a delay"
+            ) from error
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        body: bytes | None,
+        timeout_s: float,
+    ) -> tuple[int, bytes]:
+        headers = {"Content-Type": "application/json"} if body else None
+        try:
+            async with self._session.request(
+                method,
+                f"{self._base}/{path}",
+                params=query,
+                data=body,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                content = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            kind = exceptions.StoreUnavailableError
+            if method != "GET":
+                kind = exceptions.StoreUncertainError
+            raise kind(
+                f"{method} {path}: no answer ({type(error).__name__})"
+            ) from error
+        known = (HTTP_OK, HTTP_NOT_FOUND, HTTP_CONFLICT, HTTP_GONE)
+        if response.status not in known and response.status >= 300:
+            raise exceptions.StoreUnavailableError(
+                f"{method} {path}: status {response.status};"
+                " retry after a delay"
+            )
+        return response.status, content
--- /dev/null
+++ b/src/fuchsiabarrow/platform/wire.py
@@ -0,0 +1,311 @@
+"""Objects of the platform's store, decoded into the types of the package."""
+
+from typing import Any
+
+import msgspec
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.catalogs import documents
+from fuchsiabarrow.catalogs import engines
+from fuchsiabarrow.fleet import upstreams
+from fuchsiabarrow.ports import objects
+
+__all__ = [
+    "Event",
+    "Listing",
+    "Metadata",
+    "StoredObject",
+    "WatchAnswer",
+    "decode_catalog",
+    "decode_upstream",
+    "make_stored",
+]
+
+MS_PER_S = 1000.0
+KINDS = {
+    "idempotent": documents.RequestKind.IDEMPOTENT,
+    "non_idempotent": documents.RequestKind.ONCE,
+    "streaming": documents.RequestKind.STREAM,
+}
+STATES = ("ready", "draining")
+
+
+class Metadata(msgspec.Struct, frozen=True):
+    """Names and versions of an object.
+
+    Attributes:
+        name: Name within its kind.
+        revision: The store's revision at its last change; 0 if not told.
+    """
+
+    name: str = ""
+    revision: int = 0
+
+
+class StoredObject(msgspec.Struct, frozen=True):
+    """An object as the store keeps it; `spec` is undecoded."""
+
+    metadata: Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """A page of the objects of a kind.
+
+    Attributes:
+        entries: The objects.
+        more: Whether another page follows.
+        store_revision: Revision that the page shows; watches go on from it.
+    """
+
+    entries: list[StoredObject]
+    store_revision: int
+    more: bool = False
+
+
+class Event(msgspec.Struct, frozen=True):
+    """A change of an object; a tombstone if it was removed."""
+
+    object: StoredObject
+    tombstone: bool = False
+
+
+class WatchAnswer(msgspec.Struct, frozen=True):
+    """What changed since the revision of a watch."""
+
+    events: list[Event]
+    store_revision: int
+
+
+def make_stored(stored: StoredObject) -> objects.Stored:
+    """Returns an object in the type of the port."""
+    metadata = stored.metadata
+    return objects.Stored(metadata.name, bytes(stored.spec), metadata.revision)
+
+
+class _HeldLayers(msgspec.Struct, frozen=True):
+    # "start_key" is the first layer, "to" one past the last.
+    start_key: int
+    to: int
+
+
+class _Server(msgspec.Struct, frozen=True):
+    service: str
+    address: str
+    zone: str
+    state: str
+    # Unix time of the start in ms; another start has another.
+    born: int = 0
+    slots: int = 1
+    kind: str | None = None
+    layers: _HeldLayers | None = None
+
+
+def decode_upstream(stored: objects.Stored) -> upstreams.Upstream:
+    """Decodes an entry of the list of runners.
+
+    Raises:
+        InvalidObjectError: A field is missing or has another type.
+    """
+    name = stored.name
+    try:
+        server = msgspec.json.decode(stored.value, type=_Server)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise exceptions.InvalidObjectError(
+            f"servers/{name}: {error}"
+        ) from error
+    host, _, port = server.address.rpartition(":")
+    if server.state not in STATES or not host or not port.isdecimal():
+        raise exceptions.InvalidObjectError(
+            f"servers/{name}: state {server.state!r}, address"
+            f" {server.address!r}"
+        )
+    layers = None
+    if server.layers is not None and server.layers.to > server.layers.start_key:
+        layers = upstreams.LayerRange(server.layers.start_key, server.layers.to)
+    return upstreams.Upstream(
+        instance_id=name,
+        incarnation=server.born,
+        service=server.service,
+        address=server.address,
+        failure_domain=server.zone,
+        slots=server.slots,
+        is_leaving=server.state == "draining",
+        kind=server.kind or "",
+        layers=layers,
+    )
+
+
+class _Split(msgspec.Struct, frozen=True):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, frozen=True):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    slo_ms: float = 0.0
+    priority: int = 0
+    service: str = ""
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    anonymous: bool = False
+    resumable: bool = False
+    gap_aim_ms: float | None = None
+
+
+class _ModelWeights(msgspec.Struct, frozen=True):
+    name: str
+    load_s: float = 0.0
+
+
+class _Delay(msgspec.Struct, frozen=True):
+    # "start_key" and "to" name two zones here.
+    start_key: str
+    to: str
+    delay_ms: float
+
+
+class _Usual(msgspec.Struct, frozen=True):
+    prompt: float = 0.0
+    answer: float = 0.0
+
+
+class _Kind(msgspec.Struct, frozen=True):
+    name: str
+    mb: float
+    # Factor on the time of steps; in a report "pace" is that of one runner.
+    pace: float
+    read_x: float
+
+
+class _Engine(msgspec.Struct, frozen=True):
+    slots: int = 1
+    kv_token_bytes: float = 0.0
+    stride: int = 1
+    models: list[_ModelWeights] = []
+    step_ms: float = 1.0
+    per_seq_ms: float = 0.0
+    context_per_k: float = 0.0
+    read_per_s: float = 1.0
+    delays: list[_Delay] = []
+    usual: _Usual = _Usual()
+    layers: int = 0
+    layer_mb: float = 0.0
+    act_bytes: float = 0.0
+    pipe_mbps: float = 0.0
+    kinds: list[_Kind] = []
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    health_path: str = "/"
+    max_conns: int = 1
+    engine: _Engine | None = None
+
+
+class _Tenant(msgspec.Struct, frozen=True):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class _Config(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] = []
+    limits: _Limits = _Limits()
+
+
+def decode_catalog(stored: objects.Stored) -> documents.Catalog:
+    """Decodes the operator's configuration.
+
+    Raises:
+        InvalidObjectError: A field is missing or has another type.
+    """
+    try:
+        config = msgspec.json.decode(stored.value, type=_Config)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise exceptions.InvalidObjectError(f"config/main: {error}") from error
+    limits = config.limits
+    return documents.make_catalog(
+        config.version,
+        [_make_route(route) for route in config.routes],
+        [_make_service(service) for service in config.services],
+        [
+            documents.Organisation(t.name, tuple(t.api_keys), t.priority)
+            for t in config.tenants
+        ],
+        documents.Limits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / MS_PER_S,
+            limits.idle_timeout_ms / MS_PER_S,
+        ),
+    )
+
+
+def _make_route(route: _Route) -> documents.Route:
+    services: Any = tuple((s.service, s.weight) for s in route.traffic_split)
+    if route.service and not services:
+        services = ((route.service, 1.0),)
+    if route.kind not in KINDS:
+        raise exceptions.InvalidObjectError(
+            f"config/main: route {route.name} has kind {route.kind!r}"
+        )
+    gap_ms = route.gap_aim_ms
+    return documents.Route(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        kind=KINDS[route.kind],
+        timeout_s=route.timeout_ms / MS_PER_S,
+        objective_s=route.slo_ms / MS_PER_S,
+        gap_objective_s=None if gap_ms is None else gap_ms / MS_PER_S,
+        priority=route.priority,
+        services=services,
+        max_attempts=route.max_attempts,
+        is_anonymous=route.anonymous,
+        is_resumable=route.resumable,
+    )
+
+
+def _make_service(service: _Service) -> documents.Service:
+    engine = service.engine
+    model = None
+    if engine is not None and engine.layers > 0:
+        model = engines.EngineModel(
+            layers=engine.layers,
+            layer_mb=engine.layer_mb,
+            slots=engine.slots,
+            context_bytes=engine.kv_token_bytes,
+            step_ms=engine.step_ms,
+            step_per_request_ms=engine.per_seq_ms,
+            step_per_k_context_ms=engine.context_per_k,
+            read_tokens_per_s=engine.read_per_s,
+            tokens_per_event=engine.stride,
+            load_s=max((m.load_s for m in engine.models), default=0.0),
+            usual_prompt=engine.usual.prompt,
+            usual_answer=engine.usual.answer,
+            activation_bytes=engine.act_bytes,
+            pipe_mbps=engine.pipe_mbps,
+            domain_delay_ms=max((d.delay_ms for d in engine.delays), default=0),
+            kinds={
+                k.name: engines.AcceleratorKind(k.name, k.mb, k.pace, k.read_x)
+                for k in engine.kinds
+            },
+        )
+    return documents.Service(
+        service.name, service.health_path, service.max_conns, model
+    )
--- a/src/fuchsiabarrow/telemetry/logs.py
+++ b/src/fuchsiabarrow/telemetry/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+from typing import TextIO
 
 import logbook
 import logbook.compat
@@ -54,10 +55,10 @@
     return line
 
 
-def set_up_logs(settings: Settings) -> None:
-    """Sends all logs of the process to standard error, a line an event."""
+def set_up_logs(settings: Settings, stream: TextIO = sys.stderr) -> None:
+    """Sends all logs of the process to a stream, a line an event."""
     handler = logbook.StreamHandler(
-        sys.stderr, level=logbook.lookup_level(settings.level.upper())
+        stream, level=logbook.lookup_level(settings.level.upper())
     )
     handler.formatter = _format_record
     handler.push_application()
