Ask upstreams before avoiding them; stop, reload and reread settings

Ruled out: a share of lost answers as evidence (answers are lost at sound runners). Change: a question to the runner decides; idle connections are closed last; the settings file is read again.

--- a/src/fuchsiabarrow/commands/daemons.py
+++ b/src/fuchsiabarrow/commands/daemons.py
@@ -11,9 +11,14 @@
 from fuchsiabarrow.entry import settings as settings_module
 from fuchsiabarrow.platform import settings as platform_settings
 from fuchsiabarrow.telemetry import logs
+from fuchsiabarrow.utils import settings_files
+from fuchsiabarrow.utils import tasks
 
 __all__ = ["run_entry", "run_router", "wait_for_stop"]
 
+# Time between two looks at the settings file, which may change silently.
+LOOK_PERIOD_S = 2.0
+
 _log = logbook.Logger(__name__)
 
 
@@ -34,9 +39,32 @@
         await entry.drain()
 
 
-async def run_router(settings: platform_settings.PlatformSettings) -> None:
-    """Runs one entry on the platform until a signal, then stops it."""
+async def run_router(path: str) -> None:
+    """Runs one entry on the platform until a signal, then stops it.
+
+    Args:
+        path: Settings file; read again at SIGHUP and when it changes.
+    """
     logs.set_up_logs(logs.Settings(), sys.stdout)
-    async with router_module.Router(settings) as router:
-        await wait_for_stop()
+    watched = settings_files.SettingsFile(path, platform_settings.read_file)
+    async with router_module.Router(watched.read()) as router:
+        loop = asyncio.get_running_loop()
+
+        def reload() -> None:
+            found = watched.read_again()
+            if found is not None:
+                router.reload(found)
+
+        async def look() -> None:
+            if watched.has_changed():
+                reload()
+
+        loop.add_signal_handler(signal.SIGHUP, reload)
+        watching = asyncio.create_task(
+            tasks.repeat("settings_file", look, lambda: LOOK_PERIOD_S, True)
+        )
+        try:
+            await wait_for_stop()
+        finally:
+            watching.cancel()
         await router.drain()
--- a/src/fuchsiabarrow/commands/program.py
+++ b/src/fuchsiabarrow/commands/program.py
@@ -43,7 +43,7 @@
             otherwise.
     """
     path = settings or platform_settings.find_path()
-    loops.run(daemons.run_router(platform_settings.read_file(path)))
+    loops.run(daemons.run_router(path))
 
 
 def check(file: str) -> None:
--- a/src/fuchsiabarrow/entry/router.py
+++ b/src/fuchsiabarrow/entry/router.py
@@ -36,8 +36,8 @@
 # Connections to the store: two watches, and calls beside them.
 STORE_CONNECTIONS = 6
 # Time after SIGTERM in which the platform still sends new connections: two
-# missed readiness checks, a second apart, and their way.
-READY_LAG_S = 2.4
+# missed readiness checks, a second apart, the first within a second.
+READY_LAG_S = 3.1
 # Time before SIGKILL by which the process has ended.
 STOP_SLACK_S = 0.5
 STOP_POLL_S = 0.05
@@ -237,6 +237,15 @@
             and bool(kernel.get("directory").get_all())
         )
 
+    def reload(self, settings: settings_module.PlatformSettings) -> None:
+        """Takes over the bounds of a changed settings file."""
+        self._settings = settings
+        self.kernel.get("front").set_revocation(settings.revoke_s)
+        self.kernel.get("forwarding").set_budget(
+            settings.budget_ratio, settings.budget_extra
+        )
+        _log.info(logs.format_event("reloaded", entry=settings.name))
+
     async def drain(self) -> None:
         """Stops gracefully: no new work, then the end of what runs."""
         loop = asyncio.get_running_loop()
@@ -254,9 +263,14 @@
         entries.is_stopping = True
         await entries.tell_now()
         await asyncio.sleep(min(READY_LAG_S, limit_s))
-        await kernel.get("front_listener").stop_accepting()
-        while forwarding.running and loop.time() - began_s < limit_s:
+        listener, front = kernel.get("front_listener"), kernel.get("front")
+        listener.stop_accepting()
+        while True:
+            # Requests of connections that were just accepted are read first.
             await asyncio.sleep(STOP_POLL_S)
+            listener.close_idle(front.busy)
+            if not front.busy or loop.time() - began_s > limit_s:
+                break
         _log.info(
             logs.format_event(
                 "stopped",
--- a/src/fuchsiabarrow/fleet/directory.py
+++ b/src/fuchsiabarrow/fleet/directory.py
@@ -17,6 +17,8 @@
 LONGEST_AVOID_S = 6.0
 # Quiet time after which earlier failures no longer lengthen the next one.
 FORGET_FAILURES_S = 10.0
+# Lost answers in a row after which an upstream is avoided.
+MAX_LOSSES = 3
 
 
 @dataclasses.dataclass(slots=True)
@@ -25,6 +27,7 @@
     failed_at_s: float = 0.0
     avoid_until_s: float = 0.0
     is_told: bool = False
+    losses: int = 0
 
 
 class Directory:
@@ -131,6 +134,14 @@
         evidence.avoid_until_s = now_s + avoid_s
         return avoid_s
 
+    def note_loss(self, upstream: upstreams.Upstream) -> None:
+        """Notes that an answer was lost; some in a row are a failure."""
+        evidence = self._evidence.setdefault(upstream.key, _Evidence())
+        evidence.losses += 1
+        if evidence.losses >= MAX_LOSSES:
+            evidence.losses = 0
+            self.note_failure(upstream)
+
     def note_success(self, upstream: upstreams.Upstream) -> None:
         """Forgets failures of an upstream that answered."""
         self._evidence.pop(upstream.key, None)
@@ -144,7 +155,7 @@
         )
 
     def get_avoided(self) -> list[tuple[upstreams.Upstream, float]]:
-        """Returns the avoided upstreams to tell of, and for how many seconds."""
+        """Returns the upstreams to warn of, and for how many seconds."""
         now_s = self._read_time_s()
         return [
             (upstream, evidence.avoid_until_s - now_s)
--- a/src/fuchsiabarrow/fleet/lists.py
+++ b/src/fuchsiabarrow/fleet/lists.py
@@ -32,40 +32,42 @@
         directory: The directory.
         decode: Decodes an entry; raises ``InvalidObjectError``.
     """
-    missing: dict[str, upstreams.Upstream] = {}
+    keeper = _ListKeeper(directory, decode)
+    return followers.Sink(
+        keeper.take_snapshot, keeper.take_change, directory.confirm
+    )
 
-    def try_decode(stored: objects.Stored) -> upstreams.Upstream | None:
-        try:
-            return decode(stored)
-        except exceptions.InvalidObjectError as error:
-            _log.warning(logs.format_event("upstream_invalid", why=error))
-            return None
 
-    def drop_missing(names: tuple[str, ...]) -> None:
-        for name in names:
-            upstream = missing.pop(name, None)
-            if upstream is not None and directory.get(name) is upstream:
-                _log_removed(upstream, "not listed after an outage")
-                directory.remove(name)
+class _ListKeeper:
+    """Takes over the list; holds back removals right after an outage."""
 
-    def hold_missing(lapsed: list[upstreams.Upstream]) -> None:
-        if not lapsed:
-            return
-        missing.update({u.instance_id: u for u in lapsed})
-        names = tuple(u.instance_id for u in lapsed)
-        asyncio.get_running_loop().call_later(SETTLE_S, drop_missing, names)
+    def __init__(
+        self,
+        directory: directory_module.Directory,
+        decode: Callable[[objects.Stored], upstreams.Upstream],
+    ):
+        self._directory = directory
+        self._decode = decode
+        self._missing: dict[str, upstreams.Upstream] = {}
 
-    def take_snapshot(snapshot: collections.Snapshot, was_out: bool) -> None:
-        decoded = [try_decode(stored) for stored in snapshot.objects]
+    def take_snapshot(
+        self, snapshot: collections.Snapshot, was_out: bool
+    ) -> None:
+        """Takes over the whole list."""
+        decoded = [self._try_decode(stored) for stored in snapshot.objects]
         found = [upstream for upstream in decoded if upstream is not None]
         names = {upstream.instance_id for upstream in found}
-        lapsed = [u for u in directory.get_all() if u.instance_id not in names]
+        lapsed = [
+            upstream
+            for upstream in self._directory.get_all()
+            if upstream.instance_id not in names
+        ]
         for name in names:
-            missing.pop(name, None)
+            self._missing.pop(name, None)
         if was_out:
-            hold_missing(lapsed)
+            self._hold(lapsed)
             found.extend(lapsed)
-        directory.replace(found)
+        self._directory.replace(found)
         _log.info(
             logs.format_event(
                 "upstreams_listed",
@@ -76,32 +78,53 @@
             )
         )
 
-    def take_change(change: collections.Change, is_settling: bool) -> None:
+    def take_change(
+        self, change: collections.Change, is_settling: bool
+    ) -> None:
+        """Takes over one change."""
         name = change.stored.name
-        known = directory.get(name)
-        if change.is_removed:
-            if known is not None and is_settling and not known.is_leaving:
-                hold_missing([known])
-            elif known is not None:
-                _log_removed(known, "removed from the list")
-                directory.remove(name)
-            return
-        upstream = try_decode(change.stored)
+        known = self._directory.get(name)
+        if not change.is_removed:
+            self._put(change.stored, known)
+        elif known is not None and is_settling and not known.is_leaving:
+            self._hold([known])
+        elif known is not None:
+            _log_removed(known, "removed from the list")
+            self._directory.remove(name)
+
+    def _put(
+        self, stored: objects.Stored, known: upstreams.Upstream | None
+    ) -> None:
+        upstream = self._try_decode(stored)
         if upstream is None:
             return
-        missing.pop(name, None)
-        if known is None or (known.key, known.is_leaving, known.layers) != (
-            upstream.key,
-            upstream.is_leaving,
-            upstream.layers,
-        ):
-            _log_changed(upstream, change.stored.version)
-        directory.put(upstream)
-
-    def confirm(at_s: float) -> None:
-        directory.confirm(at_s)
-
-    return followers.Sink(take_snapshot, take_change, confirm)
+        self._missing.pop(stored.name, None)
+        if known is None or known != upstream:
+            _log_changed(upstream, stored.version)
+        self._directory.put(upstream)
+
+    def _try_decode(self, stored: objects.Stored) -> upstreams.Upstream | None:
+        try:
+            return self._decode(stored)
+        except exceptions.InvalidObjectError as error:
+            _log.warning(logs.format_event("upstream_invalid", why=error))
+            return None
+
+    def _hold(self, lapsed: list[upstreams.Upstream]) -> None:
+        """Removes upstreams later, unless they are listed again by then."""
+        if not lapsed:
+            return
+        self._missing.update({u.instance_id: u for u in lapsed})
+        loop = asyncio.get_running_loop()
+        loop.call_later(SETTLE_S, self._drop, tuple(lapsed))
+
+    def _drop(self, lapsed: tuple[upstreams.Upstream, ...]) -> None:
+        for upstream in lapsed:
+            name = upstream.instance_id
+            if self._missing.get(name) is upstream:
+                del self._missing[name]
+                _log_removed(upstream, "not listed after an outage")
+                self._directory.remove(name)
 
 
 def _log_removed(upstream: upstreams.Upstream, why: str) -> None:
--- a/src/fuchsiabarrow/fleet/paths.py
+++ b/src/fuchsiabarrow/fleet/paths.py
@@ -89,6 +89,7 @@
     demand: Demand,
     load: loads_module.Load,
     pace_factor: float,
+    may_enter: bool = True,
 ) -> Candidate:
     """Estimates what an instance adds to a request.
 
@@ -98,6 +99,7 @@
         demand: The request.
         load: Work in flight there.
         pace_factor: How many times slower than its kind it works.
+        may_enter: Whether the path may begin there.
     """
     held = len(upstream.layers)
     capacity = model.count_context_tokens(upstream.kind, held) * held
@@ -116,7 +118,7 @@
         upstream,
         total_ms / model.layers,
         capacity * CONTEXT_FILL - load.context,
-        load.entered < model.slots,
+        may_enter and load.entered < model.slots,
     )
 
 
--- /dev/null
+++ b/src/fuchsiabarrow/fleet/tests/test_directory.py
@@ -0,0 +1,79 @@
+from fuchsiabarrow.fleet import directory as directory_module
+from fuchsiabarrow.fleet.tests import fleets
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+def make_directory(*instances):
+    clock = Clock()
+    directory = directory_module.Directory(clock)
+    directory.replace(list(instances))
+    return directory, clock
+
+
+def test_leaving_upstream_gets_no_new_work():
+    leaving = fleets.make_instance("x", is_leaving=True)
+    staying = fleets.make_instance("y")
+    directory, _ = make_directory(leaving, staying)
+    assert directory.get_usable(fleets.SERVICE) == [staying]
+    assert len(directory.get_service(fleets.SERVICE)) == 2
+
+
+def test_failed_upstream_is_avoided_for_a_while_and_longer_each_time():
+    upstream = fleets.make_instance("x")
+    directory, clock = make_directory(upstream)
+    first_s = directory.note_failure(upstream)
+    assert directory.get_usable(fleets.SERVICE) == []
+    clock.now_s += first_s + 0.01
+    assert directory.get_usable(fleets.SERVICE) == [upstream]
+    assert directory.note_failure(upstream) > first_s
+
+
+def test_new_incarnation_has_a_clean_record():
+    directory, _ = make_directory(fleets.make_instance("x"))
+    directory.note_failure(directory.get("x"))
+    reborn = fleets.make_instance("x", incarnation=2)
+    directory.put(reborn)
+    assert directory.get_usable(fleets.SERVICE) == [reborn]
+
+
+def test_only_what_an_upstream_said_is_told_to_other_entries():
+    upstream = fleets.make_instance("x")
+    other = fleets.make_instance("y")
+    directory, _ = make_directory(upstream, other)
+    directory.note_failure(upstream)
+    assert directory.get_avoided() == []
+    directory.note_failure(other, is_told=True)
+    assert [u for u, _ in directory.get_avoided()] == [other]
+
+
+def test_one_lost_answer_is_no_failure_but_some_in_a_row_are():
+    upstream = fleets.make_instance("x")
+    directory, _ = make_directory(upstream)
+    for _ in range(directory_module.MAX_LOSSES - 1):
+        directory.note_loss(upstream)
+        assert not directory.is_avoided(upstream)
+    directory.note_loss(upstream)
+    assert directory.is_avoided(upstream)
+
+
+def test_success_ends_a_row_of_losses():
+    upstream = fleets.make_instance("x")
+    directory, _ = make_directory(upstream)
+    for _ in range(directory_module.MAX_LOSSES):
+        directory.note_loss(upstream)
+        directory.note_success(upstream)
+    assert not directory.is_avoided(upstream)
+
+
+def test_address_used_again_belongs_to_the_last_that_started():
+    old = fleets.make_instance("old", address="10.0.0.9:80")
+    new = fleets.make_instance("new", address="10.0.0.9:80", incarnation=2)
+    directory, _ = make_directory(new, old)
+    assert directory.find_address("10.0.0.9:80") == new
--- /dev/null
+++ b/src/fuchsiabarrow/fleet/tests/test_paths.py
@@ -0,0 +1,225 @@
+import random
+
+import pytest
+
+from fuchsiabarrow.fleet import loads
+from fuchsiabarrow.fleet import paths
+from fuchsiabarrow.fleet.tests import fleets
+
+# Light layers, so that one instance can hold many.
+MODEL = fleets.make_model(layer_mb=200.0)
+DEMAND = paths.Demand(800.0, 200.0)
+
+
+def make_candidates(instances, load=loads.IDLE, demand=DEMAND):
+    return [
+        paths.make_candidate(instance, MODEL, demand, load, 1.0)
+        for instance in instances
+    ]
+
+
+def choose(instances, **arguments):
+    return paths.choose_path(
+        make_candidates(instances), MODEL, DEMAND, "a", **arguments
+    )
+
+
+def name_path(parts):
+    return [(p.upstream.instance_id, p.first, p.end) for p in parts]
+
+
+def test_path_covers_all_layers_in_order():
+    found = choose(
+        [
+            fleets.make_instance("last", "a", "fast", (40, 80)),
+            fleets.make_instance("first", "a", "fast", (0, 40)),
+        ]
+    )
+    assert name_path(found) == [("first", 0, 40), ("last", 40, 80)]
+
+
+def test_path_uses_parts_of_overlapping_ranges():
+    found = choose(
+        [
+            fleets.make_instance("left", "a", "fast", (0, 30)),
+            fleets.make_instance("middle", "a", "fast", (20, 60)),
+            fleets.make_instance("right", "a", "fast", (50, 80)),
+        ]
+    )
+    assert paths.is_whole(found, MODEL.layers)
+    assert [p.upstream.instance_id for p in found] == [
+        "left",
+        "middle",
+        "right",
+    ]
+
+
+def test_no_path_if_a_layer_is_held_by_nobody():
+    instances = [
+        fleets.make_instance("left", "a", "fast", (0, 39)),
+        fleets.make_instance("right", "a", "fast", (40, 80)),
+    ]
+    assert choose(instances) is None
+
+
+def test_path_stays_in_its_failure_domain():
+    instances = [
+        fleets.make_instance("near-left", "a", "middle", (0, 40)),
+        fleets.make_instance("near-right", "a", "middle", (40, 80)),
+        fleets.make_instance("far-right", "b", "middle", (40, 80)),
+    ]
+    found = choose(instances)
+    assert [p.upstream.instance_id for p in found] == [
+        "near-left",
+        "near-right",
+    ]
+
+
+def test_path_crosses_domains_if_it_must():
+    instances = [
+        fleets.make_instance("near", "a", "middle", (0, 40)),
+        fleets.make_instance("far", "b", "fast", (40, 80)),
+    ]
+    assert paths.is_whole(choose(instances), MODEL.layers)
+
+
+def test_load_turns_requests_to_an_equal_instance():
+    busy = fleets.make_instance("busy", "a", "fast", (0, 80))
+    idle = fleets.make_instance("idle", "a", "fast", (0, 80))
+    candidates = [
+        paths.make_candidate(busy, MODEL, DEMAND, loads.Load(20), 1.0),
+        paths.make_candidate(idle, MODEL, DEMAND, loads.IDLE, 1.0),
+    ]
+    found = paths.choose_path(candidates, MODEL, DEMAND, "a")
+    assert found[0].upstream is idle
+
+
+def test_instance_without_room_for_the_context_is_left_out():
+    model = fleets.make_model(layers=20, layer_mb=200.0)
+    full = fleets.make_instance("full", "a", "fast", (0, 20))
+    held = model.count_context_tokens("fast", 20) * 20
+    candidate = paths.make_candidate(
+        full, model, DEMAND, loads.Load(5, 5, held), 1.0
+    )
+    assert paths.choose_path([candidate], model, DEMAND, "a") is None
+
+
+def test_instance_whose_slots_are_taken_is_not_entered():
+    candidates = make_candidates(
+        [fleets.make_instance("only", "a", "fast", (0, 80))],
+        loads.Load(MODEL.slots, MODEL.slots),
+    )
+    assert paths.choose_path(candidates, MODEL, DEMAND, "a") is None
+
+
+def test_slow_instance_is_passed_over():
+    slow = fleets.make_instance("x-slow", "a", "fast", (0, 80))
+    sound = fleets.make_instance("sound", "a", "fast", (0, 80))
+    candidates = [
+        paths.make_candidate(slow, MODEL, DEMAND, loads.IDLE, 3.0),
+        paths.make_candidate(sound, MODEL, DEMAND, loads.IDLE, 1.0),
+    ]
+    found = paths.choose_path(candidates, MODEL, DEMAND, "a")
+    assert found[0].upstream is sound
+
+
+def test_prefix_is_kept_when_a_path_changes():
+    first = fleets.make_instance("first", "a", "fast", (0, 40))
+    dead = fleets.make_instance("dead", "a", "fast", (40, 80))
+    other = fleets.make_instance("other", "a", "slow", (30, 80))
+    prefix = (paths.Part(first, 0, 40),)
+    found = choose([first, other], prefix=prefix)
+    assert dead not in [p.upstream for p in found]
+    assert name_path(found) == [("first", 0, 40), ("other", 40, 80)]
+
+
+def test_entering_may_be_bound_to_some_instances():
+    near = fleets.make_instance("near", "a", "fast", (0, 80))
+    far = fleets.make_instance("far", "b", "fast", (0, 80))
+    candidates = [
+        paths.make_candidate(near, MODEL, DEMAND, loads.IDLE, 1.0, False),
+        paths.make_candidate(far, MODEL, DEMAND, loads.IDLE, 1.0, True),
+    ]
+    found = paths.choose_path(candidates, MODEL, DEMAND, "a")
+    assert found[0].upstream is far
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_random_fleets_give_whole_paths_or_none(seed):
+    source = random.Random(seed)
+    instances = []
+    for index in range(source.randint(1, 30)):
+        first = source.randrange(0, 78)
+        end = min(80, first + source.randint(2, 40))
+        instances.append(
+            fleets.make_instance(
+                f"i{index}",
+                source.choice(fleets.DOMAINS),
+                source.choice(list(fleets.COUNTS)),
+                (first, end),
+            )
+        )
+    held = [0] * 80
+    for instance in instances:
+        for layer in range(instance.layers.first, instance.layers.end):
+            held[layer] += 1
+    found = paths.choose_path(
+        make_candidates(instances, demand=paths.Demand(10, 10)),
+        MODEL,
+        paths.Demand(10, 10),
+        "a",
+        lambda: 0.05 * source.random(),
+    )
+    if found is not None:
+        assert paths.is_whole(found, 80)
+    elif 0 not in held:
+        # Context room is the only other reason.
+        crowded = [
+            i
+            for i in instances
+            if MODEL.count_context_tokens(i.kind, len(i.layers)) < 22
+        ]
+        assert crowded
+
+
+def test_reservation_is_given_back():
+    ledger = loads.Ledger(lambda: 0.0)
+    parts = choose([fleets.make_instance("only", "a", "fast", (0, 80))])
+    with paths.reserve_path(ledger, parts, DEMAND) as reservation:
+        load = ledger.get(("only", 1))
+        assert load.requests == 1
+        assert load.entered == 1
+        assert load.context == 1000.0 * 80
+        assert load.reading == 800.0 * 80
+        reservation.finish_reading()
+        assert ledger.get(("only", 1)).reading == 0
+    assert ledger.get(("only", 1)) == loads.IDLE
+
+
+def test_reports_of_other_entries_add_up_and_lapse():
+    now_s = 0.0
+    ledger = loads.Ledger(lambda: now_s)
+    ledger.take_report("x", [(("i", 1), loads.Load(2))])
+    ledger.take_report("y", [(("i", 1), loads.Load(3))])
+    assert ledger.get(("i", 1)).requests == 5
+    ledger.take_report("x", [(("i", 1), loads.Load(1))])
+    assert ledger.get(("i", 1)).requests == 4
+    now_s = loads.REPORT_LIFETIME_S + 0.1
+    ledger.take_report("y", [(("i", 1), loads.Load(3))])
+    ledger.expire()
+    assert ledger.get(("i", 1)).requests == 3
+
+
+def test_pipe_between_domains_costs_more_for_long_prompts():
+    # The same fleet: a short request may cross for faster instances, a long
+    # one stays where it is.
+    instances = [
+        fleets.make_instance("near", "a", "middle", (0, 80)),
+        fleets.make_instance("far-1", "b", "fast", (0, 40)),
+        fleets.make_instance("far-2", "c", "fast", (40, 80)),
+    ]
+    demand = paths.Demand(4000.0, 20.0)
+    found = paths.choose_path(
+        make_candidates(instances, demand=demand), MODEL, demand, "a"
+    )
+    assert [p.upstream.instance_id for p in found] == ["near"]
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -36,6 +36,8 @@
 # Silence counts from a multiple of the usual time between events.
 SILENCE_FACTOR = 4.0
 LONGEST_SILENCE_S = 1.0
+# Least time to the next inquiry about the same stream.
+NEXT_INQUIRY_S = 0.4
 REPORT_TIMEOUT_S = 0.25
 REPATH_TIMEOUT_S = 0.25
 # Pause before the next look for a path, for a stream that has begun.
@@ -195,7 +197,7 @@
             result = await self._attempt(parts)
             if result is _Result.DONE:
                 return None
-            if result is _Result.LOST and not self._may_go_on():
+            if result is _Result.LOST and not self._request.route.may_repeat:
                 return self._make_refusal(
                     messages.RefusalReason.UPSTREAM_FAILED, self._detail
                 )
@@ -210,19 +212,22 @@
             detail,
         )
 
-    def _may_go_on(self) -> bool:
-        """Returns whether the request may be sent again after it ran."""
-        route = self._request.route
-        if not route.may_repeat:
-            return False
+    def _get_entries(self) -> set[tuple[str, int]] | None:
+        """Returns the instances at which a path may begin, None for any.
+
+        A request may be sent to a bounded number of instances; those that are
+        gone from the list do not count.
+        """
         directory = self._forwarding.directory
-        alive = [
-            upstream
-            for upstream in self._entered.values()
-            if directory.get(upstream.instance_id) is not None
-            and not directory.is_avoided(upstream)
-        ]
-        return len(alive) < route.max_attempts
+        alive = {
+            key
+            for key, upstream in self._entered.items()
+            if (known := directory.get(upstream.instance_id)) is not None
+            and known.key == key
+        }
+        if len(alive) < self._request.route.max_attempts:
+            return None
+        return alive
 
     def _log(self, event: str, **fields: object) -> None:
         _log.info(
@@ -255,6 +260,7 @@
         forwarding, model = self._forwarding, self._model
         demand = self._estimate_demand()
         directory, ledger = forwarding.directory, forwarding.ledger
+        entries = self._get_entries()
         candidates = [
             paths.make_candidate(
                 upstream,
@@ -262,6 +268,7 @@
                 demand,
                 ledger.get(upstream.key),
                 directory.get_pace_factor(upstream),
+                entries is None or upstream.key in entries,
             )
             for upstream in directory.get_usable(self._service.name)
             if upstream.layers is not None
@@ -319,12 +326,7 @@
             except exceptions.UpstreamLostError as error:
                 self._detail = str(error)
                 self._log("attempt_lost", why=self._detail)
-                is_suspect = any(
-                    forwarding.directory.is_avoided(part.upstream)
-                    for part in self._parts
-                )
-                if not connection.is_reused and not is_suspect:
-                    forwarding.note_failure(first, "lost")
+                forwarding.inquire(first, "lost")
                 return _Result.LOST
             finally:
                 self._connection = None
@@ -345,6 +347,9 @@
             )
         )
         self._sends += 1
+        self._entered[first.key] = first
+        had_run = self._may_have_run
+        self._may_have_run = True
         self._watch()
         message = await connection.read_head()
         head = forwarding.codec.decode_head(message)
@@ -353,9 +358,9 @@
                 f"{first.address}: answer to another request"
             )
         if head.is_not_run:
+            self._may_have_run = had_run
+            self._entered.pop(first.key, None)
             return self._note_not_run(head, first)
-        self._may_have_run = True
-        self._entered[first.key] = first
         if not head.is_success:
             return await self._pass_failure(connection, head)
         return await self._relay(connection, head)
@@ -383,7 +388,8 @@
         body = await connection.read_all(MAX_ERROR_BYTES)
         self._detail = f"status {head.status}"
         self._excluded.add(self._parts[0].upstream.key)
-        if self._caller.is_started or self._may_go_on():
+        may_repeat = self._request.route.may_repeat
+        if self._caller.is_started or (may_repeat and self._sends == 1):
             return _Result.LOST
         await self._caller.answer(head, body)
         return _Result.DONE
@@ -454,12 +460,17 @@
             return
         if self._inquiry is None or self._inquiry.done():
             self._inquiry = asyncio.create_task(self._inquire(silent_s))
-        self._set_watchdog(max(LONGEST_SILENCE_S / 2, limit_s))
+        self._set_watchdog(max(NEXT_INQUIRY_S, limit_s))
 
     async def _inquire(self, silent_s: float) -> None:
-        """Asks the first instance what a silent stream waits for."""
+        """Asks the instances of a silent stream whether they are there.
+
+        The first one knows which instance it waits for, but says so late.
+        """
         forwarding = self._forwarding
         first = self._parts[0].upstream
+        for part in self._parts[1:]:
+            forwarding.inquire(part.upstream, "silent")
         try:
             report = await forwarding.control.read_report(
                 first, REPORT_TIMEOUT_S
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -24,6 +24,9 @@
 HTTP_SERVER_ERROR = 500
 # Time kept for a refusal to reach the caller before its deadline.
 ANSWER_SLACK_S = 0.02
+REPORT_TIMEOUT_S = 0.25
+# An upstream that answered is not asked again within this time.
+INQUIRY_REST_S = 0.3
 
 _log = logbook.Logger(__name__)
 
@@ -91,12 +94,22 @@
         self._count_entries = count_entries
         self._budgets: dict[str, budgets.RetryBudget] = {}
         self._streams: set[generations.GenerationRun] = set()
+        self._answered_s: dict[tuple[str, int], float] = {}
+        self._inquiries: dict[tuple[str, int], asyncio.Task] = {}
 
     async def __aenter__(self) -> "ForwardingService":
         return self
 
     async def __aexit__(self, *details) -> None:
-        pass
+        for task in list(self._inquiries.values()):
+            task.cancel()
+        await asyncio.gather(*self._inquiries.values(), return_exceptions=True)
+
+    def set_budget(self, ratio: float, extra: float) -> None:
+        """Takes over another retry budget."""
+        self.settings = dataclasses.replace(
+            self.settings, budget_ratio=ratio, budget_extra=extra
+        )
 
     # What both kinds of requests share.
 
@@ -153,6 +166,37 @@
         )
         self.move_streams(upstream)
 
+    def inquire(self, upstream: upstreams.Upstream, why: str) -> None:
+        """Avoids an upstream if it does not answer a question now.
+
+        A connection that broke says little: answers are lost at upstreams
+        that serve all others well.
+        """
+        now_s = asyncio.get_running_loop().time()
+        answered_s = self._answered_s.get(upstream.key, float("-inf"))
+        if (
+            upstream.key in self._inquiries
+            or self.directory.is_avoided(upstream)
+            or now_s - answered_s < INQUIRY_REST_S
+        ):
+            return
+        task = asyncio.create_task(self._inquire(upstream, why))
+        self._inquiries[upstream.key] = task
+
+        def forget(_: asyncio.Task) -> None:
+            self._inquiries.pop(upstream.key, None)
+
+        task.add_done_callback(forget)
+
+    async def _inquire(self, upstream: upstreams.Upstream, why: str) -> None:
+        try:
+            report = await self.control.read_report(upstream, REPORT_TIMEOUT_S)
+        except exceptions.UpstreamError as error:
+            self.note_failure(upstream, f"{why}, then {error}")
+            return
+        self._answered_s[upstream.key] = asyncio.get_running_loop().time()
+        self.directory.set_pace_factor(upstream, report.pace_factor)
+
     def move_streams(self, upstream: upstreams.Upstream) -> None:
         """Wakes the streams that pass through an upstream."""
         for stream in list(self._streams):
@@ -310,8 +354,7 @@
             except exceptions.UpstreamUnreachableError as error:
                 return str(error)
             except exceptions.UpstreamLostError as error:
-                if not connection.is_reused:
-                    forwarding.note_failure(upstream, "lost")
+                forwarding.directory.note_loss(upstream)
                 return str(error)
 
     async def _exchange(
--- a/src/fuchsiabarrow/platform/front.py
+++ b/src/fuchsiabarrow/platform/front.py
@@ -14,6 +14,7 @@
 from fuchsiabarrow.platform import exchanges
 from fuchsiabarrow.platform import names
 from fuchsiabarrow.telemetry import logs
+from fuchsiabarrow.utils import listeners
 
 __all__ = ["Front"]
 
@@ -171,6 +172,10 @@
 class Front:
     """Takes requests from callers to the forwarding.
 
+    Attributes:
+        is_stopping: Whether answers close their connections.
+        busy: Connections on which a request is being served.
+
     Args:
         keeper: Configuration in force.
         forwarding: Serves requests.
@@ -187,11 +192,16 @@
         self._stop_began_s = math.inf
         self._keeper = keeper
         self._forwarding = forwarding
+        self.busy: set[asyncio.BaseProtocol] = set()
+        self.set_revocation(revoke_s)
+
+    def set_revocation(self, revoke_s: float) -> None:
+        """Takes over the age from which keys are not trusted."""
         self._key_trust_s = revoke_s * KEY_TRUST_FRACTION
 
-    def make_server(self) -> aiohttp.web.Server:
+    def make_server(self) -> listeners.Server:
         """Returns the server; call it on a running loop."""
-        return aiohttp.web.Server(
+        return listeners.Server(
             self.handle,
             handler_cancellation=True,
             auto_decompress=False,
@@ -214,6 +224,7 @@
         request_id = http_request.headers.get(names.ATTEMPT_ID, "")
         caller = HttpCaller(http_request, request_id, lambda: self.is_stopping)
         arrived_s = asyncio.get_running_loop().time()
+        self.busy.add(http_request.protocol)
         try:
             await self._serve(http_request, caller, arrived_s)
         except _BadRequestError as error:
@@ -228,6 +239,8 @@
                     )
                 )
             raise
+        finally:
+            self.busy.discard(http_request.protocol)
         if caller.is_aborted:
             # Ends the connection without an end of the body.
             raise asyncio.CancelledError
--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -1,16 +1,20 @@
 """Listening HTTP sockets as services."""
 
 import asyncio
+from collections.abc import Collection
 
+from aiohttp import web_protocol
 import aiohttp.web
 
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.utils import addresses
 
-__all__ = ["Listener", "ServerListener"]
+__all__ = ["Listener", "Server", "ServerListener"]
 
 SHUTDOWN_TIMEOUT_S = 2.0
 LISTEN_BACKLOG = 1024
+# An idle connection has heard nothing for this long.
+QUIET_S = 0.04
 
 
 class Listener:
@@ -52,6 +56,29 @@
         await self._runner.cleanup()
 
 
+class _Connection(web_protocol.RequestHandler):
+    """Remembers when something last arrived."""
+
+    __slots__ = ("heard_s",)
+
+    def __init__(self, manager, *, loop: asyncio.AbstractEventLoop, **options):
+        super().__init__(manager, loop=loop, **options)
+        self.heard_s = loop.time()
+
+    def data_received(self, data: bytes) -> None:
+        """Implements `asyncio.Protocol.data_received`."""
+        self.heard_s = self._loop.time()
+        super().data_received(data)
+
+
+class Server(aiohttp.web.Server):
+    """A server without routes whose idle connections can be told."""
+
+    def __call__(self) -> _Connection:
+        """Returns the protocol of a new connection."""
+        return _Connection(self, loop=self._loop, **self._kwargs)
+
+
 class ServerListener:
     """Owns the listening socket of a server without routes of its own.
 
@@ -63,7 +90,7 @@
         SettingsError: On entering, if the address cannot be bound.
     """
 
-    def __init__(self, server: aiohttp.web.Server, address: str):
+    def __init__(self, server: Server, address: str):
         self._server = server
         self._address = address
         self._listening: asyncio.Server | None = None
@@ -82,13 +109,24 @@
             ) from error
         return self
 
-    async def stop_accepting(self) -> None:
-        """Takes no new connections and closes idle ones."""
+    def stop_accepting(self) -> None:
+        """Takes no new connections."""
         if self._listening is not None:
             self._listening.close()
             self._listening = None
-        self._server.pre_shutdown()
+
+    def close_idle(self, busy: Collection[asyncio.BaseProtocol]) -> None:
+        """Closes the connections that are not among the busy ones.
+
+        One that something just arrived on is spared: its request may not have
+        reached the handler yet.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for connection in self._server.connections:
+            is_quiet = now_s - connection.heard_s > QUIET_S
+            if connection not in busy and is_quiet:
+                connection.force_close()
 
     async def __aexit__(self, *details) -> None:
-        await self.stop_accepting()
+        self.stop_accepting()
         await self._server.shutdown(SHUTDOWN_TIMEOUT_S)
