Test forwarding, paths and placement without network; bounded logs, metrics

Whole requests are tested before scripted upstreams on virtual time: retries, refusals, resumed and re-pathed streams. A request is sent at most five times.

--- a/src/fuchsiabarrow/entry/router.py
+++ b/src/fuchsiabarrow/entry/router.py
@@ -25,6 +25,7 @@
 from fuchsiabarrow.platform import store as store_module
 from fuchsiabarrow.platform import wire
 from fuchsiabarrow.telemetry import logs
+from fuchsiabarrow.telemetry import metrics as metrics_module
 from fuchsiabarrow.utils import listeners
 
 __all__ = ["Router"]
@@ -135,6 +136,8 @@
 
     async def _add_forwarding(self) -> None:
         kernel, settings = self.kernel, self._settings
+        metrics = metrics_module.ForwardingMetrics()
+        await kernel.add("metrics", contextlib.nullcontext(metrics))
         ledger = loads.Ledger(asyncio.get_running_loop().time)
         await kernel.add("ledger", contextlib.nullcontext(ledger))
         forwarding_settings = forwarding_service.Settings(
@@ -160,6 +163,7 @@
                 lambda: kernel.get("entries").count_live(),
                 forwarding_settings,
                 self._source,
+                metrics,
             ),
         )
 
@@ -219,6 +223,28 @@
             "ready_listener", listeners.Listener(app, settings.ready_address)
         )
 
+        if settings.operator_address:
+            app = aiohttp.web.Application()
+            app.router.add_get("/metrics", self._answer_metrics)
+            await kernel.add(
+                "operator_listener",
+                listeners.Listener(app, settings.operator_address),
+            )
+
+    async def _answer_metrics(self, _) -> aiohttp.web.Response:
+        kernel = self.kernel
+        metrics = kernel.get("metrics")
+        keeper, directory = kernel.get("catalogs"), kernel.get("directory")
+        if keeper.catalog is not None:
+            metrics.configuration_version.set(keeper.catalog.version)
+        metrics.configuration_age_s.set(keeper.get_age_s())
+        metrics.list_age_s.set(directory.get_age_s())
+        metrics.upstreams.set(len(directory.get_all()))
+        metrics.entries.set(kernel.get("entries").count_live())
+        return aiohttp.web.Response(
+            body=metrics.encode(), content_type="text/plain"
+        )
+
     async def _answer_ready(self, _) -> aiohttp.web.Response:
         is_ready = self.is_ready()
         return aiohttp.web.Response(
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -47,6 +47,8 @@
 MAX_ERROR_BYTES = 1_048_576
 # Share of the longest answer that is reserved when the caller gives no hint.
 ANSWER_SMOOTHING = 0.3
+# Most upstreams that one request is sent to, refusals included.
+MAX_SENDS = 5
 HTTP_MISDIRECTED = 421
 
 _log = logbook.Logger(__name__)
@@ -189,6 +191,10 @@
                 await asyncio.sleep(PATH_RETRY_S)
                 self._excluded.clear()
                 continue
+            if self._sends >= MAX_SENDS:
+                return self._make_refusal(
+                    messages.RefusalReason.UPSTREAM_FAILED, self._detail
+                )
             if self._sends and not forwarding.spend_retry(self._service.name):
                 return self._make_refusal(
                     messages.RefusalReason.UPSTREAM_FAILED,
@@ -346,6 +352,9 @@
                 self._last_event_id,
             )
         )
+        forwarding.metrics.sends.labels(
+            "retry" if self._sends else "first"
+        ).inc()
         self._sends += 1
         self._entered[first.key] = first
         had_run = self._may_have_run
@@ -419,9 +428,12 @@
     # Watching for silence.
 
     def _note_progress(self, now_s: float, count: int) -> None:
+        metrics = self._forwarding.metrics
         if self._event_count == 0 and self._reservation is not None:
             self._reservation.finish_reading()
+            metrics.first_event_s.observe(now_s - self._request.arrived_s)
         else:
+            metrics.event_gap_s.observe(now_s - self._progress_s)
             interval_s = (now_s - self._progress_s) / count
             self._interval_s += 0.2 * (interval_s - self._interval_s)
         self._progress_s = now_s
@@ -526,6 +538,9 @@
             is_accepted=outcome.is_accepted,
             detail=outcome.detail,
         )
+        self._forwarding.metrics.path_changes.labels(
+            "accepted" if outcome.is_accepted else "refused"
+        ).inc()
         if outcome.is_accepted:
             self._take_path(parts)
             self._reservation.finish_reading()
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -17,6 +17,7 @@
 from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.limits import budgets
 from fuchsiabarrow.telemetry import logs
+from fuchsiabarrow.telemetry import metrics as metrics_module
 
 __all__ = ["ForwardingService", "Settings"]
 
@@ -68,6 +69,7 @@
         count_entries: Returns how many entries share the retry budget.
         settings: Bounds.
         source: Random source.
+        metrics: Counters.
     """
 
     def __init__(
@@ -81,8 +83,10 @@
         count_entries: Callable[[], int],
         settings: Settings,
         source: random.Random,
+        metrics: metrics_module.ForwardingMetrics,
     ):
         self.running = 0
+        self.metrics = metrics
         self.directory = directory
         self.ledger = ledger
         self.codec = codec
@@ -154,6 +158,7 @@
         avoid_s = self.directory.note_failure(upstream, is_told)
         if was_avoided:
             return
+        self.metrics.avoided.inc()
         _log.info(
             logs.format_event(
                 "upstream_avoided",
@@ -215,6 +220,7 @@
     ) -> None:
         """Serves one request to its final answer."""
         self.running += 1
+        self.metrics.running.set(self.running)
         try:
             service_name = self.choose_service(request)
             self._get_budget(service_name).earn()
@@ -236,6 +242,7 @@
                 await PlainRun(self, request, caller, service).serve()
         finally:
             self.running -= 1
+            self.metrics.running.set(self.running)
 
 
 class PlainRun:
@@ -367,6 +374,9 @@
         target = messages.Target(upstream)
         data = forwarding.codec.encode_request(request, target, left_s, "")
         connection.send(data)
+        self._forwarding.metrics.sends.labels(
+            "retry" if self._sent else "first"
+        ).inc()
         self._sent += 1
         self._ran += 1
         head = forwarding.codec.decode_head(await connection.read_head())
--- /dev/null
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -0,0 +1,292 @@
+"""Scripted upstreams without network, on virtual time."""
+
+import asyncio
+import dataclasses
+import random
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.catalogs import documents
+from fuchsiabarrow.fleet import directory as directory_module
+from fuchsiabarrow.fleet import loads
+from fuchsiabarrow.fleet.tests import fleets
+from fuchsiabarrow.forwarding import generations
+from fuchsiabarrow.forwarding import messages
+from fuchsiabarrow.forwarding import service as service_module
+from fuchsiabarrow.telemetry import metrics
+
+MODEL = fleets.make_model(layer_mb=200.0)
+PLAIN = "desk"
+
+
+def make_event(number: int) -> bytes:
+    return b"id: %d\ndata: token\n\n" % number
+
+
+@dataclasses.dataclass(frozen=True)
+class Head:
+    status: int = 200
+    is_not_run: bool = False
+    request_id: str = ""
+    at_fault: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Wait:
+    seconds: float
+
+
+class Lost:
+    """The connection breaks here."""
+
+
+class Unreachable:
+    """No connection can be opened."""
+
+
+def answer(body: bytes = b"done", **head) -> list:
+    return [Head(**head), body]
+
+
+def stream(first: int, end: int, gap_s: float = 0.01) -> list:
+    script = [Head()]
+    for number in range(first, end):
+        script += [Wait(gap_s), make_event(number)]
+    return script
+
+
+class FakeConnection:
+    def __init__(self, script: list, sent: list, address: str):
+        self.is_reused = False
+        self._script = list(script)
+        self._sent = sent
+        self._address = address
+        self._broken: asyncio.Future | None = None
+        self.is_closed = False
+
+    async def __aenter__(self):
+        self._broken = asyncio.get_running_loop().create_future()
+        return self
+
+    async def __aexit__(self, *details):
+        self.is_closed = True
+
+    def send(self, data) -> None:
+        self._sent.append((self._address, *data))
+
+    def break_off(self, why: str) -> None:
+        if not self._broken.done():
+            self._broken.set_result(why)
+
+    async def _next(self):
+        while self._script:
+            step = self._script.pop(0)
+            if isinstance(step, Wait):
+                await asyncio.wait({self._broken}, timeout=step.seconds)
+                if self._broken.done():
+                    raise exceptions.UpstreamLostError(self._broken.result())
+            elif step is Lost:
+                raise exceptions.UpstreamLostError("reset")
+            else:
+                return step
+        return b""
+
+    async def read_head(self):
+        return await self._next()
+
+    async def read_some(self) -> bytes:
+        return await self._next()
+
+    async def read_all(self, limit_bytes: int) -> bytes:
+        chunks = []
+        while data := await self.read_some():
+            chunks.append(data)
+        return b"".join(chunks)
+
+
+class FakePool:
+    """Gives each address its scripts in turn; the last one again and again."""
+
+    def __init__(self):
+        self.scripts: dict[str, list[list]] = {}
+        self.sent: list[tuple] = []
+        self.connections: list[FakeConnection] = []
+
+    async def open(self, address, may_reuse=True, timeout_s=None):
+        scripts = self.scripts[address]
+        script = scripts.pop(0) if len(scripts) > 1 else scripts[0]
+        if script is Unreachable:
+            raise exceptions.UpstreamUnreachableError(f"{address}: refused")
+        connection = FakeConnection(script, self.sent, address)
+        self.connections.append(connection)
+        return connection
+
+
+class FakeCodec:
+    def encode_request(self, request, target, left_s, last_event_id):
+        return (target, round(left_s, 3), last_event_id)
+
+    def decode_head(self, head: Head) -> messages.AnswerHead:
+        return messages.AnswerHead(
+            head.status,
+            "",
+            (),
+            head.request_id,
+            head.is_not_run,
+            head.at_fault,
+            True,
+            None,
+        )
+
+
+class FakeControl:
+    """Answers questions as told; silent addresses do not answer."""
+
+    def __init__(self):
+        self.silent: set[str] = set()
+        self.stalled: dict[str, tuple] = {}
+        self.accepts_paths = True
+        self.paths: list[tuple] = []
+
+    async def read_report(self, upstream, timeout_s):
+        if upstream.address in self.silent:
+            await asyncio.sleep(timeout_s)
+            raise exceptions.UpstreamLostError("no answer")
+        return generations.EngineReport(
+            1.0, self.stalled.get(upstream.address, ()), False, 0
+        )
+
+    async def change_path(self, upstream, request_id, parts, timeout_s):
+        self.paths.append((request_id, parts))
+        return generations.RepathOutcome(self.accepts_paths, "", "")
+
+
+class FakeCaller:
+    def __init__(self):
+        self.head = None
+        self.body = b""
+        self.refusal = None
+        self.is_finished = False
+        self.is_aborted = False
+
+    @property
+    def is_started(self) -> bool:
+        return self.head is not None
+
+    async def start(self, head) -> None:
+        assert self.head is None
+        self.head = head
+
+    async def write(self, data: bytes) -> None:
+        self.body += data
+
+    async def finish(self) -> None:
+        self.is_finished = True
+
+    async def answer(self, head, body: bytes) -> None:
+        assert self.head is None
+        self.head, self.body, self.is_finished = head, body, True
+
+    async def refuse(self, refusal) -> None:
+        assert self.head is None
+        self.refusal = refusal
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+
+class World:
+    """A forwarding service before scripted upstreams."""
+
+    def __init__(self, *instances, budget_extra: float = 100.0):
+        loop = asyncio.get_running_loop()
+        self.pool = FakePool()
+        self.control = FakeControl()
+        self.directory = directory_module.Directory(loop.time)
+        self.directory.replace(list(instances))
+        self.ledger = loads.Ledger(loop.time)
+        self.catalog = documents.make_catalog(
+            1,
+            [],
+            [
+                documents.Service(PLAIN, "/", 10, None),
+                documents.Service(fleets.SERVICE, "/", 10, MODEL),
+            ],
+            [],
+            documents.Limits(),
+        )
+        self.forwarding = service_module.ForwardingService(
+            self.directory,
+            self.ledger,
+            FakeCodec(),
+            self.pool,
+            self.control,
+            lambda: self.catalog,
+            lambda: 1,
+            service_module.Settings("a", budget_extra=budget_extra),
+            random.Random(1),
+            metrics.ForwardingMetrics(),
+        )
+
+    def script(self, address: str, *scripts) -> None:
+        self.pool.scripts[address] = list(scripts)
+
+    async def serve(self, request) -> FakeCaller:
+        caller = FakeCaller()
+        await self.forwarding.serve(request, caller)
+        return caller
+
+    @property
+    def targets(self) -> list[str]:
+        """Addresses that the request was sent to, in order."""
+        return [sent[0] for sent in self.pool.sent]
+
+
+def make_route(
+    kind=documents.RequestKind.IDEMPOTENT,
+    service: str = PLAIN,
+    timeout_s: float = 1.0,
+    max_attempts: int = 2,
+    is_resumable: bool = False,
+) -> documents.Route:
+    return documents.Route(
+        "route",
+        "host",
+        "/",
+        kind,
+        timeout_s,
+        0.1,
+        0.2,
+        1,
+        ((service, 1.0),),
+        max_attempts,
+        False,
+        is_resumable,
+    )
+
+
+def make_request(route, **changes) -> messages.Request:
+    now_s = asyncio.get_running_loop().time()
+    fields = {
+        "request_id": "r1",
+        "method": "GET",
+        "target": "/x",
+        "headers": (),
+        "body": b"",
+        "route": route,
+        "organisation": None,
+        "arrived_s": now_s,
+        "deadline_s": now_s + 20.0,
+    }
+    fields.update(changes)
+    return messages.Request(**fields)
+
+
+def make_stream_request(is_resumable: bool = True, **changes):
+    route = make_route(
+        documents.RequestKind.STREAM,
+        fleets.SERVICE,
+        20.0,
+        is_resumable=is_resumable,
+    )
+    generation = messages.Generation(800, 200)
+    return make_request(route, generation=generation, **changes)
--- /dev/null
+++ b/src/fuchsiabarrow/forwarding/tests/test_generations.py
@@ -0,0 +1,200 @@
+import pytest
+
+from fuchsiabarrow.fleet import loads
+from fuchsiabarrow.fleet.tests import fleets
+from fuchsiabarrow.forwarding import messages
+from fuchsiabarrow.forwarding.tests import fakes
+from fuchsiabarrow.utils.tests import virtual_time
+
+FIRST = fleets.make_instance(
+    "first", "a", "fast", (0, 40), address="10.0.0.1:80"
+)
+LAST = fleets.make_instance(
+    "last", "a", "fast", (40, 80), address="10.0.0.2:80"
+)
+SPARE_FIRST = fleets.make_instance(
+    "spare-first", "b", "fast", (0, 40), address="10.0.0.3:80"
+)
+SPARE_LAST = fleets.make_instance(
+    "spare-last", "b", "fast", (40, 80), address="10.0.0.4:80"
+)
+WHOLE = b"".join(fakes.make_event(n) for n in range(1, 11))
+
+
+def serve(prepare, *instances, **changes):
+    """Serves one stream; returns the caller and the world."""
+
+    async def run():
+        world = fakes.World(*instances)
+        prepare(world)
+        request = fakes.make_stream_request(**changes)
+        return await world.serve(request), world
+
+    return virtual_time.run(run())
+
+
+def get_path(sent) -> list[str]:
+    return [part.upstream.instance_id for part in sent[1].parts]
+
+
+def test_stream_reaches_its_caller_whole():
+    def prepare(world):
+        world.script(FIRST.address, fakes.stream(1, 11))
+
+    caller, world = serve(prepare, FIRST, LAST)
+    assert caller.body == WHOLE
+    assert caller.is_finished
+    assert get_path(world.pool.sent[0]) == ["first", "last"]
+    assert world.ledger.get(FIRST.key) == loads.IDLE
+
+
+def test_broken_stream_goes_on_after_its_last_whole_event():
+    def prepare(world):
+        broken = [*fakes.stream(1, 5), b"id: 5\nda", fakes.Lost]
+        world.script(FIRST.address, broken, fakes.stream(5, 11))
+
+    caller, world = serve(prepare, FIRST, LAST)
+    assert caller.body == WHOLE
+    assert caller.is_finished
+    assert world.pool.sent[1][3] == "4"
+
+
+def test_stream_that_ends_inside_an_event_goes_on():
+    def prepare(world):
+        world.script(
+            FIRST.address,
+            [*fakes.stream(1, 5), b"id: 5\nda"],
+            fakes.stream(5, 11),
+        )
+
+    caller, _ = serve(prepare, FIRST, LAST)
+    assert caller.body == WHOLE
+
+
+def test_stream_that_may_not_be_resumed_is_cut_and_not_sent_again():
+    def prepare(world):
+        world.script(FIRST.address, [*fakes.stream(1, 5), fakes.Lost])
+
+    caller, world = serve(prepare, FIRST, LAST, is_resumable=False)
+    assert caller.is_aborted
+    assert not caller.is_finished
+    assert len(world.pool.sent) == 1
+
+
+def test_unanswered_request_that_may_run_once_is_not_called_not_run():
+    def prepare(world):
+        world.script(FIRST.address, [fakes.Lost])
+
+    caller, world = serve(prepare, FIRST, LAST, is_resumable=False)
+    assert len(world.pool.sent) == 1
+    assert not caller.refusal.is_not_run
+
+
+def test_silent_instance_is_replaced_on_the_running_stream():
+    def prepare(world):
+        script = [*fakes.stream(1, 5), fakes.Wait(1.0), fakes.make_event(5)]
+        for number in range(6, 11):
+            script.append(fakes.make_event(number))
+        world.script(FIRST.address, script)
+        world.control.silent.add(LAST.address)
+
+    caller, world = serve(prepare, FIRST, LAST, SPARE_LAST)
+    ((request_id, parts),) = world.control.paths
+    assert request_id == "r1"
+    assert [p.upstream.instance_id for p in parts] == ["first", "spare-last"]
+    assert caller.body == WHOLE
+    assert len(world.pool.sent) == 1
+
+
+def test_instance_that_the_first_one_waits_for_is_replaced():
+    def prepare(world):
+        script = [*fakes.stream(1, 5), fakes.Wait(1.0), fakes.make_event(5)]
+        world.script(FIRST.address, script)
+        world.control.stalled[FIRST.address] = (("r1", LAST.address),)
+
+    _, world = serve(prepare, FIRST, LAST, SPARE_LAST)
+    assert len(world.control.paths) == 1
+    assert [u for u, _ in world.directory.get_avoided()] == [LAST]
+
+
+def test_stream_is_sent_again_where_the_path_cannot_change():
+    def prepare(world):
+        world.control.accepts_paths = False
+        world.control.silent.add(LAST.address)
+        world.script(
+            FIRST.address,
+            [*fakes.stream(1, 5), fakes.Wait(30.0)],
+            fakes.stream(5, 11),
+        )
+
+    caller, world = serve(prepare, FIRST, LAST, SPARE_LAST)
+    assert caller.body == WHOLE
+    assert get_path(world.pool.sent[1]) == ["first", "spare-last"]
+
+
+def test_silent_first_instance_is_left_for_another():
+    def prepare(world):
+        world.control.silent.add(FIRST.address)
+        world.script(FIRST.address, [*fakes.stream(1, 5), fakes.Wait(30.0)])
+        world.script(SPARE_FIRST.address, fakes.stream(5, 11))
+
+    caller, world = serve(prepare, FIRST, LAST, SPARE_FIRST)
+    assert caller.body == WHOLE
+    assert world.targets == [FIRST.address, SPARE_FIRST.address]
+
+
+def test_instance_that_refuses_its_part_is_left_out():
+    def prepare(world):
+        world.script(
+            FIRST.address,
+            [
+                fakes.Head(421, is_not_run=True, at_fault=LAST.address),
+            ],
+            fakes.stream(1, 11),
+        )
+
+    caller, world = serve(prepare, FIRST, LAST, SPARE_LAST)
+    assert caller.body == WHOLE
+    assert get_path(world.pool.sent[1]) == ["first", "spare-last"]
+
+
+def test_no_path_is_refused_at_once_with_when_to_come_back():
+    caller, world = serve(lambda world: None, FIRST)
+    assert caller.refusal.is_not_run
+    assert caller.refusal.reason is messages.RefusalReason.OVERLOADED
+    assert caller.refusal.retry_after_s > 0
+    assert world.pool.sent == []
+
+
+def test_request_is_sent_to_no_more_instances_than_its_route_allows():
+    others = [
+        fleets.make_instance(
+            f"other-{n}", "b", "fast", (0, 40), address=f"10.0.1.{n}:80"
+        )
+        for n in range(4)
+    ]
+
+    def prepare(world):
+        for instance in (FIRST, *others):
+            world.script(instance.address, [fakes.Head(500), b"bad"])
+
+    _, world = serve(prepare, FIRST, LAST, *others)
+    assert len(set(world.targets)) == 2
+
+
+def test_failure_of_a_running_stream_never_looks_complete():
+    def prepare(world):
+        world.script(FIRST.address, [*fakes.stream(1, 5), fakes.Lost])
+
+    caller, _ = serve(prepare, FIRST, LAST, last_event_id="")
+    assert caller.is_aborted
+    assert not caller.is_finished
+
+
+@pytest.mark.parametrize("last_event_id", ["", "3"])
+def test_resume_of_a_caller_is_handed_on(last_event_id):
+    def prepare(world):
+        world.script(FIRST.address, fakes.stream(4, 11))
+
+    _, world = serve(prepare, FIRST, LAST, last_event_id=last_event_id)
+    assert world.pool.sent[0][3] == last_event_id
--- a/src/fuchsiabarrow/platform/front.py
+++ b/src/fuchsiabarrow/platform/front.py
@@ -14,6 +14,8 @@
 from fuchsiabarrow.platform import exchanges
 from fuchsiabarrow.platform import names
 from fuchsiabarrow.telemetry import logs
+from fuchsiabarrow.telemetry import metrics as metrics_module
+from fuchsiabarrow.telemetry import writers
 from fuchsiabarrow.utils import listeners
 
 __all__ = ["Front"]
@@ -37,6 +39,8 @@
 DENIAL_AGE_S = 2.8
 # A request that comes this long after the stop began is refused.
 STOP_ACCEPT_S = 3.0
+# Successful answers that are logged a second; all others are logged.
+SERVED_LINES_PER_S = 20
 
 _log = logbook.Logger(__name__)
 
@@ -60,6 +64,7 @@
         http_request: Request as received.
         request_id: Its id, for the log.
         is_last: Tells whether the connection is to close after the answer.
+        metrics: Counters.
     """
 
     def __init__(
@@ -67,6 +72,7 @@
         http_request: aiohttp.web.BaseRequest,
         request_id: str,
         is_last: Callable[[], bool],
+        metrics: metrics_module.ForwardingMetrics,
     ):
         self.response: aiohttp.web.StreamResponse | None = None
         self.is_aborted = False
@@ -74,6 +80,7 @@
         self._http_request = http_request
         self._request_id = request_id
         self._is_last = is_last
+        self._metrics = metrics
 
     @property
     def is_started(self) -> bool:
@@ -110,6 +117,7 @@
             del response.headers["Content-Type"]
         for name, value in head.headers:
             response.headers.add(name, value)
+        self.outcome = str(head.status)
         await self._send(response)
 
     async def refuse(self, refusal: messages.Refusal) -> None:
@@ -121,6 +129,7 @@
         else:
             status = HTTP_BAD_GATEWAY
         self.outcome = refusal.reason.value
+        self._metrics.refusals.labels(refusal.reason.value).inc()
         _log.info(
             logs.format_event(
                 "refused",
@@ -193,6 +202,7 @@
         self._keeper = keeper
         self._forwarding = forwarding
         self.busy: set[asyncio.BaseProtocol] = set()
+        self._sampler = writers.Sampler(SERVED_LINES_PER_S)
         self.set_revocation(revoke_s)
 
     def set_revocation(self, revoke_s: float) -> None:
@@ -222,7 +232,12 @@
     ) -> aiohttp.web.StreamResponse:
         """Serves one request."""
         request_id = http_request.headers.get(names.ATTEMPT_ID, "")
-        caller = HttpCaller(http_request, request_id, lambda: self.is_stopping)
+        caller = HttpCaller(
+            http_request,
+            request_id,
+            lambda: self.is_stopping,
+            self._forwarding.metrics,
+        )
         arrived_s = asyncio.get_running_loop().time()
         self.busy.add(http_request.protocol)
         try:
@@ -279,15 +294,31 @@
         )
         if request is not None:
             await self._forwarding.serve(request, caller)
-            _log.info(
-                logs.format_event(
-                    "served",
-                    request_id=request.request_id,
-                    route=request.route.name,
-                    outcome=caller.outcome,
-                    took_s=_round_since(arrived_s),
-                )
+            self._log_served(request, caller, arrived_s)
+
+    def _log_served(self, request, caller, arrived_s: float) -> None:
+        """Logs each answer that is no success, and a sample of the others."""
+        metrics = self._forwarding.metrics
+        metrics.requests.labels(request.route.kind.value, caller.outcome).inc()
+        metrics.answer_s.observe(_round_since(arrived_s))
+        is_ordinary = caller.outcome == "200"
+        left_out = self._sampler.take() if is_ordinary else 0
+        if left_out is None:
+            return
+        _log.info(
+            logs.format_event(
+                "served",
+                request_id=request.request_id,
+                route=request.route.name,
+                organisation=(
+                    request.organisation.name if request.organisation else ""
+                ),
+                version=request.catalog_version,
+                outcome=caller.outcome,
+                took_s=_round_since(arrived_s),
+                left_out=left_out,
             )
+        )
 
     async def _match(
         self, http_request, caller, catalog, arrived_s, body
--- /dev/null
+++ b/src/fuchsiabarrow/platform/tests/test_exchanges.py
@@ -0,0 +1,118 @@
+from aiohttp import http_parser
+import multidict
+import pytest
+
+from fuchsiabarrow.catalogs import documents
+from fuchsiabarrow.fleet import paths
+from fuchsiabarrow.fleet.tests import fleets
+from fuchsiabarrow.forwarding import messages
+from fuchsiabarrow.forwarding.tests import fakes
+from fuchsiabarrow.platform import exchanges
+from fuchsiabarrow.platform import names
+from fuchsiabarrow.utils.tests import virtual_time
+
+UPSTREAM = fleets.make_instance("i-1", address="10.0.0.1:80", layers=(0, 40))
+OTHER = fleets.make_instance("i-2", address="10.0.0.2:80", layers=(40, 80))
+
+
+def encode(parts=(), last_event_id="", **changes) -> list[str]:
+    async def run():
+        request = fakes.make_request(fakes.make_route(), **changes)
+        target = messages.Target(UPSTREAM, parts)
+        codec = exchanges.RunnerCodec()
+        return codec.encode_request(request, target, 1.5, last_event_id)
+
+    head, _, body = virtual_time.run(run()).partition(b"\r\n\r\n")
+    assert body == changes.get("body", b"")
+    return head.decode().split("\r\n")
+
+
+def test_request_names_instance_and_time_left():
+    lines = encode(headers=(("Host", "shop.example"), ("X-Any", "1")))
+    assert lines[0] == "GET /x HTTP/1.1"
+    assert "Host: shop.example" in lines
+    assert "X-Any: 1" in lines
+    assert "Deadline-Ms: 1500" in lines
+    assert "Expect-Instance: i-1" in lines
+    assert not any(line.startswith("Content-Length") for line in lines)
+
+
+def test_organisation_is_named():
+    organisation = documents.Organisation("org", ("k",), None)
+    assert "Tenant: org" in encode(organisation=organisation)
+
+
+def test_path_lists_all_parts():
+    parts = (paths.Part(UPSTREAM, 0, 40), paths.Part(OTHER, 40, 80))
+    assert "Hop-Count: 10.0.0.1:80=0-40,10.0.0.2:80=40-80" in encode(parts)
+
+
+def test_resume_names_the_last_event():
+    assert "Last-Event-Id: 12" in encode(last_event_id="12")
+
+
+def test_body_goes_with_its_length():
+    lines = encode(method="POST", body=b"hello")
+    assert "Content-Length: 5" in lines
+    assert "Content-Length: 0" in encode(method="POST")
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        "Connection",
+        "Keep-Alive",
+        "Transfer-Encoding",
+        "TE",
+        "Upgrade",
+        "Authorization",
+        "Tenant",
+        "Expect-Instance",
+        "Hop-Count",
+        "Deadline-Ms",
+        "Content-Length",
+        "X-Named",
+    ],
+)
+def test_headers_of_one_connection_and_of_the_system_are_not_passed_on(name):
+    pairs = [("Host", "h"), ("Connection", "close, X-Named"), (name, "v")]
+    found = exchanges.select_end_to_end(pairs, names.CALLER_PATH_HEADERS)
+    assert found == (("Host", "h"),)
+
+
+def decode(status: int, **headers) -> messages.AnswerHead:
+    pairs = multidict.CIMultiDict(
+        {name.replace("_", "-"): value for name, value in headers.items()}
+    )
+    message = http_parser.RawResponseMessage(
+        None, status, "Any", pairs, (), False, None, False, False
+    )
+    return exchanges.RunnerCodec().decode_head(message)
+
+
+def test_answer_names_its_request_and_its_proof():
+    head = decode(200, Attempt_Id="r1", Response_Seal="s", Content_Length="3")
+    assert head.request_id == "r1"
+    assert head.is_proven
+    assert head.content_length == 3
+    assert not head.is_not_run
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "is_not_run"),
+    [
+        (503, {"Not_Run": "1"}, True),
+        (429, {"Not_Run": "1"}, True),
+        (421, {}, True),
+        (503, {}, False),
+        (500, {}, False),
+        (504, {}, False),
+    ],
+)
+def test_only_what_says_so_has_not_run(status, headers, is_not_run):
+    assert decode(status, **headers).is_not_run is is_not_run
+
+
+def test_runner_at_fault_is_named():
+    head = decode(503, Not_Run="1", At_Server="10.0.0.2:80")
+    assert head.at_fault == "10.0.0.2:80"
--- /dev/null
+++ b/src/fuchsiabarrow/platform/tests/test_wire.py
@@ -0,0 +1,125 @@
+import pytest
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.catalogs import documents
+from fuchsiabarrow.platform import wire
+from fuchsiabarrow.platform.tests import objects_for_tests as made
+
+
+def test_entry_of_the_list_becomes_an_upstream():
+    found = wire.decode_upstream(made.store("i-1", made.make_server()))
+    assert found.instance_id == "i-1"
+    assert found.incarnation == 1787784881110
+    assert found.failure_domain == "a"
+    assert (found.layers.first, found.layers.end) == (10, 20)
+    assert not found.is_leaving
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"layers": None},
+        {"layers": {"start_key": 0, "to": 0, "version": 0}},
+    ],
+)
+def test_empty_runner_holds_no_layers(changes):
+    server = made.make_server(**changes)
+    assert wire.decode_upstream(made.store("i", server)).layers is None
+
+
+def test_plain_runner_needs_no_fields_of_models():
+    server = {
+        "service": "desk",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "state": "draining",
+    }
+    found = wire.decode_upstream(made.store("i", server))
+    assert found.is_leaving
+    assert found.kind == ""
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [
+        b"\xff\xfe not text",
+        b"{",
+        b"null",
+        b"[]",
+        {},
+        made.make_server(state="odd"),
+        made.make_server(state=3),
+        made.make_server(address="nowhere"),
+        made.make_server(address="10.0.0.1:x"),
+        made.make_server(address=None),
+        made.make_server(slots="many"),
+        made.make_server(born="yesterday"),
+        made.make_server(born=1.5),
+        made.make_server(zone=None),
+        made.make_server(layers=[1, 2]),
+        made.make_server(layers={"start_key": "x", "to": 2}),
+    ],
+)
+def test_entry_of_another_writer_names_no_upstream(spec):
+    with pytest.raises(exceptions.InvalidObjectError):
+        wire.decode_upstream(made.store("i", spec))
+
+
+def test_configuration_becomes_a_catalog():
+    catalog = wire.decode_catalog(made.store("main", made.make_config()))
+    assert catalog.version == 7
+    route = catalog.find_route("SHOP.example", "/quotes/2f")
+    assert route.kind is documents.RequestKind.STREAM
+    assert route.timeout_s == 20.0
+    assert route.gap_objective_s == 0.2
+    assert route.services == (("model", 1.0),)
+    assert catalog.find_organisation("key-2").name == "org"
+    assert catalog.find_organisation("key-3") is None
+    assert catalog.services["desk"].engine is None
+    model = catalog.services["model"].engine
+    assert model.kinds["l4"].step_factor == 16.0
+    assert model.domain_delay_ms == 0.75
+    assert catalog.limits.idle_timeout_s == 15.0
+
+
+def test_longest_prefix_wins():
+    routes = [
+        made.make_route(name="short", path_prefix="/a/"),
+        made.make_route(name="long", path_prefix="/a/b/"),
+        made.make_route(name="root", path_prefix="/"),
+    ]
+    config = made.make_config(routes=routes)
+    catalog = wire.decode_catalog(made.store("main", config))
+    assert catalog.find_route("shop.example", "/a/b/c").name == "long"
+    assert catalog.find_route("shop.example", "/a/c").name == "short"
+    assert catalog.find_route("shop.example", "/x").name == "root"
+    assert catalog.find_route("other.example", "/x") is None
+
+
+def test_split_route_names_its_services():
+    split = [
+        {"service": "x", "weight": 90},
+        {"service": "y", "weight": 10},
+    ]
+    route = made.make_route(traffic_split=split)
+    del route["service"]
+    config = made.make_config(routes=[route])
+    catalog = wire.decode_catalog(made.store("main", config))
+    found = catalog.find_route("shop.example", "/quotes/")
+    assert found.services == (("x", 90.0), ("y", 10.0))
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [
+        b"{",
+        {},
+        made.make_config(version="7"),
+        made.make_config(routes=[made.make_route(kind="odd")]),
+        made.make_config(routes=[{"name": "x"}]),
+        made.make_config(tenants=[{"api_keys": ["k"]}]),
+    ],
+)
+def test_unreadable_configuration_is_refused(spec):
+    with pytest.raises(exceptions.InvalidObjectError):
+        wire.decode_catalog(made.store("main", spec))
--- a/src/fuchsiabarrow/telemetry/logs.py
+++ b/src/fuchsiabarrow/telemetry/logs.py
@@ -8,6 +8,8 @@
 import logbook.compat
 import msgspec
 
+from fuchsiabarrow.telemetry import writers
+
 __all__ = ["Settings", "format_event", "set_up_logs"]
 
 LEVELS = ("debug", "info", "warning", "error")
@@ -55,12 +57,31 @@
     return line
 
 
-def set_up_logs(settings: Settings, stream: TextIO = sys.stderr) -> None:
-    """Sends all logs of the process to a stream, a line an event."""
-    handler = logbook.StreamHandler(
-        stream, level=logbook.lookup_level(settings.level.upper())
-    )
-    handler.formatter = _format_record
+class _LineHandler(logbook.Handler):
+    """Hands each event as one line to a writer."""
+
+    def __init__(self, writer: writers.LineWriter, level: int):
+        super().__init__(level)
+        self.formatter = _format_record
+        self._writer = writer
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        self._writer.write(self.format(record))
+
+
+def set_up_logs(settings: Settings, stream: TextIO | None = None) -> None:
+    """Sends all logs of the process to a stream, a line an event.
+
+    Args:
+        settings: Least level.
+        stream: Written to without waiting; standard error if None.
+    """
+    level = logbook.lookup_level(settings.level.upper())
+    if stream is None:
+        handler = logbook.StreamHandler(sys.stderr, level=level)
+        handler.formatter = _format_record
+    else:
+        handler = _LineHandler(writers.LineWriter(stream.fileno()), level)
     handler.push_application()
     logbook.compat.redirect_logging()
     logging.getLogger().setLevel(logging.WARNING)
--- /dev/null
+++ b/src/fuchsiabarrow/telemetry/tests/test_writers.py
@@ -0,0 +1,74 @@
+import asyncio
+import os
+import time
+
+import pytest
+
+from fuchsiabarrow.telemetry import writers
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def drain(reader: int) -> bytes:
+    os.set_blocking(reader, False)
+    chunks = []
+    while True:
+        try:
+            chunks.append(os.read(reader, 1 << 20))
+        except BlockingIOError:
+            return b"".join(chunks)
+
+
+def test_reader_that_stops_reading_holds_nothing_up(pipe):
+    reader, descriptor = pipe
+    writer = writers.LineWriter(descriptor, max_waiting_bytes=10_000)
+    began_s = time.monotonic()
+    for number in range(5_000):
+        writer.write(f"event=test number={number} {'x' * 100}")
+    assert time.monotonic() - began_s < 5.0
+    assert writer.dropped > 0
+
+
+def test_dropped_lines_are_counted_once_the_reader_is_back(pipe):
+    reader, descriptor = pipe
+
+    async def run() -> bytes:
+        writer = writers.LineWriter(descriptor, max_waiting_bytes=10_000)
+        for number in range(5_000):
+            writer.write(f"event=test number={number} {'x' * 100}")
+        text = b""
+        for _ in range(50):
+            text += drain(reader)
+            await asyncio.sleep(0.01)
+        return text, writer.dropped
+
+    text, dropped = asyncio.run(run())
+    lines = text.decode().splitlines()
+    assert f"event=log_lines_dropped count={dropped}" in lines
+    assert len(lines) == 5_000 - dropped + 1
+    assert all(line.startswith("event=") for line in lines)
+
+
+def test_closed_reader_raises_nothing(pipe):
+    _, descriptor = pipe
+    other_reader, other_writer = os.pipe()
+    os.close(other_reader)
+    writer = writers.LineWriter(other_writer)
+    writer.write("event=test")
+    assert writer.dropped == 1
+    os.close(other_writer)
+
+
+def test_sampler_counts_what_it_leaves_out(monkeypatch):
+    now_s = [10.0]
+    monkeypatch.setattr(writers.time, "monotonic", lambda: now_s[0])
+    sampler = writers.Sampler(per_s=2)
+    assert [sampler.take() for _ in range(5)] == [0, 0, None, None, None]
+    now_s[0] = 11.0
+    assert sampler.take() == 3
