Test the adapter against stand-ins of store and runners; hold lapsed upstreams

Cause, found by a test: a second list within two seconds of an outage dropped upstreams that had lapsed meanwhile, as only the first one held them back. Change: every list within the settling time does. The platform's side has stand-ins of our own for tests; callers' bad input is tried in a table.

--- a/src/fuchsiabarrow/fleet/followers.py
+++ b/src/fuchsiabarrow/fleet/followers.py
@@ -35,7 +35,7 @@
 
     Attributes:
         take_snapshot: Given the whole collection, and whether the store was
-            out of reach before.
+            out of reach shortly before.
         take_change: Given one change, and whether the store was out of reach
             shortly before.
         confirm: Given the loop time at which what is known was current.
@@ -105,8 +105,8 @@
         sent_s = loop.time()
         if self._revision is None:
             snapshot = await self._store.list(self._kind)
-            was_out = self._note_answer()
-            self._sink.take_snapshot(snapshot, was_out)
+            self._note_answer()
+            self._sink.take_snapshot(snapshot, self._is_settling())
             self._revision = snapshot.revision
             self._sink.confirm(sent_s)
             return
@@ -114,7 +114,7 @@
             self._kind, self._revision, WATCH_WAIT_S
         )
         self._note_answer()
-        is_settling = loop.time() - self._back_at_s < self._settle_s
+        is_settling = self._is_settling()
         for change in changes.changes:
             self._sink.take_change(change, is_settling)
         self._revision = changes.revision
@@ -122,15 +122,18 @@
         current_s = sent_s if changes.changes else sent_s + WATCH_WAIT_S
         self._sink.confirm(min(current_s, loop.time()))
 
-    def _note_answer(self) -> bool:
-        """Notes that the store answered; returns whether it was out."""
-        was_out = self._is_out
+    def _note_answer(self) -> None:
+        """Notes that the store answered."""
         self._failures = 0
-        self._is_out = False
-        if was_out:
+        if self._is_out:
+            self._is_out = False
             self._back_at_s = asyncio.get_running_loop().time()
             self._log("store_regained")
-        return was_out
+
+    def _is_settling(self) -> bool:
+        """Returns whether the store was out of reach shortly before."""
+        now_s = asyncio.get_running_loop().time()
+        return now_s - self._back_at_s < self._settle_s
 
     async def _note_failure(self, error: Exception) -> None:
         self._failures += 1
--- /dev/null
+++ b/src/fuchsiabarrow/platform/tests/runners.py
@@ -0,0 +1,129 @@
+"""A stand-in of a runner: plain answers, streams along a path, orders."""
+
+import asyncio
+import time
+
+import aiohttp.web
+import msgspec
+
+from fuchsiabarrow.platform import names
+from fuchsiabarrow.platform.tests import objects_for_tests as made
+from fuchsiabarrow.utils import listeners
+
+SEAL = "1.2.3"
+
+
+class Runner:
+    """Answers requests and notes what it ran.
+
+    Attributes:
+        name: Its id.
+        runs: Requests that it ran, as (id, method, target, headers, body).
+        orders: Orders that it accepted.
+        status: Status of its answers.
+        delay_s: Time before an answer.
+        event_count: Events of a stream.
+        gap_s: Time between events.
+        layers: Layers that it holds, or None.
+    """
+
+    def __init__(self, name: str, service: str, kind: str | None = None):
+        self.name = name
+        self.service = service
+        self.kind = kind
+        self.runs: list[tuple] = []
+        self.orders: list[dict] = []
+        self.status = 200
+        self.delay_s = 0.0
+        self.event_count = 5
+        self.gap_s = 0.01
+        self.layers: tuple[int, int] | None = None
+        self.cancelled = 0
+        self.born = int(time.time() * 1000)
+        app = aiohttp.web.Application(
+            client_max_size=1 << 24, handler_args={"handler_cancellation": True}
+        )
+        app.router.add_get(names.REPORT_PATH, self._report)
+        app.router.add_post(names.ORDER_PATH, self._order)
+        app.router.add_route("*", "/{path:.*}", self._run)
+        self._listener = listeners.Listener(app, "127.0.0.1:0")
+
+    @property
+    def address(self) -> str:
+        return self._listener.address
+
+    async def __aenter__(self) -> "Runner":
+        await self._listener.__aenter__()
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        await self._listener.__aexit__(*details)
+
+    def make_entry(self, **changes) -> dict:
+        """Returns what it registers in the store."""
+        layers = None
+        if self.layers is not None:
+            first, end = self.layers
+            layers = {"start_key": first, "to": end, "version": 1}
+        fields = {
+            "service": self.service,
+            "address": self.address,
+            "kind": self.kind,
+            "layers": layers,
+            "born": self.born,
+        }
+        return made.make_server(**fields, **changes)
+
+    async def _report(self, _) -> aiohttp.web.Response:
+        return aiohttp.web.json_response(
+            {"pace": 1.0, "busy": False, "sequence": len(self.orders)}
+        )
+
+    async def _order(self, request: aiohttp.web.Request):
+        order = msgspec.json.decode(await request.read())
+        if order.get("precondition", len(self.orders)) != len(self.orders):
+            return aiohttp.web.json_response({"error": "sequence"}, status=409)
+        self.orders.append(order)
+        if order["operation"] == "place":
+            self.layers = (order["start_key"], order["to"])
+        return aiohttp.web.json_response({}, status=202)
+
+    async def _run(self, request: aiohttp.web.Request):
+        body = await request.read()
+        expected = request.headers.get(names.EXPECT_INSTANCE)
+        if expected != self.name:
+            return aiohttp.web.Response(status=421)
+        self.runs.append(
+            (
+                request.headers.get(names.ATTEMPT_ID),
+                request.method,
+                request.raw_path,
+                request.headers.copy(),
+                body,
+            )
+        )
+        headers = {
+            names.ATTEMPT_ID: request.headers[names.ATTEMPT_ID],
+            names.SEAL: SEAL,
+        }
+        try:
+            await asyncio.sleep(self.delay_s)
+            if names.PATH in request.headers:
+                return await self._stream(request, headers)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return aiohttp.web.Response(
+            status=self.status, text=f"{self.name}:{body!r}", headers=headers
+        )
+
+    async def _stream(self, request: aiohttp.web.Request, headers: dict):
+        headers["Content-Type"] = "text/event-stream"
+        response = aiohttp.web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        first = int(request.headers.get(names.LAST_EVENT_ID, "0")) + 1
+        for number in range(first, self.event_count + 1):
+            await asyncio.sleep(self.gap_s)
+            await response.write(b"id: %d\ndata: token\n\n" % number)
+        await response.write_eof()
+        return response
--- /dev/null
+++ b/src/fuchsiabarrow/platform/tests/test_front.py
@@ -0,0 +1,284 @@
+import asyncio
+
+import aiohttp
+import pytest
+
+from fuchsiabarrow.platform import names
+from fuchsiabarrow.platform.tests import objects_for_tests as made
+from fuchsiabarrow.platform.tests import runners
+from fuchsiabarrow.platform.tests import worlds
+
+GENERATION = {names.TOKEN_COUNTS: "800,60", names.LENGTH_HINT: "60"}
+
+
+def run(test, **options):
+    async def main():
+        async with worlds.World(**options) as world:
+            return await test(world)
+
+    return asyncio.run(main())
+
+
+def test_request_and_answer_pass_unchanged():
+    async def test(world):
+        status, headers, body = await world.fetch(
+            "/book/x%2Fy?q=%20z", "POST", data=b"hello", headers={"X-Any": "1"}
+        )
+        ((request_id, method, target, seen, sent),) = (
+            world.runners["desk-1"].runs + world.runners["desk-2"].runs
+        )
+        assert status == 200
+        assert headers[names.SEAL] == runners.SEAL
+        assert body.endswith(b":b'hello'")
+        assert (request_id, method, target) == (
+            "r1",
+            "POST",
+            "/book/x%2Fy?q=%20z",
+        )
+        assert sent == b"hello"
+        assert seen["X-Any"] == "1"
+        assert seen["Host"] == worlds.HOST
+        assert seen[names.ORGANISATION] == "org"
+        assert names.AUTHORIZATION not in seen
+        assert int(seen[names.DEADLINE_MS]) <= 20000
+
+    run(test)
+
+
+def test_organisation_that_a_caller_names_is_not_believed():
+    async def test(world):
+        await world.fetch("/read/x", headers={names.ORGANISATION: "other"})
+        (ran,) = world.runners["desk-1"].runs + world.runners["desk-2"].runs
+        assert ran[3].getall(names.ORGANISATION) == ["org"]
+
+    run(test)
+
+
+def test_stream_goes_along_the_path():
+    async def test(world):
+        status, headers, body = await world.fetch(
+            "/draft/x", "POST", data=b"p", headers=GENERATION
+        )
+        ((_, _, _, seen, _),) = world.runners["left"].runs
+        left, right = world.runners["left"], world.runners["right"]
+        assert status == 200
+        assert headers["Content-Type"] == "text/event-stream"
+        assert body.count(b"\n\n") == 5
+        assert seen[names.PATH] == (
+            f"{left.address}=0-40,{right.address}=40-80"
+        )
+
+    run(test)
+
+
+def test_caller_that_leaves_ends_the_run():
+    async def test(world):
+        world.runners["left"].event_count = 1000
+        async with world.call(
+            "/draft/x", "POST", data=b"p", headers=GENERATION
+        ) as response:
+            await response.content.readany()
+            response.close()
+        await world.wait(
+            lambda: world.router.kernel.get("forwarding").running == 0, 1.0
+        )
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "expected"),
+    [
+        ("/none/x", {}, 404),
+        ("/read", {}, 404),
+        ("/read/x", {"Host": "other.example"}, 404),
+        ("/read/x", {names.AUTHORIZATION: None}, 401),
+        ("/read/x", {names.AUTHORIZATION: "Token nobody"}, 401),
+        ("/read/x", {names.AUTHORIZATION: "Bearer key-1"}, 401),
+        ("/read/x", {names.AUTHORIZATION: "Token key-\u00e9"}, 401),
+        ("/read/x", {names.ATTEMPT_ID: None}, 400),
+        ("/read/x", {names.DEADLINE_MS: "soon"}, 400),
+        ("/read/x", {names.DEADLINE_MS: "-5"}, 400),
+        ("/read/x", {names.DEADLINE_MS: "9" * 30}, 400),
+        ("/draft/x", {names.TOKEN_COUNTS: "1;2"}, 400),
+        ("/draft/x", {names.TOKEN_COUNTS: "x,y"}, 400),
+        ("/read/x", {"X-Large": "x" * 17_000}, 431),
+        ("/open/x", {names.AUTHORIZATION: None}, 200),
+        ("/read/x", {"Host": worlds.HOST + ":8080"}, 200),
+        ("/read/x", {}, 200),
+    ],
+)
+def test_what_is_asked_decides_the_status(path, headers, expected):
+    async def test(world):
+        status, _, _ = await world.fetch(path, headers=headers)
+        assert status == expected
+
+    run(test)
+
+
+def test_body_over_the_limit_is_refused():
+    async def test(world):
+        limits = made.make_config()["limits"] | {"max_body_bytes": 100}
+        config = made.make_config(8, routes=worlds.ROUTES, limits=limits)
+        await world.store.put("config", "main", config)
+        keeper = world.router.kernel.get("catalogs")
+        await world.wait(lambda: keeper.catalog.version == 8)
+        status, _, _ = await world.fetch("/book/x", "POST", data=b"x" * 101)
+        assert status == 413
+        assert not world.runners["desk-1"].runs
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "request_text",
+    [
+        b"GET /read/x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n",
+        b"GET /read/x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+        b"Content-Length: 2\r\n\r\nab",
+        b"GET /read/x HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc",
+        b"GET /read/x HTTP/1.1\r\nHost : h\r\n\r\n",
+        b"not a request\r\n\r\n",
+    ],
+)
+def test_smuggled_request_is_refused_and_nothing_runs(request_text):
+    async def test(world):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", world.ports[0]
+        )
+        writer.write(request_text)
+        status = await reader.readline()
+        writer.close()
+        assert status.split()[1] == b"400"
+        assert not any(r.runs for r in world.runners.values())
+
+    run(test)
+
+
+def test_half_a_request_runs_nothing():
+    async def test(world):
+        _, writer = await asyncio.open_connection("127.0.0.1", world.ports[0])
+        writer.write(
+            b"POST /book/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: r\r\n"
+            b"Authorization: Token key-1\r\nContent-Length: 100\r\n\r\nhalf"
+        )
+        await asyncio.sleep(0.1)
+        writer.close()
+        await asyncio.sleep(0.1)
+        assert not any(r.runs for r in world.runners.values())
+
+    run(test)
+
+
+def test_silent_runner_gets_the_caller_an_answer_in_time():
+    async def test(world):
+        for name in ("desk-1", "desk-2"):
+            world.runners[name].delay_s = 5.0
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        status, _, _ = await world.fetch("/book/x", "POST", data=b"x")
+        assert status == 504
+        assert loop.time() - began_s < 1.0
+
+    run(test)
+
+
+def test_revoked_key_is_refused_once_the_configuration_says_so():
+    async def test(world):
+        config = made.make_config(8, routes=worlds.ROUTES)
+        config["tenants"][0]["api_keys"] = ["key-2"]
+        await world.store.put("config", "main", config)
+        keeper = world.router.kernel.get("catalogs")
+        await world.wait(lambda: keeper.catalog.version == 8)
+        status, _, _ = await world.fetch("/read/x")
+        assert status == 401
+
+    run(test)
+
+
+def test_keys_are_not_trusted_while_the_configuration_is_unconfirmed():
+    async def test(world):
+        world.store.status = 503
+        keeper = world.router.kernel.get("catalogs")
+        await world.wait(lambda: keeper.get_age_s() > 4.1, 8.0)
+        status, headers, _ = await world.fetch("/read/x")
+        assert status == 503
+        assert float(headers[names.RETRY_AFTER]) > 0
+        assert not world.runners["desk-1"].runs
+        status, _, _ = await world.fetch("/open/x")
+        assert status == 200
+        world.store.status = 0
+        await world.wait(lambda: keeper.get_age_s() < 1.0)
+        status, _, _ = await world.fetch("/read/x")
+        assert status == 200
+
+    run(test)
+
+
+def test_ready_tells_whether_callers_can_be_served():
+    async def test(world):
+        url = f"http://127.0.0.1:{world.ports[1]}/ready"
+        async with world.session.get(url) as response:
+            assert response.status == 200
+        world.router.kernel.get("front").stop()
+        async with world.session.get(url) as response:
+            assert response.status == 503
+
+    run(test)
+
+
+def test_metrics_tell_what_was_served():
+    async def test(world):
+        await world.fetch("/read/x")
+        url = f"http://127.0.0.1:{world.ports[2]}/metrics"
+        async with world.session.get(url) as response:
+            text = await response.text()
+        assert (
+            'fuchsiabarrow_requests_total{kind="idempotent",outcome="200"} 1.0'
+            in text
+        )
+
+    run(test)
+
+
+def test_planned_stop_answers_what_runs_and_closes_idle_connections():
+    async def test(world):
+        world.runners["left"].event_count = 30
+        world.runners["left"].gap_s = 0.15
+        call = asyncio.create_task(
+            world.fetch("/draft/x", "POST", data=b"p", headers=GENERATION)
+        )
+        async with aiohttp.ClientSession() as idle:
+            address = f"http://127.0.0.1:{world.ports[0]}"
+            async with idle.get(f"{address}/none/x") as response:
+                assert response.status == 404
+            await world.router.drain()
+        status, _, body = await call
+        assert status == 200
+        assert body.count(b"\n\n") == 30
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await world.fetch("/read/x")
+
+    run(test)
+
+
+def test_answers_during_a_stop_close_their_connections():
+    async def test(world):
+        world.router.kernel.get("front").stop()
+        _, headers, _ = await world.fetch("/read/x")
+        assert headers["Connection"] == "close"
+
+    run(test)
+
+
+def test_empty_instances_are_ordered_to_hold_layers():
+    async def test(world):
+        runner = await world.add_runner("empty", "model", "l4")
+        await world.wait(lambda: runner.orders, 8.0)
+        (order,) = runner.orders
+        assert order["operation"] == "place"
+        assert order["precondition"] == 0
+        assert 0 < order["to"] - order["start_key"] <= 12
+
+    run(test)
--- /dev/null
+++ b/src/fuchsiabarrow/platform/tests/worlds.py
@@ -0,0 +1,168 @@
+"""One entry before stand-ins of the platform, on loopback."""
+
+import asyncio
+import contextlib
+import socket
+
+import aiohttp
+
+from fuchsiabarrow.entry import router as router_module
+from fuchsiabarrow.platform import names
+from fuchsiabarrow.platform import settings as settings_module
+from fuchsiabarrow.platform.tests import objects_for_tests as made
+from fuchsiabarrow.platform.tests import runners
+from fuchsiabarrow.platform.tests import stores
+
+HOST = "shop.example"
+ROUTES = [
+    made.make_route(name="draft", path_prefix="/draft/"),
+    made.make_route(
+        name="read",
+        path_prefix="/read/",
+        kind="idempotent",
+        service="desk",
+        timeout_ms=600,
+        resumable=False,
+    ),
+    made.make_route(
+        name="book",
+        path_prefix="/book/",
+        kind="non_idempotent",
+        service="desk",
+        timeout_ms=600,
+        max_attempts=1,
+        resumable=False,
+    ),
+    made.make_route(
+        name="open",
+        path_prefix="/open/",
+        kind="idempotent",
+        service="desk",
+        timeout_ms=600,
+        anonymous=True,
+        resumable=False,
+    ),
+]
+SETTINGS = """\
+node_name=entry-1
+ip=127.0.0.1
+zone=a
+listen.front=127.0.0.1:{front}
+listen.ready=127.0.0.1:{ready}
+listen.control=127.0.0.1:{control}
+internal_ports={inner},{inner}
+seeds=127.0.0.1:{control}
+limits.memory_mb=300
+limits.max_fds=4100
+bounds.drain_ms=2000
+bounds.grace_s={grace_s}
+bounds.config_apply_ms=2000
+bounds.strict_revoke=true
+bounds.revoke_ms=5000
+bounds.budget_ratio=0.2
+bounds.budget_window_s=10
+bounds.budget_extra=202
+bounds.stall_ms=3000
+provider.address={store}
+"""
+
+
+def find_ports(count: int) -> list[int]:
+    """Returns free ports of loopback."""
+    sockets = [socket.socket() for _ in range(count)]
+    for found in sockets:
+        found.bind(("127.0.0.1", 0))
+    ports = [found.getsockname()[1] for found in sockets]
+    for found in sockets:
+        found.close()
+    return ports
+
+
+class World:
+    """A store, runners and one entry.
+
+    Attributes:
+        store: Stand-in of the store.
+        runners: Stand-ins of runners by name.
+        router: The entry.
+        session: For calls as a caller.
+        settings_text: Settings of the entry as the platform writes them.
+    """
+
+    def __init__(self, grace_s: float = 8.0):
+        self.runners: dict[str, runners.Runner] = {}
+        self.store: stores.Store | None = None
+        self.router: router_module.Router | None = None
+        self.session: aiohttp.ClientSession | None = None
+        self.settings_text = ""
+        self.ports = find_ports(4)
+        self._grace_s = grace_s
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> "World":
+        enter = self._stack.enter_async_context
+        self.store = await enter(stores.Store())
+        self.session = await enter(aiohttp.ClientSession())
+        await self.store.put("config", "main", made.make_config(routes=ROUTES))
+        await self.add_runner("desk-1", "desk")
+        await self.add_runner("desk-2", "desk")
+        await self.add_runner("left", "model", "a100", (0, 40))
+        await self.add_runner("right", "model", "a100", (40, 80))
+        front, ready, control, inner = self.ports
+        self.settings_text = SETTINGS.format(
+            front=front,
+            ready=ready,
+            control=control,
+            inner=inner,
+            store=self.store.address,
+            grace_s=self._grace_s,
+        )
+        self.router = await enter(
+            router_module.Router(settings_module.parse(self.settings_text), 1)
+        )
+        await self.wait(self.router.is_ready)
+        await self.wait(
+            lambda: len(self.router.kernel.get("directory").get_all()) == 4
+        )
+        return self
+
+    async def __aexit__(self, *details) -> None:
+        await self._stack.aclose()
+
+    async def add_runner(self, name, service, kind=None, layers=None):
+        """Starts a runner and registers it."""
+        runner = await self._stack.enter_async_context(
+            runners.Runner(name, service, kind)
+        )
+        runner.layers = layers
+        self.runners[name] = runner
+        await self.store.put("servers", name, runner.make_entry())
+        return runner
+
+    async def wait(self, condition, limit_s: float = 5.0) -> None:
+        """Waits until something holds."""
+        async with asyncio.timeout(limit_s):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def call(self, path: str, method: str = "GET", **options):
+        """Starts a call of a caller with a valid key."""
+        headers = {
+            "Host": HOST,
+            names.ATTEMPT_ID: "r1",
+            names.AUTHORIZATION: "Token key-1",
+            names.DEADLINE_MS: "20000",
+        }
+        headers.update(options.pop("headers", {}))
+        headers = {k: v for k, v in headers.items() if v is not None}
+        return self.session.request(
+            method,
+            f"http://127.0.0.1:{self.ports[0]}{path}",
+            headers=headers,
+            **options,
+        )
+
+    async def fetch(self, path: str, method: str = "GET", **options):
+        """Returns status, headers and body of a call."""
+        async with self.call(path, method, **options) as response:
+            return response.status, response.headers, await response.read()
