--- a/src/fuchsiabarrow/entry/router.py
+++ b/src/fuchsiabarrow/entry/router.py
@@ -116,7 +116,7 @@
         await kernel.add("catalogs", contextlib.nullcontext(keeper))
         list_keeper = lists.ListKeeper(directory, wire.decode_upstream)
         await kernel.add("list", contextlib.nullcontext(list_keeper))
-        await kernel.add(
+        catalog_follower = await kernel.add(
             "catalog_follower",
             followers.Follower(
                 store,
@@ -126,7 +126,7 @@
                 lists.LATE_LAPSE_S,
             ),
         )
-        await kernel.add(
+        upstream_follower = await kernel.add(
             "upstream_follower",
             followers.Follower(
                 store,
@@ -134,8 +134,10 @@
                 list_keeper.make_sink(),
                 self._source,
                 lists.LATE_LAPSE_S,
+                followers.VOUCHED_WAIT_S,
             ),
         )
+        catalog_follower.vouch_for(upstream_follower)
 
     async def _add_forwarding(self) -> None:
         kernel, settings = self.kernel, self._settings
--- a/src/fuchsiabarrow/entry/tests/fleets.py
+++ b/src/fuchsiabarrow/entry/tests/fleets.py
@@ -1,6 +1,7 @@
 """Processes of a test: entries and stand-ins, ended with the test."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import subprocess
@@ -221,3 +222,17 @@
     status, _ = await patch(session, first, 0, worlds.make_configuration(guard))
     assert status == 200
     await wait_ready(session, fleet, *entries)
+
+
+def read_descriptors(pid: int) -> list[str]:
+    """Returns what a process's descriptors are open on.
+
+    One that is closed while they are read is left out.
+    """
+    links = []
+    for name in os.listdir(f"/proc/{pid}/fd"):
+        try:
+            links.append(os.readlink(f"/proc/{pid}/fd/{name}"))
+        except FileNotFoundError:
+            continue
+    return links
--- a/src/fuchsiabarrow/entry/tests/test_whole_path.py
+++ b/src/fuchsiabarrow/entry/tests/test_whole_path.py
@@ -1,8 +1,8 @@
 """The whole path as separate processes."""
 
 import asyncio
-import os
 import signal
+import time
 
 import aiohttp
 import uuid6
@@ -74,6 +74,11 @@
     loops.run(check())
 
 
+# A descriptor may be open for a moment only.
+LOOKS = 20
+LOOK_PERIOD_S = 0.02
+
+
 def test_running_entry_holds_no_io_uring_child_or_shared_memory(fleet):
     async def check():
         async with aiohttp.ClientSession() as session:
@@ -86,12 +91,11 @@
         check_process(fleet.processes["entry-1"].child.pid)
 
     def check_process(pid: int):
-        links = [
-            os.readlink(f"/proc/{pid}/fd/{name}")
-            for name in os.listdir(f"/proc/{pid}/fd")
-        ]
-        assert any("eventpoll" in link for link in links)
-        assert not [link for link in links if "io_uring" in link]
+        for _ in range(LOOKS):
+            links = fleets.read_descriptors(pid)
+            assert any("eventpoll" in link for link in links)
+            assert not [link for link in links if "io_uring" in link]
+            time.sleep(LOOK_PERIOD_S)
         with open(f"/proc/{pid}/task/{pid}/children") as file:
             assert file.read().strip() == ""
         with open(f"/proc/{pid}/maps") as file:
--- a/src/fuchsiabarrow/fleet/followers.py
+++ b/src/fuchsiabarrow/fleet/followers.py
@@ -21,10 +21,17 @@
 
 # A watch waits this long for a change; a lost connection is noticed after it.
 WATCH_WAIT_S = 2.2
+# The same for a watch that another one vouches for.
+VOUCHED_WAIT_S = 15.0
+# Changes that come in quick succession are taken together.
+GATHER_S = 0.15
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.6
 # Failures in a row after which the store counts as out of reach.
 OUTAGE_FAILURES = 2
+# An answer may have been on its way for this long; with slower ones the time
+# of the question counts.
+ANSWER_DELAY_S = 0.3
 
 _log = logbook.Logger(__name__)
 
@@ -55,6 +62,7 @@
         sink: What becomes of it.
         source: Random source.
         settle_s: How long after an outage its effects may still show.
+        wait_s: How long a watch waits for a change.
     """
 
     def __init__(
@@ -64,12 +72,17 @@
         sink: Sink,
         source: random.Random,
         settle_s: float,
+        wait_s: float = WATCH_WAIT_S,
     ):
         self._store = store
         self._kind = kind
         self._sink = sink
         self._source = source
         self._settle_s = settle_s
+        self._wait_s = wait_s
+        self._vouched: list[Follower] = []
+        self._watching: asyncio.Task | None = None
+        self._is_poked = False
         self._revision: int | None = None
         self._failures = 0
         self._is_out = False
@@ -85,6 +98,45 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    def vouch_for(self, other: "Follower") -> None:
+        """Tells another follower what the answers here say of the store.
+
+        The revision in an answer is that of the whole store: where it is not
+        above the other's, nothing of the other's kind has changed either.
+        """
+        self._vouched.append(other)
+
+    def note_revision(self, revision: int, at_s: float) -> None:
+        """Notes the store's revision at a time, as another follower saw it."""
+        if self._revision is None:
+            return
+        if revision <= self._revision:
+            self._sink.confirm(at_s)
+        elif self._watching is not None:
+            # Something changed: of this kind, or the watch has gone silent.
+            self._is_poked = True
+            self._watching.cancel()
+
+    async def _watch(self) -> collections.Changes | None:
+        """Waits for changes; returns None if it was told to look at once."""
+        wait_s = self._wait_s
+        if self._is_poked:
+            self._is_poked = False
+            wait_s = 0.0
+        self._watching = asyncio.create_task(
+            self._store.watch(self._kind, self._revision, wait_s)
+        )
+        try:
+            return await self._watching
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                self._watching.cancel()
+                raise
+            return None
+        finally:
+            self._watching = None
+
     async def _follow(self) -> None:
         while True:
             try:
@@ -110,17 +162,23 @@
             self._revision = snapshot.revision
             self._sink.confirm(sent_s)
             return
-        changes = await self._store.watch(
-            self._kind, self._revision, WATCH_WAIT_S
-        )
+        changes = await self._watch()
+        if changes is None:
+            return
         self._note_answer()
         is_settling = self._is_settling()
         for change in changes.changes:
             self._sink.take_change(change, is_settling)
         self._revision = changes.revision
         # Without changes the answer shows the end of the wait.
-        current_s = sent_s if changes.changes else sent_s + WATCH_WAIT_S
-        self._sink.confirm(min(current_s, loop.time()))
+        current_s = loop.time() - ANSWER_DELAY_S
+        if changes.changes or current_s < sent_s:
+            current_s = sent_s
+        self._sink.confirm(current_s)
+        for other in self._vouched:
+            other.note_revision(changes.revision, current_s)
+        if changes.changes:
+            await asyncio.sleep(GATHER_S)
 
     def _note_answer(self) -> None:
         """Notes that the store answered."""
@@ -140,7 +198,8 @@
         if self._failures >= OUTAGE_FAILURES and not self._is_out:
             self._is_out = True
             self._log("store_lost", why=error)
-        # Whoever was cut off may have missed changes without knowing.
+        # The next answer shows that the store is back, so it is to come at once.
+        self._is_poked = True
         pause_s = jitter.compute_backoff_s(
             self._failures, FIRST_RETRY_S, LONGEST_RETRY_S, self._source
         )
--- a/src/fuchsiabarrow/platform/tests/stores.py
+++ b/src/fuchsiabarrow/platform/tests/stores.py
@@ -28,6 +28,7 @@
         self._objects: dict[str, dict[str, dict]] = {}
         self._events: list[tuple[int, str, dict]] = []
         self._changed = asyncio.Condition()
+        self._mutes: dict[str, int] = {}
         app = aiohttp.web.Application()
         app.router.add_get("/objects/{kind}", self._read)
         app.router.add_post("/objects/{kind}", self._create)
@@ -71,6 +72,10 @@
         stored["metadata"]["revision"] = self.revision
         await self._tell(kind, {"tombstone": True, "object": stored})
 
+    def mute(self, kind: str) -> None:
+        """Lets the watches of a kind that wait now hear nothing more."""
+        self._mutes[kind] = self._mutes.get(kind, 0) + 1
+
     async def _tell(self, kind: str, event: dict) -> None:
         self._events.append((self.revision, kind, event))
         async with self._changed:
@@ -106,6 +111,7 @@
         since = int(request.query["watch"])
         if self.forgets_history:
             return _answer({"error": "history is gone"}, 410)
+        mutes = self._mutes.get(kind, 0)
         loop = asyncio.get_running_loop()
         until_s = loop.time() + int(request.query["wait_ms"]) / 1000
         while True:
@@ -117,6 +123,8 @@
                 if of_kind == kind and revision > since
             ]
             left_s = until_s - loop.time()
+            if mutes != self._mutes.get(kind, 0):
+                await asyncio.sleep(30.0)
             if events or left_s <= 0:
                 return _answer(
                     {"events": events, "store_revision": self.revision}
--- a/src/fuchsiabarrow/platform/tests/test_store.py
+++ b/src/fuchsiabarrow/platform/tests/test_store.py
@@ -118,11 +118,13 @@
                 listing.make_sink(),
                 source,
                 lists.LATE_LAPSE_S,
+                followers.VOUCHED_WAIT_S,
             ),
             followers.Follower(
                 client, "config", self.keeper.make_sink(), source, 0.5
             ),
         ]
+        self.followers[1].vouch_for(self.followers[0])
 
     async def wait(self, condition, limit_s: float = 5.0) -> None:
         async with asyncio.timeout(limit_s):
@@ -201,6 +203,39 @@
     asyncio.run(run())
 
 
+def test_one_watch_vouches_for_the_other():
+    async def run():
+        async with follow() as (store, knowledge):
+            await store.put("servers", "x", made.make_server())
+            await knowledge.wait(lambda: get_names(knowledge) == {"x"})
+            await asyncio.sleep(1.0)
+            store.calls.clear()
+            ages_s = []
+            for _ in range(60):
+                await asyncio.sleep(0.1)
+                ages_s.append(knowledge.directory.get_age_s())
+            assert max(ages_s) < followers.WATCH_WAIT_S + 0.5
+            assert store.calls.count(("GET", "servers")) <= 1
+
+    asyncio.run(run())
+
+
+def test_silent_watch_is_found_by_the_other():
+    async def run():
+        async with follow() as (store, knowledge):
+            await store.put("config", "main", made.make_config(3))
+            await store.put("servers", "x", made.make_server())
+            await knowledge.wait(lambda: get_names(knowledge) == {"x"})
+            await knowledge.wait(lambda: knowledge.keeper.catalog is not None)
+            await asyncio.sleep(0.5)
+            store.mute("servers")
+            await store.remove("servers", "x")
+            limit_s = followers.WATCH_WAIT_S + 0.5
+            await knowledge.wait(lambda: not get_names(knowledge), limit_s)
+
+    asyncio.run(run())
+
+
 def test_history_gone_leads_to_a_new_list():
     async def run():
         async with follow() as (store, knowledge):
