--- a/src/fuchsiabarrow/entry/router.py
+++ b/src/fuchsiabarrow/entry/router.py
@@ -21,6 +21,7 @@
 from fuchsiabarrow.placement import service as placement_service
 from fuchsiabarrow.platform import exchanges
 from fuchsiabarrow.platform import front as front_module
+from fuchsiabarrow.platform import names
 from fuchsiabarrow.platform import runners
 from fuchsiabarrow.platform import settings as settings_module
 from fuchsiabarrow.platform import store as store_module
@@ -31,9 +32,6 @@
 
 __all__ = ["Router"]
 
-SERVERS_KIND = "servers"
-CONFIGURATION_KIND = "config"
-CONFIGURATION_NAME = "main"
 STORE_TIMEOUT_S = 1.0
 # Connections to the store: two watches, and calls beside them.
 STORE_CONNECTIONS = 6
@@ -111,7 +109,7 @@
         directory = directory_module.Directory(read_time_s)
         await kernel.add("directory", contextlib.nullcontext(directory))
         keeper = catalog_service.CatalogKeeper(
-            wire.decode_catalog, CONFIGURATION_NAME, read_time_s
+            wire.decode_catalog, names.CONFIGURATION_NAME, read_time_s
         )
         await kernel.add("catalogs", contextlib.nullcontext(keeper))
         list_keeper = lists.ListKeeper(directory, wire.decode_upstream)
@@ -120,7 +118,7 @@
             "catalog_follower",
             followers.Follower(
                 store,
-                CONFIGURATION_KIND,
+                names.CONFIGURATION_KIND,
                 keeper.make_sink(),
                 self._source,
                 lists.LATE_LAPSE_S,
@@ -130,7 +128,7 @@
             "upstream_follower",
             followers.Follower(
                 store,
-                SERVERS_KIND,
+                names.UPSTREAMS_KIND,
                 list_keeper.make_sink(),
                 self._source,
                 lists.LATE_LAPSE_S,
@@ -205,20 +203,20 @@
         kernel, settings = self.kernel, self._settings
         keeper, listing = kernel.get("catalogs"), kernel.get("list")
         informed = {
-            CONFIGURATION_KIND: entries.find_configuration_informed,
-            SERVERS_KIND: entries.find_list_informed,
+            names.CONFIGURATION_KIND: entries.find_configuration_informed,
+            names.UPSTREAMS_KIND: entries.find_list_informed,
         }
         relay = relays.Relay(
             kernel.get("session"),
             [
                 relays.Source(
-                    CONFIGURATION_KIND,
+                    names.CONFIGURATION_KIND,
                     keeper.get_objects,
                     keeper.get_age_s,
                     keeper.make_sink(),
                 ),
                 relays.Source(
-                    SERVERS_KIND,
+                    names.UPSTREAMS_KIND,
                     listing.get_objects,
                     kernel.get("directory").get_age_s,
                     listing.make_sink(),
@@ -261,7 +259,7 @@
             ),
         )
         app = aiohttp.web.Application()
-        app.router.add_get("/ready", self._answer_ready)
+        app.router.add_get(names.READY_PATH, self._answer_ready)
         await kernel.add(
             "ready_listener", listeners.Listener(app, settings.ready_address)
         )
--- a/src/fuchsiabarrow/fleet/followers.py
+++ b/src/fuchsiabarrow/fleet/followers.py
@@ -198,7 +198,7 @@
         if self._failures >= OUTAGE_FAILURES and not self._is_out:
             self._is_out = True
             self._log("store_lost", why=error)
-        # The next answer shows that the store is back, so it is to come at once.
+        # The next answer shows that the store is back; it is to come at once.
         self._is_poked = True
         pause_s = jitter.compute_backoff_s(
             self._failures, FIRST_RETRY_S, LONGEST_RETRY_S, self._source
--- a/src/fuchsiabarrow/platform/names.py
+++ b/src/fuchsiabarrow/platform/names.py
@@ -5,6 +5,8 @@
     "ATTEMPT_ID",
     "AUTHORIZATION",
     "CALLER_PATH_HEADERS",
+    "CONFIGURATION_KIND",
+    "CONFIGURATION_NAME",
     "DEADLINE_MS",
     "EXPECT_INSTANCE",
     "LAST_EVENT_ID",
@@ -20,6 +22,7 @@
     "SEAL",
     "TOKEN_COUNTS",
     "TOKEN_SCHEME",
+    "UPSTREAMS_KIND",
 ]
 
 ATTEMPT_ID = "Attempt-Id"
@@ -46,6 +49,10 @@
 ANSWERED_BY = "At-Server"
 
 READY_PATH = "/ready"
+# Kinds of the store's objects: the list of runners, and the configuration.
+UPSTREAMS_KIND = "servers"
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
 REPORT_PATH = "/report"
 ORDER_PATH = "/order"
 
