--- a/src/fuchsiabarrow/commands/program.py
+++ b/src/fuchsiabarrow/commands/program.py
@@ -133,6 +133,22 @@
     loops.run(operations.print_status(operator, key_file))
 
 
+def explain(request_id: str, log: list[str]) -> None:
+    """Tell a request's story from the logs of one or more entries.
+
+    Args:
+        request_id: Id of the request, as its caller sent it.
+        log: Log files; lines may begin with the name of their entry.
+    """
+    from fuchsiabarrow.commands import explanations
+
+    story = explanations.explain(request_id, explanations.read_files(log))
+    if not story:
+        print(f"no line names request {request_id}; give more logs")
+        sys.exit(EXIT_INVALID)
+    print("\n".join(story))
+
+
 def demo(*, hold: bool = False) -> None:
     """Run the whole path on embedded stand-ins and report what happened.
 
@@ -209,6 +225,7 @@
     show,
     patch,
     status,
+    explain,
     demo,
     standin_objects,
     standin_instances,
--- /dev/null
+++ b/src/fuchsiabarrow/commands/tests/test_explanations.py
@@ -0,0 +1,91 @@
+import pytest
+
+from fuchsiabarrow.commands import explanations
+
+PREFIX = "time=2026-03-31T06:55:{:06.3f} level=info logger=any "
+
+
+def write_log(path, entry, *events) -> str:
+    lines = [f"  1.0 {entry} " + PREFIX.format(s) + text for s, text in events]
+    path.write_text("\n".join(lines) + "\n")
+    return str(path)
+
+
+def explain(tmp_path, *events, request_id="r1"):
+    path = write_log(tmp_path / "a.log", "entry-a", *events)
+    return explanations.explain(request_id, explanations.read_files([path]))
+
+
+def test_refusal_names_status_reason_and_detail(tmp_path):
+    story = explain(
+        tmp_path,
+        (
+            1.0,
+            "event=refused request_id=r1 status=503"
+            ' reason=overloaded detail="no path has room"',
+        ),
+    )
+    assert story[-1] == "refused with 503: overloaded, no path has room"
+
+
+def test_what_was_learned_of_an_upstream_on_the_path_is_part_of_it(tmp_path):
+    story = explain(
+        tmp_path,
+        (1.0, "event=upstream_avoided instance=i-1 why=stalled"),
+        (1.1, "event=upstream_avoided instance=i-9 why=stalled"),
+        (1.2, 'event=attempt_lost request_id=r1 path="i-1=0-40,i-2=40-80"'),
+        (1.3, "event=stream_aborted request_id=r1 why=reset"),
+    )
+    assert len(story) == 4
+    assert "i-1" in story[0]
+    assert story[-1] == "stream_aborted: reset"
+
+
+def test_lines_of_other_requests_and_long_before_are_left_out(tmp_path):
+    story = explain(
+        tmp_path,
+        (1.0, "event=store_lost kind=config"),
+        (20.0, "event=refused request_id=other status=503"),
+        (20.1, "event=served request_id=r1 outcome=200"),
+    )
+    assert len(story) == 2
+    assert story[-1] == "answered with 200"
+
+
+def test_logs_of_several_entries_are_told_in_order(tmp_path):
+    first = write_log(
+        tmp_path / "a.log",
+        "entry-a",
+        (1.0, "event=refused request_id=r1 status=503 reason=stopping"),
+    )
+    second = write_log(
+        tmp_path / "b.log",
+        "entry-b",
+        (0.5, "event=attempt_lost request_id=r1 why=reset"),
+    )
+    lines = explanations.read_files([first, second])
+    story = explanations.explain("r1", lines)
+    assert "entry-b" in story[0]
+    assert "entry-a" in story[1]
+
+
+@pytest.mark.parametrize(
+    "text", ["", "no log line", "time=x", "event=alone", "\x00\xff"]
+)
+def test_other_lines_are_passed_over(text):
+    assert explanations.parse_line(text, "entry") is None
+
+
+def test_unknown_request_has_no_story(tmp_path):
+    assert explain(tmp_path, (1.0, "event=started")) == []
+
+
+def test_story_crosses_midnight(tmp_path):
+    path = tmp_path / "a.log"
+    path.write_text(
+        "entry-a time=2026-03-31T23:59:59.900 event=store_lost kind=config\n"
+        "entry-a time=2026-04-01T00:00:00.100 event=refused request_id=r1"
+        " status=503 reason=stale_configuration\n"
+    )
+    story = explanations.explain("r1", explanations.read_files([str(path)]))
+    assert "store_lost" in story[0]
--- a/src/fuchsiabarrow/fleet/directory.py
+++ b/src/fuchsiabarrow/fleet/directory.py
@@ -21,6 +21,8 @@
 MAX_LOSSES = 3
 # An upstream that refused work for want of room gets none for this long.
 FULL_S = 0.25
+# A report of slowness says nothing after this time.
+PACE_LIFETIME_S = 3.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,7 +52,7 @@
         # The incarnation that started last at each address.
         self._newest: dict[str, int] = {}
         self._evidence: dict[tuple[str, int], _Evidence] = {}
-        self._pace_factors: dict[tuple[str, int], float] = {}
+        self._pace_factors: dict[tuple[str, int], tuple[float, float]] = {}
         self._listeners: list[Callable[[], None]] = []
 
     def add_listener(self, listener: Callable[[], None]) -> None:
@@ -195,11 +197,13 @@
         self, upstream: upstreams.Upstream, factor: float
     ) -> None:
         """Notes how many times slower than its kind an upstream works."""
-        self._pace_factors[upstream.key] = factor
+        until_s = self._read_time_s() + PACE_LIFETIME_S
+        self._pace_factors[upstream.key] = (max(1.0, factor), until_s)
 
     def get_pace_factor(self, upstream: upstreams.Upstream) -> float:
         """Returns how many times slower than its kind an upstream works."""
-        return self._pace_factors.get(upstream.key, 1.0)
+        factor, until_s = self._pace_factors.get(upstream.key, (1.0, 0.0))
+        return factor if self._read_time_s() < until_s else 1.0
 
     def _notify(self) -> None:
         newest: dict[str, int] = {}
--- a/src/fuchsiabarrow/fleet/tests/test_directory.py
+++ b/src/fuchsiabarrow/fleet/tests/test_directory.py
@@ -63,6 +63,25 @@
     assert directory.is_avoided(upstream)
 
 
+def test_slowness_is_forgotten_unless_it_is_reported_again():
+    upstream = fleets.make_instance("x")
+    directory, clock = make_directory(upstream)
+    directory.set_pace_factor(upstream, 5.0)
+    assert directory.get_pace_factor(upstream) == 5.0
+    clock.now_s += directory_module.PACE_LIFETIME_S + 0.1
+    assert directory.get_pace_factor(upstream) == 1.0
+
+
+def test_upstream_that_refused_for_want_of_room_is_full_for_a_moment():
+    upstream = fleets.make_instance("x")
+    directory, clock = make_directory(upstream)
+    directory.note_full(upstream)
+    assert directory.is_full(upstream)
+    assert not directory.is_avoided(upstream)
+    clock.now_s += directory_module.FULL_S + 0.01
+    assert not directory.is_full(upstream)
+
+
 def test_success_ends_a_row_of_losses():
     upstream = fleets.make_instance("x")
     directory, _ = make_directory(upstream)
--- a/src/fuchsiabarrow/forwarding/connections.py
+++ b/src/fuchsiabarrow/forwarding/connections.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import os
 import socket
 
 from aiohttp import client_exceptions
@@ -38,16 +39,27 @@
         self.received_bytes += len(data)
         super().data_received(data)
 
+    def eof_received(self) -> None:
+        # libuv reports an end where a reset was found together with the last
+        # bytes (uv__stream_io, POLLHUP after a partial read); the error is
+        # still pending on the socket then.
+        sock = self.transport.get_extra_info("socket")
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self._fail_payload(OSError(error, os.strerror(error)))
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            helpers.set_exception(
-                payload,
-                client_exceptions.ClientPayloadError("connection reset"),
-                exc,
-            )
+        if exc is not None:
+            self._fail_payload(exc)
         super().connection_lost(exc)
 
+    def _fail_payload(self, cause: BaseException) -> None:
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            error = client_exceptions.ClientPayloadError("connection reset")
+            helpers.set_exception(payload, error, cause)
+
 
 class Connection:
     """One request and its answer on a connection; closed on leaving.
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -35,6 +35,12 @@
 FIRST_SILENCE_S = 0.3
 # Silence counts from a multiple of the usual time between events.
 SILENCE_FACTOR = 4.0
+# Weight of the newest time between events.
+INTERVAL_SMOOTHING = 0.2
+# A stream this many times slower than expected has a slow instance.
+SLOW_FACTOR = 2.5
+LEAST_SLOW_S = 0.06
+MS_PER_S = 1000.0
 LONGEST_SILENCE_S = 1.0
 # Least time to the next inquiry about the same stream.
 NEXT_INQUIRY_S = 0.4
@@ -143,6 +149,7 @@
         self._event_count = 0
         self._progress_s = 0.0
         self._interval_s = 0.0
+        self._slow_interval_s = LEAST_SLOW_S
         self._watchdog: asyncio.TimerHandle | None = None
         self._inquiry: asyncio.Task | None = None
         self._detail = ""
@@ -307,6 +314,12 @@
             self._forwarding.ledger, list(parts), demand
         )
         self._reservation.__enter__()
+        event_ms = self._model.tokens_per_event * paths.compute_token_ms(
+            list(parts), self._model, self._forwarding.ledger
+        )
+        self._slow_interval_s = max(
+            LEAST_SLOW_S, SLOW_FACTOR * event_ms / MS_PER_S
+        )
 
     # Attempts.
 
@@ -446,9 +459,19 @@
         else:
             metrics.event_gap_s.observe(now_s - self._progress_s)
             interval_s = (now_s - self._progress_s) / count
-            self._interval_s += 0.2 * (interval_s - self._interval_s)
+            self._interval_s += INTERVAL_SMOOTHING * (
+                interval_s - self._interval_s
+            )
+            if self._interval_s > self._slow_interval_s:
+                self._look_for_slow_instance()
         self._progress_s = now_s
 
+    def _look_for_slow_instance(self) -> None:
+        """Asks the instances of a slow stream how slow they work."""
+        for part in self._parts:
+            self._forwarding.inquire(part.upstream, "slow")
+        self._slow_interval_s *= 2
+
     def _watch(self) -> None:
         loop = asyncio.get_running_loop()
         self._progress_s = loop.time()
--- /dev/null
+++ b/src/fuchsiabarrow/forwarding/tests/test_connections.py
@@ -0,0 +1,197 @@
+import asyncio
+import contextlib
+import socket
+import struct
+import threading
+import time
+
+import pytest
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.utils import loops
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+FRAMED = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\nbody"
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Ends a connection with a reset."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
+class Upstream:
+    """Plays a script on each connection: bytes, pauses, and an end."""
+
+    def __init__(self, *script):
+        self.script = script
+        self.accepted = 0
+
+    async def serve(self, reader, writer):
+        self.accepted += 1
+        for step in self.script:
+            if step == "request":
+                await reader.readuntil(b"\r\n\r\n")
+            elif step == "reset":
+                await asyncio.sleep(0)
+                reset(writer)
+                return
+            elif isinstance(step, bytes):
+                writer.write(step)
+                await writer.drain()
+            else:
+                await asyncio.sleep(step)
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def open_pool(*script):
+    upstream = Upstream(*script)
+    server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    async with connections.ConnectionPool(0.5) as pool:
+        yield pool, f"{host}:{port}", upstream
+    server.close()
+
+
+async def exchange(pool, address) -> bytes:
+    connection = await pool.open(address)
+    async with connection:
+        connection.send(REQUEST)
+        await connection.read_head()
+        return await connection.read_all(1000)
+
+
+@pytest.mark.parametrize("answer", [FRAMED, CHUNKED, UNFRAMED])
+def test_whole_answer_is_read(answer):
+    async def run():
+        async with open_pool("request", answer) as (pool, address, _):
+            return await exchange(pool, address)
+
+    assert loops.run(run()) == b"body"
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        (FRAMED[:-1],),
+        (CHUNKED[:-5],),
+        (CHUNKED[:-8],),
+        (FRAMED[:10],),
+        (),
+        (b"garbage\r\n\r\n",),
+        (UNFRAMED, "reset"),
+        (UNFRAMED, 0.05, "reset"),
+        (UNFRAMED[:-2], 0.01, b"dy", "reset"),
+        (FRAMED[:-1], "reset"),
+        ("reset",),
+    ],
+)
+def test_answer_cut_short_is_lost(script):
+    async def run():
+        async with open_pool("request", *script) as (pool, address, _):
+            await exchange(pool, address)
+
+    with pytest.raises(exceptions.UpstreamLostError):
+        loops.run(run())
+
+
+@pytest.mark.parametrize("answer", [UNFRAMED, UNFRAMED[:-2]])
+def test_reset_that_arrives_with_the_last_bytes_is_no_end(answer):
+    # The process is busy while both arrive, so that it finds them at once.
+    listening = socket.create_server(("127.0.0.1", 0))
+
+    def answer_and_reset():
+        accepted, _ = listening.accept()
+        accepted.recv(1000)
+        accepted.sendall(answer)
+        time.sleep(0.02)
+        accepted.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        accepted.close()
+
+    async def run():
+        host, port = listening.getsockname()
+        async with connections.ConnectionPool(0.5) as pool:
+            connection = await pool.open(f"{host}:{port}")
+            async with connection:
+                connection.send(REQUEST)
+                time.sleep(0.2)
+                await connection.read_head()
+                await connection.read_all(1000)
+
+    thread = threading.Thread(target=answer_and_reset)
+    thread.start()
+    with listening, pytest.raises(exceptions.UpstreamLostError):
+        loops.run(run())
+    thread.join()
+
+
+def test_closed_port_is_unreachable():
+    async def run():
+        async with connections.ConnectionPool(0.5) as pool:
+            await pool.open("127.0.0.1:1")
+
+    with pytest.raises(exceptions.UpstreamUnreachableError):
+        loops.run(run())
+
+
+def test_connection_is_used_again_after_a_whole_answer():
+    script = ("request", FRAMED, "request", FRAMED, 1.0)
+
+    async def run():
+        async with open_pool(*script) as (pool, address, upstream):
+            await exchange(pool, address)
+            await exchange(pool, address)
+            return upstream.accepted
+
+    assert loops.run(run()) == 1
+
+
+@pytest.mark.parametrize("extra", [FRAMED, b"stray"])
+@pytest.mark.parametrize("delay_s", [0.0, 0.02])
+def test_bytes_after_an_answer_are_taken_for_no_other(extra, delay_s):
+    script = ("request", FRAMED, delay_s, extra, "request", FRAMED, 1.0)
+
+    async def run():
+        async with open_pool(*script) as (pool, address, upstream):
+            await exchange(pool, address)
+            await asyncio.sleep(0.05)
+            await exchange(pool, address)
+            return upstream.accepted
+
+    assert loops.run(run()) == 2
+
+
+def test_broken_off_connection_ends_who_reads():
+    async def run():
+        async with open_pool("request", UNFRAMED, 5.0) as (pool, address, _):
+            connection = await pool.open(address)
+            async with connection:
+                connection.send(REQUEST)
+                await connection.read_head()
+                assert await connection.read_some() == b"body"
+                loop = asyncio.get_running_loop()
+                loop.call_later(0.02, connection.break_off, "enough")
+                await connection.read_some()
+
+    with pytest.raises(exceptions.UpstreamLostError, match="early"):
+        loops.run(run())
+
+
+def test_answer_over_the_limit_is_not_kept():
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + b"x" * 2000
+
+    async def run():
+        async with open_pool("request", answer) as (pool, address, _):
+            await exchange(pool, address)
+
+    with pytest.raises(exceptions.UpstreamLostError, match="over"):
+        loops.run(run())
--- a/src/fuchsiabarrow/peers/load_reports.py
+++ b/src/fuchsiabarrow/peers/load_reports.py
@@ -184,22 +184,26 @@
         )
 
     def find_list_informed(self, limit_s: float) -> list[str]:
-        """Returns live entries whose list of upstreams is younger."""
-        least_s = asyncio.get_running_loop().time() - limit_s
-        return [
-            address
-            for address, entry in self._entries.items()
-            if entry.list_current_s > least_s
-        ]
+        """Returns entries whose list of upstreams is younger.
+
+        The one with the youngest comes first.
+        """
+        return self._find_younger(limit_s, lambda e: e.list_current_s)
 
     def find_configuration_informed(self, limit_s: float) -> list[str]:
-        """Returns live entries whose configuration is younger."""
+        """Returns entries whose configuration is younger, youngest first."""
+        return self._find_younger(limit_s, lambda e: e.configuration_current_s)
+
+    def _find_younger(
+        self, limit_s: float, get_current_s: Callable[[_Entry], float]
+    ) -> list[str]:
         least_s = asyncio.get_running_loop().time() - limit_s
-        return [
-            address
+        found = [
+            (get_current_s(entry), address)
             for address, entry in self._entries.items()
-            if entry.configuration_current_s > least_s
+            if get_current_s(entry) > least_s
         ]
+        return [address for _, address in sorted(found, reverse=True)]
 
     def _get_live(self) -> list[_Entry]:
         now_s = asyncio.get_running_loop().time()
--- a/src/fuchsiabarrow/peers/relays.py
+++ b/src/fuchsiabarrow/peers/relays.py
@@ -29,9 +29,9 @@
 HTTP_OK = 200
 # Knowledge older than this is asked for elsewhere: a follower whose store
 # answers confirms its own more often.
-OLD_S = 2.6
+OLD_S = 2.5
 # Knowledge this young is worth asking for.
-YOUNG_S = 2.0
+YOUNG_S = 2.3
 PERIOD_S = 0.4
 CALL_TIMEOUT_S = 0.5
 MAX_UINT32 = 2**32 - 1
@@ -64,7 +64,7 @@
         session: HTTP session, owned by the caller.
         sources: The collections.
         find_informed: Returns addresses of live entries whose knowledge of a
-            kind is younger than some seconds.
+            kind is younger than some seconds, the youngest first.
         source: Random source.
     """
 
@@ -134,7 +134,7 @@
         informed = self._find_informed(source.kind, YOUNG_S)
         if not informed:
             return
-        address = self._source.choice(informed)
+        address = informed[0]
         known = compute_mark(source.get_objects())
         asked_s = asyncio.get_running_loop().time()
         try:
--- a/src/fuchsiabarrow/platform/front.py
+++ b/src/fuchsiabarrow/platform/front.py
@@ -41,6 +41,8 @@
 STOP_ACCEPT_S = 3.0
 # Successful answers that are logged a second; all others are logged.
 SERVED_LINES_PER_S = 20
+# When a caller may try another entry that is not in the same trouble.
+ELSEWHERE_RETRY_S = 0.05
 
 _log = logbook.Logger(__name__)
 
@@ -281,7 +283,10 @@
         if arrived_s - self._stop_began_s > STOP_ACCEPT_S:
             await caller.refuse(
                 messages.Refusal(
-                    messages.RefusalReason.STOPPING, True, 0.1, "stopping"
+                    messages.RefusalReason.STOPPING,
+                    True,
+                    ELSEWHERE_RETRY_S,
+                    "stopping",
                 )
             )
             return
@@ -363,7 +368,7 @@
             messages.Refusal(
                 messages.RefusalReason.STALE_CONFIGURATION,
                 True,
-                self._forwarding.draw_retry_after_s(),
+                ELSEWHERE_RETRY_S,
                 f"configuration {self._keeper.catalog.version} was confirmed"
                 f" {age_s:.2f} s ago",
             )
