--- a/src/fuchsiabarrow/forwarding/connections.py
+++ b/src/fuchsiabarrow/forwarding/connections.py
@@ -61,6 +61,11 @@
             helpers.set_exception(payload, error, cause)
 
 
+def make_protocol(loop: asyncio.AbstractEventLoop) -> _Protocol:
+    """Returns the protocol of one connection."""
+    return _Protocol(loop)
+
+
 class Connection:
     """One request and its answer on a connection; closed on leaving.
 
@@ -251,7 +256,7 @@
         try:
             async with asyncio.timeout(max(0.0, limit_s)):
                 _, protocol = await loop.create_connection(
-                    lambda: _Protocol(loop), host, port
+                    lambda: make_protocol(loop), host, port
                 )
         except (OSError, TimeoutError) as error:
             raise exceptions.UpstreamUnreachableError(
--- a/src/fuchsiabarrow/forwarding/tests/test_connections.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_connections.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import errno
 import socket
 import struct
 import threading
@@ -13,7 +14,10 @@
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 FRAMED = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
-CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"4\r\nbody\r\n0\r\n\r\n"
+)
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\nbody"
 
 
@@ -134,6 +138,64 @@
     thread.join()
 
 
+class EndingTransport(asyncio.Transport):
+    """Reports an end, as libuv does for a reset found with the last bytes."""
+
+    def __init__(self, pending_error: int):
+        super().__init__()
+        self._pending_error = pending_error
+        self._is_closed = False
+
+    def get_extra_info(self, name, default=None):
+        return self if name == "socket" else default
+
+    family = socket.AF_INET
+    type = socket.SOCK_STREAM
+    proto = socket.IPPROTO_TCP
+
+    def setsockopt(self, *details) -> None:
+        pass
+
+    def getsockopt(self, level: int, option: int) -> int:
+        assert (level, option) == (socket.SOL_SOCKET, socket.SO_ERROR)
+        return self._pending_error
+
+    def is_closing(self) -> bool:
+        return self._is_closed
+
+    def write(self, data: bytes) -> None:
+        pass
+
+    def close(self) -> None:
+        self._is_closed = True
+
+    abort = close
+
+
+@pytest.mark.parametrize(
+    ("pending_error", "is_lost"), [(0, False), (errno.ECONNRESET, True)]
+)
+def test_end_with_a_pending_reset_is_no_end(pending_error, is_lost):
+    async def run():
+        loop = asyncio.get_running_loop()
+        protocol = connections.make_protocol(loop)
+        protocol.connection_made(EndingTransport(pending_error))
+        pool = connections.ConnectionPool(0.5)
+        connection = connections.Connection(pool, "x:1", protocol, False)
+        connection.send(REQUEST)
+        protocol.data_received(UNFRAMED)
+        protocol.eof_received()
+        protocol.connection_lost(None)
+        await connection.read_head()
+        return await connection.read_all(1000)
+
+    if is_lost:
+        with pytest.raises(exceptions.UpstreamLostError):
+            loops.run(run())
+    else:
+        assert loops.run(run()) == b"body"
+
+
 def test_closed_port_is_unreachable():
     async def run():
         async with connections.ConnectionPool(0.5) as pool:
