--- a/src/fuchsiabarrow/entry/router.py
+++ b/src/fuchsiabarrow/entry/router.py
@@ -183,6 +183,7 @@
             load_reports.LoadReports(
                 kernel.get("directory"),
                 kernel.get("ledger"),
+                kernel.get("forwarding").crashes,
                 note_suspect,
                 kernel.get("catalogs").get_age_s,
                 load_reports.Settings(
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -22,6 +22,7 @@
 from fuchsiabarrow.forwarding import connections
 from fuchsiabarrow.forwarding import events
 from fuchsiabarrow.forwarding import messages
+from fuchsiabarrow.limits import crashes
 from fuchsiabarrow.telemetry import logs
 
 if TYPE_CHECKING:
@@ -124,6 +125,7 @@
         request: The request.
         caller: Gets the answer.
         service: Where it goes.
+        fingerprint: Identifies the request, whoever carries it.
     """
 
     def __init__(
@@ -132,7 +134,9 @@
         request: messages.Request,
         caller: messages.Caller,
         service: documents.Service,
+        fingerprint: int,
     ):
+        self._fingerprint = fingerprint
         self._forwarding = forwarding
         self._request = request
         self._caller = caller
@@ -207,14 +211,32 @@
                     messages.RefusalReason.UPSTREAM_FAILED,
                     f"retry budget spent; {self._detail}",
                 )
+            events_before = self._event_count
             result = await self._attempt(parts)
             if result is _Result.DONE:
                 return None
+            has_crashed = result is _Result.LOST and await self._has_crashed()
+            if self._event_count > events_before:
+                forwarding.crashes.clear(self._fingerprint)
+            elif has_crashed:
+                count = forwarding.crashes.add(self._fingerprint)
+                if count >= crashes.CRASH_LIMIT:
+                    return forwarding.make_crash_refusal(False)
             if result is _Result.LOST and not self._request.route.may_repeat:
                 return self._make_refusal(
                     messages.RefusalReason.UPSTREAM_FAILED, self._detail
                 )
 
+    async def _has_crashed(self) -> bool:
+        """Returns whether an instance of the path is gone."""
+        answers = await asyncio.gather(
+            *(
+                self._forwarding.check_alive(part.upstream)
+                for part in self._parts
+            )
+        )
+        return not all(answers)
+
     def _make_refusal(
         self, reason: messages.RefusalReason, detail: str
     ) -> messages.Refusal:
@@ -346,7 +368,6 @@
             except exceptions.UpstreamLostError as error:
                 self._detail = str(error)
                 self._log("attempt_lost", why=self._detail)
-                forwarding.inquire(first, "lost")
                 return _Result.LOST
             finally:
                 self._connection = None
--- a/src/fuchsiabarrow/forwarding/messages.py
+++ b/src/fuchsiabarrow/forwarding/messages.py
@@ -131,6 +131,7 @@
     STOPPING = "stopping"
     TIMEOUT = "timeout"
     UPSTREAM_FAILED = "upstream_failed"
+    CRASHES_UPSTREAMS = "crashes_upstreams"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -16,6 +16,7 @@
 from fuchsiabarrow.forwarding import generations
 from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.limits import budgets
+from fuchsiabarrow.limits import crashes
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.telemetry import metrics as metrics_module
 
@@ -28,6 +29,8 @@
 REPORT_TIMEOUT_S = 0.25
 # An upstream that answered is not asked again within this time.
 INQUIRY_REST_S = 0.3
+# When the caller of a request that crashes its upstreams may come back.
+CRASH_RETRY_S = 60.0
 
 _log = logbook.Logger(__name__)
 
@@ -60,6 +63,7 @@
 
     Attributes:
         running: Number of requests being served.
+        crashes: Crashes of upstreams by request.
 
     Args:
         directory: Upstreams.
@@ -98,6 +102,7 @@
         self.source = source
         self._get_catalog = get_catalog
         self._count_entries = count_entries
+        self.crashes = crashes.CrashCounts(asyncio.get_running_loop().time)
         self._budgets: dict[str, budgets.WindowBudget] = {}
         self._streams: set[generations.GenerationRun] = set()
         self._answered_s: dict[tuple[str, int], float] = {}
@@ -119,6 +124,23 @@
         for budget in self._budgets.values():
             budget.change(ratio, extra)
 
+    def make_crash_refusal(self, is_not_run: bool) -> messages.Refusal:
+        """Returns the refusal of a request that crashes its upstreams."""
+        return messages.Refusal(
+            messages.RefusalReason.CRASHES_UPSTREAMS,
+            is_not_run,
+            CRASH_RETRY_S,
+            "its upstreams crashed each time",
+        )
+
+    async def check_alive(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether an upstream whose answer was lost still answers."""
+        self.inquire(upstream, "lost")
+        task = self._inquiries.get(upstream.key)
+        if task is not None:
+            await asyncio.wait({task})
+        return not self.directory.is_avoided(upstream)
+
     # What both kinds of requests share.
 
     def spend_retry(self, service: str) -> bool:
@@ -248,6 +270,10 @@
         self.running += 1
         self.metrics.running.set(self.running)
         try:
+            fingerprint = _compute_fingerprint(request)
+            if self.crashes.is_blocked(fingerprint):
+                await caller.refuse(self.make_crash_refusal(True))
+                return
             service_name = self.choose_service(request)
             self._get_budget(service_name).earn()
             catalog = self._get_catalog()
@@ -262,15 +288,28 @@
                     )
                 )
             elif service.engine is not None and request.generation:
-                run = generations.GenerationRun(self, request, caller, service)
+                run = generations.GenerationRun(
+                    self, request, caller, service, fingerprint
+                )
                 await run.serve()
             else:
-                await PlainRun(self, request, caller, service).serve()
+                run = PlainRun(self, request, caller, service, fingerprint)
+                await run.serve()
         finally:
             self.running -= 1
             self.metrics.running.set(self.running)
 
 
+def _compute_fingerprint(request: messages.Request) -> int:
+    organisation = request.organisation
+    return crashes.compute_fingerprint(
+        organisation.name if organisation else "",
+        request.method,
+        request.target,
+        request.body,
+    )
+
+
 class PlainRun:
     """One request to a plain service.
 
@@ -279,6 +318,7 @@
         request: The request.
         caller: Gets the answer.
         service: Where it goes.
+        fingerprint: Identifies the request, whoever carries it.
     """
 
     def __init__(
@@ -287,7 +327,9 @@
         request: messages.Request,
         caller: messages.Caller,
         service: documents.Service,
+        fingerprint: int,
     ):
+        self._fingerprint = fingerprint
         self._forwarding = forwarding
         self._request = request
         self._caller = caller
@@ -295,6 +337,7 @@
         self._tried: set[tuple[str, int]] = set()
         self._ran = 0
         self._sent = 0
+        self._lost_at: upstreams.Upstream | None = None
         self._failure: tuple[messages.AnswerHead, bytes] | None = None
 
     async def serve(self) -> None:
@@ -335,7 +378,12 @@
             with loads.Reservation(forwarding.ledger, load):
                 detail = await self._try(upstream)
             if detail is None:
+                forwarding.crashes.clear(self._fingerprint)
                 return None
+            if self._lost_at is not None and await self._has_crashed():
+                count = forwarding.crashes.add(self._fingerprint)
+                if count >= crashes.CRASH_LIMIT:
+                    return forwarding.make_crash_refusal(False)
             may_repeat = request.route.may_repeat or self._ran == 0
             if not may_repeat or self._ran >= request.route.max_attempts:
                 break
@@ -347,6 +395,17 @@
             reason, is_not_run, forwarding.draw_retry_after_s(), detail
         )
 
+    async def _has_crashed(self) -> bool:
+        """Returns whether the upstream that lost the answer takes no more."""
+        try:
+            connection = await self._forwarding.pool.open(
+                self._lost_at.address, False
+            )
+        except exceptions.UpstreamUnreachableError:
+            return True
+        connection.close()
+        return False
+
     def _choose(self) -> upstreams.Upstream | None:
         """Returns an upstream that was not tried, the least loaded one."""
         forwarding = self._forwarding
@@ -381,6 +440,7 @@
         except exceptions.UpstreamUnreachableError as error:
             forwarding.note_failure(upstream, "connect")
             return str(error)
+        self._lost_at = None
         async with connection:
             try:
                 return await self._exchange(connection, upstream)
@@ -388,6 +448,7 @@
                 return str(error)
             except exceptions.UpstreamLostError as error:
                 forwarding.directory.note_loss(upstream)
+                self._lost_at = upstream
                 return str(error)
 
     async def _exchange(
--- a/src/fuchsiabarrow/forwarding/tests/fakes.py
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -71,6 +71,9 @@
     async def __aexit__(self, *details):
         self.is_closed = True
 
+    def close(self) -> None:
+        self.is_closed = True
+
     def send(self, data) -> None:
         self._sent.append((self._address, *data))
 
--- a/src/fuchsiabarrow/forwarding/tests/test_generations.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_generations.py
@@ -1,3 +1,5 @@
+import asyncio
+
 import pytest
 
 from fuchsiabarrow.fleet import loads
@@ -188,6 +190,42 @@
     assert get_path(world.pool.sent[-1]) == ["first", "spare-last"]
 
 
+def test_request_that_crashes_its_instances_is_given_up():
+    # Each instance that begins to run it is gone afterwards.
+    others = [
+        fleets.make_instance(
+            f"other-{n}", "a", "fast", (0, 80), address=f"10.0.1.{n}:80"
+        )
+        for n in range(8)
+    ]
+
+    async def run():
+        world = fakes.World(*others)
+        for instance in others:
+            world.script(instance.address, [fakes.Wait(0.05), fakes.Lost])
+            world.control.silent.add(instance.address)
+        for _ in range(4):
+            request = fakes.make_stream_request(body=b"poison")
+            caller = await world.serve(request)
+            await asyncio.sleep(10.0)
+        return caller, world
+
+    caller, world = virtual_time.run(run())
+    assert len(world.targets) <= 3
+    assert caller.refusal.reason is messages.RefusalReason.CRASHES_UPSTREAMS
+    assert caller.refusal.is_not_run
+
+
+def test_neighbour_of_a_crash_goes_on():
+    def prepare(world):
+        world.script(FIRST.address, [*fakes.stream(1, 5), fakes.Lost])
+        world.script(SPARE_FIRST.address, fakes.stream(5, 11))
+        world.control.silent.add(FIRST.address)
+
+    caller, _ = serve(prepare, FIRST, LAST, SPARE_FIRST)
+    assert caller.body == WHOLE
+
+
 def test_no_path_is_refused_at_once_with_when_to_come_back():
     caller, world = serve(lambda world: None, FIRST)
     assert caller.refusal.is_not_run
--- /dev/null
+++ b/src/fuchsiabarrow/limits/tests/test_crashes.py
@@ -0,0 +1,68 @@
+from fuchsiabarrow.limits import crashes
+
+POISON = crashes.compute_fingerprint("org", "POST", "/x", b"poison")
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 0.0
+
+    def __call__(self):
+        return self.now_s
+
+
+def test_request_is_blocked_after_its_third_crash():
+    counts = crashes.CrashCounts(Clock())
+    assert [counts.add(POISON) for _ in range(3)] == [1, 2, 3]
+    assert counts.is_blocked(POISON)
+
+
+def test_crashes_at_all_entries_count():
+    first = crashes.CrashCounts(Clock())
+    second = crashes.CrashCounts(Clock())
+    first.add(POISON)
+    first.add(POISON)
+    second.take_report("first", first.get_own(8))
+    second.take_report("first", first.get_own(8))
+    assert second.count(POISON) == 2
+    second.add(POISON)
+    assert second.is_blocked(POISON)
+
+
+def test_neighbour_that_makes_progress_is_cleared():
+    counts = crashes.CrashCounts(Clock())
+    counts.add(POISON)
+    counts.add(POISON)
+    counts.clear(POISON)
+    counts.add(POISON)
+    assert not counts.is_blocked(POISON)
+
+
+def test_crashes_are_remembered_after_the_entry_that_saw_them_restarted():
+    second = crashes.CrashCounts(Clock())
+    second.take_report("first", [(POISON, 3)])
+    second.take_report("first", [])
+    assert second.is_blocked(POISON)
+
+
+def test_crashes_are_forgotten_in_time():
+    clock = Clock()
+    counts = crashes.CrashCounts(clock)
+    for _ in range(3):
+        counts.add(POISON)
+    clock.now_s = crashes.FORGET_S + 1
+    assert not counts.is_blocked(POISON)
+    assert counts.get_own(8) == []
+
+
+def test_memory_is_bounded():
+    counts = crashes.CrashCounts(Clock())
+    for number in range(crashes.MAX_COUNTED + 50):
+        counts.add(number)
+    counts.take_report("x", [(n, 1) for n in range(crashes.MAX_COUNTED + 50)])
+    assert len(counts.get_own(10_000)) == crashes.MAX_COUNTED
+
+
+def test_requests_of_other_callers_are_others():
+    other = crashes.compute_fingerprint("org-2", "POST", "/x", b"poison")
+    assert other != POISON
--- a/src/fuchsiabarrow/peers/load_report.capnp
+++ b/src/fuchsiabarrow/peers/load_report.capnp
@@ -16,6 +16,11 @@
   forMs @1 :UInt32;
 }
 
+struct Crash {
+  fingerprint @0 :UInt64;
+  count @1 :UInt16;
+}
+
 struct LoadReport {
   sender @0 :Text;
   # Start of the sender, in milliseconds since the Unix epoch.
@@ -30,4 +35,6 @@
   entries @7 :List(Text);
   # Age of the sender's configuration.
   configurationAgeMs @8 :UInt32;
+  # Requests whose upstreams crashed while the sender had them.
+  crashes @9 :List(Crash);
 }
--- a/src/fuchsiabarrow/peers/load_reports.py
+++ b/src/fuchsiabarrow/peers/load_reports.py
@@ -18,6 +18,7 @@
 from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet import upstreams
+from fuchsiabarrow.limits import crashes as crashes_module
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import addresses as addresses_module
 from fuchsiabarrow.utils import clocks
@@ -32,6 +33,7 @@
 # Addresses told in one report, so that it fits in one packet.
 MAX_ENTRIES_TOLD = 16
 MAX_SUSPECTS_TOLD = 16
+MAX_CRASHES_TOLD = 8
 MAX_LOADS_TOLD = 40
 # An entry whose list is older gives no orders.
 CURRENT_S = 3.2
@@ -88,6 +90,7 @@
     Args:
         directory: Upstreams.
         ledger: Takes in what others have in flight.
+        crashes: Takes in which requests crashed their upstreams elsewhere.
         note_suspect: Told the upstreams that others avoid.
         get_configuration_age_s: Returns the age of the configuration.
         settings: Addresses and periods.
@@ -98,6 +101,7 @@
         self,
         directory: directory_module.Directory,
         ledger: loads.Ledger,
+        crashes: crashes_module.CrashCounts,
         note_suspect: Callable[[upstreams.Upstream, str], None],
         get_configuration_age_s: Callable[[], float],
         settings: Settings,
@@ -106,6 +110,7 @@
         self.is_stopping = False
         self._directory = directory
         self._ledger = ledger
+        self._crashes = crashes
         self._note_suspect = note_suspect
         self._get_configuration_age_s = get_configuration_age_s
         self._settings = settings
@@ -277,6 +282,10 @@
             place.context = min(MAX_UINT32, int(load.context))
             place.reading = min(MAX_UINT32, max(0, int(load.reading)))
         self._encode_suspects(message)
+        message.crashes = [
+            {"fingerprint": fingerprint, "count": min(MAX_UINT16, count)}
+            for fingerprint, count in self._crashes.get_own(MAX_CRASHES_TOLD)
+        ]
         live = list(self._entries)
         known = self._source.sample(live, min(MAX_ENTRIES_TOLD, len(live)))
         message.entries = [self._settings.address, *known]
@@ -336,6 +345,9 @@
             now_s - report.configurationAgeMs / MILLISECONDS_PER_S,
         )
         self._ledger.take_report(report.sender, self._decode_loads(report))
+        self._crashes.take_report(
+            report.sender, [(c.fingerprint, c.count) for c in report.crashes]
+        )
         self.add_addresses(str(entry) for entry in report.entries)
         for suspect in report.suspects:
             upstream = self._keys.get(suspect.upstream)
