Start the entry from a compiled copy, importing only what it needs

Cause: after a stop of all entries each compiled its modules anew and imported the whole product, with its command line's libraries. Change: the build compiles a copy under target/, deploy/launch.py imports the daemon alone, subpackages list their modules without importing them.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -1,13 +1,13 @@
-"""Runs the program from the source tree, without installing it."""
+"""Runs an entry from the modules that the build compiled."""
 
 import pathlib
 import sys
 
-SOURCES = pathlib.Path(__file__).resolve().parent.parent / "src"
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 if __name__ == "__main__":
     # The folder of this file would come first otherwise.
-    sys.path[0] = str(SOURCES)
-    from fuchsiabarrow.commands import program
+    sys.path[0] = str(ROOT / "target" / "app")
+    from fuchsiabarrow.commands import routing
 
-    program.main()
+    routing.main()
--- a/src/fuchsiabarrow/commands/__init__.py
+++ b/src/fuchsiabarrow/commands/__init__.py
@@ -1,5 +1,3 @@
 """The command line."""
 
-from fuchsiabarrow.commands import program
-
 __all__ = ["program"]
--- a/src/fuchsiabarrow/commands/demonstration.py
+++ b/src/fuchsiabarrow/commands/demonstration.py
@@ -8,7 +8,6 @@
 import aiohttp
 import uuid6
 
-from fuchsiabarrow.commands import daemons
 from fuchsiabarrow.configuration import documents
 from fuchsiabarrow.entry import composition
 from fuchsiabarrow.entry import settings as settings_module
@@ -17,6 +16,7 @@
 from fuchsiabarrow.standins import worlds
 from fuchsiabarrow.streams import tokenizers
 from fuchsiabarrow.telemetry import logs
+from fuchsiabarrow.utils import signals
 
 __all__ = ["make_settings", "run"]
 
@@ -281,4 +281,4 @@
         ' "messages": [{"role": "user", "content": "a shelf"}]}\'',
         flush=True,
     )
-    await daemons.wait_for_stop()
+    await signals.wait_for_stop()
--- a/src/fuchsiabarrow/commands/program.py
+++ b/src/fuchsiabarrow/commands/program.py
@@ -14,7 +14,6 @@
 from fuchsiabarrow.commands import standins
 from fuchsiabarrow.configuration import documents
 from fuchsiabarrow.entry import settings as settings_module
-from fuchsiabarrow.platform import settings as platform_settings
 from fuchsiabarrow.standins import engines
 from fuchsiabarrow.utils import loops
 
@@ -42,8 +41,9 @@
         settings: Settings file of the platform; the environment names it
             otherwise.
     """
-    path = settings or platform_settings.find_path()
-    loops.run(daemons.run_router(path))
+    from fuchsiabarrow.commands import routing
+
+    routing.main(settings)
 
 
 def check(file: str) -> None:
--- a/src/fuchsiabarrow/commands/standins.py
+++ b/src/fuchsiabarrow/commands/standins.py
@@ -1,10 +1,10 @@
 """Runs one stand-in of an outside system as a process of its own."""
 
-from fuchsiabarrow.commands import daemons
 from fuchsiabarrow.standins import engines
 from fuchsiabarrow.standins import instances
 from fuchsiabarrow.standins import objects
 from fuchsiabarrow.standins import services
+from fuchsiabarrow.utils import signals
 
 __all__ = ["run_engine", "run_instances", "run_objects", "run_service"]
 
@@ -12,7 +12,7 @@
 async def _run(standin) -> None:
     async with standin:
         print(standin.server.address, flush=True)
-        await daemons.wait_for_stop()
+        await signals.wait_for_stop()
 
 
 async def run_objects(port: int) -> None:
--- a/src/fuchsiabarrow/utils/loops.py
+++ b/src/fuchsiabarrow/utils/loops.py
@@ -5,7 +5,9 @@
 import os
 from typing import Any
 
-import aiomisc
+# Plugins of other packages are not looked for; nothing of ours is one.
+os.environ.setdefault("AIOMISC_NO_PLUGINS", "1")
+import aiomisc  # noqa: E402, I001
 import uvloop
 
 __all__ = ["make_loop", "run"]
