--- a/src/fuchsiabarrow/entry/router.py
+++ b/src/fuchsiabarrow/entry/router.py
@@ -41,6 +41,8 @@
 # Time before SIGKILL by which the process has ended.
 STOP_SLACK_S = 0.5
 STOP_POLL_S = 0.05
+# A configuration confirmed within this time is not about to be distrusted.
+CONFIRMED_S = 3.0
 
 _log = logbook.Logger(__name__)
 
@@ -249,8 +251,13 @@
 
     async def _add_interfaces(self) -> None:
         kernel, settings = self.kernel, self._settings
+        entries = kernel.get("entries")
         front = front_module.Front(
-            kernel.get("catalogs"), kernel.get("forwarding"), settings.revoke_s
+            kernel.get("catalogs"),
+            kernel.get("forwarding"),
+            settings.revoke_s,
+            lambda: bool(entries.find_configuration_informed(CONFIRMED_S)),
+            self._source,
         )
         await kernel.add("front", contextlib.nullcontext(front))
         await kernel.add(
--- a/src/fuchsiabarrow/fleet/paths.py
+++ b/src/fuchsiabarrow/fleet/paths.py
@@ -25,7 +25,7 @@
 # One-way delay between instances of one failure domain.
 NEAR_DELAY_MS = 0.1
 # Extra cost of entering a path in another failure domain: its bytes cross.
-FAR_ENTRY_MS = 20.0
+FAR_ENTRY_MS = 120.0
 # Part of the context memory of an instance that is given out; the rest is for
 # answers that turn out longer than expected and for loads not yet reported.
 CONTEXT_FILL = 0.92
--- a/src/fuchsiabarrow/platform/front.py
+++ b/src/fuchsiabarrow/platform/front.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import math
+import random
 
 import aiohttp.web
 import logbook
@@ -34,7 +35,7 @@
 MAX_PARSED_HEADER_BYTES = 65_536
 # Part of the time limit for revoked keys after which a configuration that was
 # not confirmed since is not trusted: requests take time to reach an upstream.
-KEY_TRUST_FRACTION = 0.8
+KEY_TRUST_FRACTION = 0.9
 # An unknown route or key is denied only by a configuration this fresh.
 DENIAL_AGE_S = 2.8
 # A request that comes this long after the stop began is refused.
@@ -43,6 +44,8 @@
 SERVED_LINES_PER_S = 20
 # When a caller may try another entry that is not in the same trouble.
 ELSEWHERE_RETRY_S = 0.05
+# When it may come back if all entries are: outages of the store last seconds.
+OUTAGE_RETRY_S = (1.5, 3.0)
 
 _log = logbook.Logger(__name__)
 
@@ -191,6 +194,9 @@
         keeper: Configuration in force.
         forwarding: Serves requests.
         revoke_s: Age of the configuration from which keys are not trusted.
+        is_known_elsewhere: Tells whether another entry's configuration is
+            confirmed.
+        source: Random source.
     """
 
     def __init__(
@@ -198,7 +204,11 @@
         keeper: catalog_service.CatalogKeeper,
         forwarding: forwarding_service.ForwardingService,
         revoke_s: float,
+        is_known_elsewhere: Callable[[], bool],
+        source: random.Random,
     ):
+        self._is_known_elsewhere = is_known_elsewhere
+        self._source = source
         self.is_stopping = False
         self._stop_began_s = math.inf
         self._keeper = keeper
@@ -363,12 +373,17 @@
                 f"{message} in configuration {self._keeper.catalog.version}",
             )
 
+    def _draw_stale_retry_s(self) -> float:
+        if self._is_known_elsewhere():
+            return ELSEWHERE_RETRY_S
+        return self._source.uniform(*OUTAGE_RETRY_S)
+
     async def _refuse_stale(self, caller, age_s: float) -> None:
         await caller.refuse(
             messages.Refusal(
                 messages.RefusalReason.STALE_CONFIGURATION,
                 True,
-                ELSEWHERE_RETRY_S,
+                self._draw_stale_retry_s(),
                 f"configuration {self._keeper.catalog.version} was confirmed"
                 f" {age_s:.2f} s ago",
             )
--- a/src/fuchsiabarrow/platform/tests/test_front.py
+++ b/src/fuchsiabarrow/platform/tests/test_front.py
@@ -201,10 +201,11 @@
     async def test(world):
         world.store.status = 503
         keeper = world.router.kernel.get("catalogs")
-        await world.wait(lambda: keeper.get_age_s() > 4.1, 8.0)
+        await world.wait(lambda: keeper.get_age_s() > 4.6, 9.0)
         status, headers, _ = await world.fetch("/read/x")
         assert status == 503
-        assert float(headers[names.RETRY_AFTER]) > 0
+        # No entry can confirm it, so that another would refuse as well.
+        assert float(headers[names.RETRY_AFTER]) >= 1.0
         assert not world.runners["desk-1"].runs
         status, _, _ = await world.fetch("/open/x")
         assert status == 200
