--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -197,7 +197,8 @@
             if parts is None:
                 if not self._caller.is_started:
                     return self._make_refusal(
-                        messages.RefusalReason.OVERLOADED, "no path has room"
+                        messages.RefusalReason.OVERLOADED,
+                        self._describe_shortage(),
                     )
                 await asyncio.sleep(PATH_RETRY_S)
                 self._excluded.clear()
@@ -326,6 +327,27 @@
             return None
         return tuple(found)
 
+    def _describe_shortage(self) -> str:
+        """Says why no path was found."""
+        directory = self._forwarding.directory
+        holders = [0] * self._model.layers
+        usable = [
+            upstream
+            for upstream in directory.get_usable(self._service.name)
+            if upstream.layers is not None
+        ]
+        for upstream in usable:
+            for layer in range(upstream.layers.first, upstream.layers.end):
+                holders[layer] += 1
+        full = sum(directory.is_full(upstream) for upstream in usable)
+        demand = self._estimate_demand()
+        return (
+            f"no path has room: {len(usable)} instances, {full} just refused,"
+            f" {len(self._excluded)} left out, {holders.count(0)} layers"
+            f" without holder, {demand.context_tokens:.0f} tokens needed,"
+            f" list {directory.get_age_s():.2f} s old"
+        )
+
     def _take_path(self, parts: tuple[paths.Part, ...]) -> None:
         """Books the room on a path in place of the one before."""
         if self._reservation is not None:
