--- a/src/fuchsiabarrow/fleet/loads.py
+++ b/src/fuchsiabarrow/fleet/loads.py
@@ -85,7 +85,8 @@
         self._read_time_s = read_time_s
         self._own: dict[UpstreamKey, Load] = {}
         self._reports: dict[str, tuple[float, dict[UpstreamKey, Load]]] = {}
-        self._others: dict[UpstreamKey, Load] = {}
+        # Sums over the reports: requests, entered, context, reading.
+        self._others: dict[UpstreamKey, list[float]] = {}
 
     def book(self, loads: dict[UpstreamKey, Load], sign: int) -> None:
         """Adds or takes off own work."""
@@ -100,13 +101,16 @@
         self, reporter: str, loads: Iterable[tuple[UpstreamKey, Load]]
     ) -> None:
         """Takes over what another entry has in flight."""
-        self._reports[reporter] = (self._read_time_s(), dict(loads))
-        self._sum_reports()
+        _, before = self._reports.get(reporter, (0.0, {}))
+        self._add_others(before, -1)
+        told = dict(loads)
+        self._reports[reporter] = (self._read_time_s(), told)
+        self._add_others(told, 1)
 
     def drop_report(self, reporter: str) -> None:
         """Forgets the work of an entry that stopped."""
-        if self._reports.pop(reporter, None) is not None:
-            self._sum_reports()
+        _, before = self._reports.pop(reporter, (0.0, {}))
+        self._add_others(before, -1)
 
     def expire(self) -> None:
         """Forgets reports of entries that fell silent."""
@@ -115,12 +119,15 @@
             if now_s - told_at_s > REPORT_LIFETIME_S:
                 self.drop_report(reporter)
 
-    def _sum_reports(self) -> None:
-        totals: dict[UpstreamKey, Load] = {}
-        for _, loads in self._reports.values():
-            for key, load in loads.items():
-                totals[key] = totals.get(key, IDLE).add(load)
-        self._others = totals
+    def _add_others(self, loads: dict[UpstreamKey, Load], sign: int) -> None:
+        for key, load in loads.items():
+            sums = self._others.setdefault(key, [0.0] * 4)
+            sums[0] += sign * load.requests
+            sums[1] += sign * load.entered
+            sums[2] += sign * load.context
+            sums[3] += sign * load.reading
+            if sums[0] <= 0 and sums[2] <= 0:
+                del self._others[key]
 
     def get_own(self) -> dict[UpstreamKey, Load]:
         """Returns own work in flight."""
@@ -130,4 +137,11 @@
         """Returns all known work in flight at an upstream."""
         own = self._own.get(key, IDLE)
         others = self._others.get(key)
-        return own if others is None else own.add(others)
+        if others is None:
+            return own
+        return Load(
+            own.requests + int(others[0]),
+            own.entered + int(others[1]),
+            own.context + others[2],
+            own.reading + others[3],
+        )
--- a/src/fuchsiabarrow/fleet/tests/test_paths.py
+++ b/src/fuchsiabarrow/fleet/tests/test_paths.py
@@ -210,6 +210,33 @@
     assert ledger.get(("i", 1)).requests == 3
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_sum_of_reports_is_that_of_the_last_report_of_each_entry(seed):
+    source = random.Random(seed)
+    ledger = loads.Ledger(lambda: 0.0)
+    last = {}
+    for _ in range(200):
+        reporter = f"entry-{source.randrange(6)}"
+        told = {
+            (f"i{n}", 1): loads.Load(
+                source.randrange(1, 9), 1, source.randrange(9000), 5.0
+            )
+            for n in source.sample(range(8), source.randrange(6))
+        }
+        if source.random() < 0.1:
+            ledger.drop_report(reporter)
+            last.pop(reporter, None)
+        else:
+            ledger.take_report(reporter, told.items())
+            last[reporter] = told
+    for number in range(8):
+        key = (f"i{number}", 1)
+        expected = [told[key] for told in last.values() if key in told]
+        found = ledger.get(key)
+        assert found.requests == sum(load.requests for load in expected)
+        assert found.context == sum(load.context for load in expected)
+
+
 def test_pipe_between_domains_costs_more_for_long_prompts():
     # The same fleet: a short request may cross for faster instances, a long
     # one stays where it is.
--- a/src/fuchsiabarrow/platform/front.py
+++ b/src/fuchsiabarrow/platform/front.py
@@ -24,6 +24,7 @@
 HTTP_BAD_REQUEST = 400
 HTTP_UNAUTHORIZED = 401
 HTTP_NOT_FOUND = 404
+HTTP_REQUEST_TIMEOUT = 408
 HTTP_TOO_LARGE = 413
 HTTP_HEADERS_TOO_LARGE = 431
 HTTP_BAD_GATEWAY = 502
@@ -301,7 +302,13 @@
             )
             return
         _check_sizes(http_request, catalog.limits)
-        body = await _read_body(http_request, catalog.limits)
+        try:
+            async with asyncio.timeout(catalog.limits.idle_timeout_s):
+                body = await _read_body(http_request, catalog.limits)
+        except TimeoutError:
+            raise _BadRequestError(
+                HTTP_REQUEST_TIMEOUT, "the body did not arrive in time"
+            ) from None
         # The configuration may have changed while the body was read.
         catalog = self._keeper.catalog
         request = await self._match(
--- a/src/fuchsiabarrow/platform/tests/test_front.py
+++ b/src/fuchsiabarrow/platform/tests/test_front.py
@@ -156,6 +156,28 @@
     run(test)
 
 
+def test_body_that_stops_is_answered_and_runs_nothing():
+    async def test(world):
+        limits = made.make_config()["limits"] | {"idle_timeout_ms": 300}
+        config = made.make_config(8, routes=worlds.ROUTES, limits=limits)
+        await world.store.put("config", "main", config)
+        keeper = world.router.kernel.get("catalogs")
+        await world.wait(lambda: keeper.catalog.version == 8)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", world.ports[0]
+        )
+        writer.write(
+            b"POST /book/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: r\r\n"
+            b"Authorization: Token key-1\r\nContent-Length: 100\r\n\r\nhalf"
+        )
+        status = await asyncio.wait_for(reader.readline(), 3.0)
+        writer.close()
+        assert status.split()[1] == b"408"
+        assert not any(r.runs for r in world.runners.values())
+
+    run(test)
+
+
 def test_half_a_request_runs_nothing():
     async def test(world):
         _, writer = await asyncio.open_connection("127.0.0.1", world.ports[0])
--- /dev/null
+++ b/src/fuchsiabarrow/platform/tests/test_process.py
@@ -0,0 +1,144 @@
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import aiohttp
+
+from fuchsiabarrow.entry.tests import fleets
+from fuchsiabarrow.platform.tests import objects_for_tests as made
+from fuchsiabarrow.platform.tests import runners
+from fuchsiabarrow.platform.tests import stores
+from fuchsiabarrow.platform.tests import worlds
+
+LOOKS = 20
+
+
+@contextlib.asynccontextmanager
+async def run_process(path: pathlib.Path):
+    """Runs an entry as a process before stand-ins of store and runner."""
+    async with (
+        stores.Store() as store,
+        runners.Runner("desk-1", "desk") as desk,
+    ):
+        await store.put(
+            "config", "main", made.make_config(routes=worlds.ROUTES)
+        )
+        await store.put("servers", "desk-1", desk.make_entry())
+        front, ready, control, inner = worlds.find_ports(4)
+        settings = path / "node.conf"
+        settings.write_text(
+            worlds.SETTINGS.format(
+                front=front,
+                ready=ready,
+                control=control,
+                inner=inner,
+                store=store.address,
+                grace_s=6,
+            )
+        )
+        with open(path / "log", "wb") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "fuchsiabarrow", "route"],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, "FUCHSIABARROW_SETTINGS": str(settings)},
+            )
+        try:
+            await wait_ready(ready)
+            yield process, front, settings
+        finally:
+            process.kill()
+            process.wait()
+
+
+async def wait_ready(port: int) -> None:
+    async with aiohttp.ClientSession() as session, asyncio.timeout(30.0):
+        while True:
+            with contextlib.suppress(aiohttp.ClientError):
+                url = f"http://127.0.0.1:{port}/ready"
+                async with session.get(url) as response:
+                    if response.status == 200:
+                        return
+            await asyncio.sleep(0.05)
+
+
+async def fetch(port: int) -> int:
+    headers = {
+        "Host": worlds.HOST,
+        "Attempt-Id": "r1",
+        "Authorization": "Token key-1",
+    }
+    async with aiohttp.ClientSession() as session:
+        url = f"http://127.0.0.1:{port}/read/x"
+        async with session.get(url, headers=headers) as response:
+            return response.status
+
+
+async def wait_exit(process) -> int:
+    loop = asyncio.get_running_loop()
+    return await loop.run_in_executor(None, process.wait, 15)
+
+
+async def wait_for_text(path: pathlib.Path, text: str) -> None:
+    async with asyncio.timeout(10.0):
+        while text not in path.read_text():
+            await asyncio.sleep(0.05)
+
+
+def test_process_serves_rereads_its_settings_and_stops(tmp_path):
+    async def test():
+        async with run_process(tmp_path) as (process, front, settings):
+            assert await fetch(front) == 200
+            text = settings.read_text()
+            settings.write_text(
+                text.replace("budget_extra=202", "budget_extra=50")
+            )
+            process.send_signal(signal.SIGHUP)
+            await wait_for_text(tmp_path / "log", "event=reloaded")
+            settings.write_text("broken")
+            process.send_signal(signal.SIGHUP)
+            await wait_for_text(tmp_path / "log", "event=settings_kept")
+            assert await fetch(front) == 200
+            process.send_signal(signal.SIGTERM)
+            assert await wait_exit(process) == 0
+
+    asyncio.run(test())
+    lines = (tmp_path / "log").read_text().splitlines()
+    assert all("event=" in line for line in lines)
+    assert any("event=stopped" in line for line in lines)
+
+
+def test_process_holds_no_ring_child_or_shared_memory(tmp_path):
+    async def test():
+        async with run_process(tmp_path) as (process, front, _):
+            for _ in range(LOOKS):
+                assert await fetch(front) == 200
+                links = fleets.read_descriptors(process.pid)
+                assert any("eventpoll" in link for link in links)
+                assert not [link for link in links if "io_uring" in link]
+            task = f"/proc/{process.pid}/task/{process.pid}/children"
+            assert pathlib.Path(task).read_text().strip() == ""
+            maps = pathlib.Path(f"/proc/{process.pid}/maps").read_text()
+            assert "/dev/shm" not in maps
+            assert "/SYSV" not in maps
+
+    asyncio.run(test())
+
+
+def test_wrong_settings_are_named_and_end_the_process(tmp_path):
+    path = tmp_path / "node.conf"
+    path.write_text("node_name=x\n")
+    found = subprocess.run(
+        [sys.executable, "-m", "fuchsiabarrow", "route", "--settings", path],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+    assert found.returncode == 2
+    assert "is missing" in found.stderr
+    assert str(path) in found.stderr
