--- a/src/fuchsiabarrow/fleet/loads.py
+++ b/src/fuchsiabarrow/fleet/loads.py
@@ -112,11 +112,15 @@
         _, before = self._reports.pop(reporter, (0.0, {}))
         self._add_others(before, -1)
 
-    def expire(self) -> None:
-        """Forgets reports of entries that fell silent."""
+    def expire(self, stretch: float = 1.0) -> None:
+        """Forgets reports of entries that fell silent.
+
+        Args:
+            stretch: How much longer than usual the period of reports is.
+        """
         now_s = self._read_time_s()
         for reporter, (told_at_s, _) in list(self._reports.items()):
-            if now_s - told_at_s > REPORT_LIFETIME_S:
+            if now_s - told_at_s > REPORT_LIFETIME_S * stretch:
                 self.drop_report(reporter)
 
     def _add_others(self, loads: dict[UpstreamKey, Load], sign: int) -> None:
--- a/src/fuchsiabarrow/peers/load_reports.py
+++ b/src/fuchsiabarrow/peers/load_reports.py
@@ -42,6 +42,8 @@
 # until then.
 HEARING_S = 1.5
 MANY_ENTRIES = 16
+# Up to so many entries tell each other at the periods of the settings.
+FEW_ENTRIES = 32
 
 _schema = capnp.load(str(pathlib.Path(__file__).with_name("load_report.capnp")))
 _log = logbook.Logger(__name__)
@@ -180,7 +182,8 @@
         """
         if self.is_stopping:
             return False
-        current_s = asyncio.get_running_loop().time() - CURRENT_S
+        now_s = asyncio.get_running_loop().time()
+        current_s = now_s - CURRENT_S * self._get_stretch()
         return all(
             entry.is_stopping
             or entry.list_current_s < current_s
@@ -212,7 +215,7 @@
 
     def _get_live(self) -> list[_Entry]:
         now_s = asyncio.get_running_loop().time()
-        limit_s = self._settings.alive_s
+        limit_s = self._settings.alive_s * self._get_stretch()
         return [
             e for e in self._entries.values() if now_s - e.heard_s < limit_s
         ]
@@ -223,13 +226,20 @@
         is_idle = not self._ledger.get_own()
         settings = self._settings
         period_s = settings.idle_period_s if is_idle else settings.period_s
-        # The rate of datagrams that an entry sends stays about the same.
-        many = max(1.0, len(self._entries) / 16)
-        return jitter.spread_period_s(period_s * many, self._source)
+        return jitter.spread_period_s(
+            period_s * self._get_stretch(), self._source
+        )
+
+    def _get_stretch(self) -> float:
+        """Returns how much longer periods are among many entries.
+
+        The rate of datagrams that an entry sends and gets is bounded by it.
+        """
+        return max(1.0, len(self._entries) / FEW_ENTRIES)
 
     async def _tell(self) -> None:
         """Sends one report to all known entries."""
-        self._ledger.expire()
+        self._ledger.expire(self._get_stretch())
         self._forget()
         now_s = asyncio.get_running_loop().time()
         report = self._encode()
@@ -249,7 +259,8 @@
     def _forget(self) -> None:
         now_s = asyncio.get_running_loop().time()
         for address, entry in list(self._entries.items()):
-            if now_s - entry.heard_s > self._settings.forget_s:
+            forget_s = self._settings.forget_s * self._get_stretch()
+            if now_s - entry.heard_s > forget_s:
                 del self._entries[address]
                 _log.info(
                     logs.format_event(
@@ -314,6 +325,8 @@
         """Implements `asyncio.DatagramProtocol.datagram_received`."""
         try:
             report = _schema.LoadReport.from_bytes_packed(data)
+            if not report.sender:
+                raise ValueError("no sender")
             self._take(report, f"{addr[0]}:{addr[1]}")
         except (capnp.KjException, ValueError) as error:
             _log.warning(
--- /dev/null
+++ b/src/fuchsiabarrow/peers/tests/test_load_reports.py
@@ -0,0 +1,183 @@
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from fuchsiabarrow.fleet import directory as directory_module
+from fuchsiabarrow.fleet import loads
+from fuchsiabarrow.fleet.tests import fleets
+from fuchsiabarrow.limits import crashes
+from fuchsiabarrow.peers import load_reports
+from fuchsiabarrow.platform.tests import worlds
+
+UPSTREAM = fleets.make_instance("i-1")
+
+
+class Entry:
+    """One entry that tells its load, on loopback."""
+
+    def __init__(self, name: str, port: int, seeds: list[int]):
+        loop = asyncio.get_running_loop()
+        self.directory = directory_module.Directory(loop.time)
+        self.directory.replace([UPSTREAM])
+        self.directory.confirm(loop.time())
+        self.ledger = loads.Ledger(loop.time)
+        self.crashes = crashes.CrashCounts(loop.time)
+        self.suspects = []
+        self.reports = load_reports.LoadReports(
+            self.directory,
+            self.ledger,
+            self.crashes,
+            lambda upstream, sender: self.suspects.append((upstream, sender)),
+            lambda: 0.1,
+            load_reports.Settings(
+                name,
+                f"127.0.0.1:{port}",
+                tuple(f"127.0.0.1:{seed}" for seed in seeds),
+                period_s=0.03,
+                idle_period_s=0.03,
+                alive_s=0.4,
+                forget_s=1.0,
+                seed_period_s=0.1,
+            ),
+            random.Random(port),
+        )
+
+
+@contextlib.asynccontextmanager
+async def run_entries(count: int):
+    """Runs entries of which each knows the first one's address only."""
+    ports = worlds.find_ports(count)
+    async with contextlib.AsyncExitStack() as stack:
+        entries = []
+        for index, port in enumerate(ports):
+            entry = Entry(f"entry-{index}", port, ports[:1])
+            await stack.enter_async_context(entry.reports)
+            entries.append(entry)
+        yield entries
+
+
+async def wait(condition, limit_s: float = 5.0) -> None:
+    async with asyncio.timeout(limit_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def test_entries_learn_of_each_other_from_one_address():
+    async def run():
+        async with run_entries(5) as entries:
+            await wait(
+                lambda: all(e.reports.count_live() == 5 for e in entries)
+            )
+
+    asyncio.run(run())
+
+
+def test_load_in_flight_is_told():
+    async def run():
+        async with run_entries(3) as entries:
+            load = loads.Load(3, 1, 4000.0, 500.0)
+            with loads.Reservation(entries[0].ledger, {UPSTREAM.key: load}):
+                await wait(
+                    lambda: all(
+                        e.ledger.get(UPSTREAM.key) == load for e in entries
+                    )
+                )
+            await wait(
+                lambda: all(
+                    e.ledger.get(UPSTREAM.key).requests == 0 for e in entries
+                )
+            )
+
+    asyncio.run(run())
+
+
+def test_silent_entry_is_not_alive_and_its_duty_goes_to_the_next():
+    async def run():
+        async with run_entries(3) as entries:
+            await wait(
+                lambda: all(e.reports.count_live() == 3 for e in entries)
+            )
+            duties = [e.reports.is_first() for e in entries]
+            assert duties == [True, False, False]
+            await entries[0].reports.__aexit__(None, None, None)
+            await wait(lambda: entries[1].reports.is_first())
+            assert not entries[2].reports.is_first()
+
+    asyncio.run(run())
+
+
+def test_entry_with_an_old_list_leaves_the_duty_to_others():
+    async def run():
+        async with run_entries(2) as entries:
+            await wait(
+                lambda: all(e.reports.count_live() == 2 for e in entries)
+            )
+            entries[0].directory.updated_at_s = float("-inf")
+            await wait(lambda: entries[1].reports.is_first())
+
+    asyncio.run(run())
+
+
+def test_stopping_entry_leaves_its_duty_at_once():
+    async def run():
+        async with run_entries(2) as entries:
+            await wait(
+                lambda: all(e.reports.count_live() == 2 for e in entries)
+            )
+            entries[0].reports.is_stopping = True
+            await entries[0].reports.tell_now()
+            assert not entries[0].reports.is_first()
+            await wait(lambda: entries[1].reports.is_first(), 1.0)
+
+    asyncio.run(run())
+
+
+def test_evidence_of_an_upstream_is_told_and_own_doubts_are_not():
+    async def run():
+        async with run_entries(2) as entries:
+            await wait(
+                lambda: all(e.reports.count_live() == 2 for e in entries)
+            )
+            entries[0].directory.note_failure(UPSTREAM)
+            await asyncio.sleep(0.2)
+            assert entries[1].suspects == []
+            entries[0].directory.note_failure(UPSTREAM, is_told=True)
+            await wait(lambda: entries[1].suspects)
+            assert entries[1].suspects[0] == (UPSTREAM, "entry-0")
+
+    asyncio.run(run())
+
+
+def test_crashes_are_told():
+    async def run():
+        async with run_entries(2) as entries:
+            for _ in range(3):
+                entries[0].crashes.add(42)
+            await wait(lambda: entries[1].crashes.is_blocked(42))
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff" * 40, b"\x00" * 2000])
+def test_noise_is_passed_over(data):
+    async def run():
+        async with run_entries(2) as entries:
+            entries[0].reports.datagram_received(data, ("127.0.0.1", 9))
+            await wait(
+                lambda: all(e.reports.count_live() >= 2 for e in entries)
+            )
+
+    asyncio.run(run())
+
+
+def test_new_process_assumes_many_entries_until_it_has_heard_them():
+    async def run():
+        async with run_entries(1) as entries:
+            reports = entries[0].reports
+            assert reports.count_sharing() == load_reports.MANY_ENTRIES
+            await asyncio.sleep(load_reports.HEARING_S)
+            assert reports.count_sharing() == 1
+
+    asyncio.run(run())
