--- a/src/fuchsiabarrow/peers/tests/test_load_reports.py
+++ b/src/fuchsiabarrow/peers/tests/test_load_reports.py
@@ -166,7 +166,7 @@
         async with run_entries(2) as entries:
             entries[0].reports.datagram_received(data, ("127.0.0.1", 9))
             await wait(
-                lambda: all(e.reports.count_live() >= 2 for e in entries)
+                lambda: all(e.reports.count_live() == 2 for e in entries)
             )
 
     asyncio.run(run())
