--- /dev/null
+++ b/benchmarks/router_costs.py
@@ -0,0 +1,127 @@
+"""Processor time of an entry's work on the platform, by size.
+
+Usage: python benchmarks/router_costs.py
+"""
+
+import asyncio
+import random
+import time
+
+from fuchsiabarrow.fleet import directory as directory_module
+from fuchsiabarrow.fleet import loads
+from fuchsiabarrow.fleet import paths
+from fuchsiabarrow.fleet.tests import fleets
+from fuchsiabarrow.limits import crashes
+from fuchsiabarrow.peers import load_reports
+from fuchsiabarrow.placement import plans
+from fuchsiabarrow.placement.tests import test_plans
+from fuchsiabarrow.platform import wire
+from fuchsiabarrow.platform.tests import objects_for_tests as made
+
+ROUNDS = 30
+US_PER_S = 1e6
+
+
+def measure_us(work, rounds: int = ROUNDS) -> float:
+    """Returns the processor time of one call in microseconds."""
+    began_s = time.process_time()
+    for _ in range(rounds):
+        work()
+    return (time.process_time() - began_s) / rounds * US_PER_S
+
+
+def make_fleet(scale: int):
+    """Returns placed instances in `scale` times the users' numbers."""
+    model = fleets.make_model()
+    empty = [
+        fleets.make_instance(f"{kind}-{domain}-{index}", domain, kind)
+        for kind, by_domain in fleets.COUNTS.items()
+        for domain, count in by_domain.items()
+        for index in range(count * scale)
+    ]
+    assigned = plans.plan_assignments(empty, model, {})
+    return model, test_plans.apply(empty, assigned)
+
+
+def print_path_cost(scale: int) -> None:
+    """Prints the cost of choosing a path and of a plan."""
+    demand = paths.Demand(800.0, 200.0)
+    source = random.Random(1)
+    model, placed = make_fleet(scale)
+
+    def choose():
+        candidates = [
+            paths.make_candidate(i, model, demand, loads.IDLE, 1.0)
+            for i in placed
+        ]
+        return paths.choose_path(
+            candidates, model, demand, "a", lambda: source.random() * 0.05
+        )
+
+    plan_us = measure_us(lambda: plans.plan_assignments(placed, model, {}), 5)
+    print(
+        f"{len(placed)} instances: path {measure_us(choose):.0f} us,"
+        f" plan without changes {plan_us:.0f} us"
+    )
+
+
+async def measure_reports() -> None:
+    """Prints the cost of writing and reading one load report."""
+    loop = asyncio.get_running_loop()
+    _, placed = make_fleet(3)
+    directory = directory_module.Directory(loop.time)
+    directory.replace(placed)
+    ledger = loads.Ledger(loop.time)
+    for instance in placed[:40]:
+        ledger.book({instance.key: loads.Load(3, 1, 9000.0, 10.0)}, 1)
+    reports = load_reports.LoadReports(
+        directory,
+        ledger,
+        crashes.CrashCounts(loop.time),
+        lambda upstream, sender: None,
+        lambda: 0.1,
+        load_reports.Settings("entry-1", "127.0.0.1:0"),
+        random.Random(1),
+    )
+    reports._index()
+    data = reports._encode()
+    encode_us = measure_us(reports._encode, 300)
+
+    def read() -> None:
+        reports.datagram_received(reports._encode(), ("127.0.0.2", 1))
+
+    read_us = measure_us(read, 300) - encode_us
+    print(
+        f"load report of 40 instances: {len(data)} bytes,"
+        f" write {encode_us:.0f} us, read {read_us:.0f} us"
+    )
+
+
+def print_configuration_cost(count: int) -> None:
+    """Prints the cost of decoding a configuration of some organisations."""
+    tenants = [
+        {"name": f"o{n}", "api_keys": [f"{n}-a" * 4, f"{n}-b" * 4]}
+        for n in range(count)
+    ]
+    stored = made.store("main", made.make_config(tenants=tenants))
+    cost_us = measure_us(lambda: wire.decode_catalog(stored), 5)
+    print(
+        f"configuration of {count} organisations: {len(stored.value)} bytes,"
+        f" {cost_us / 1000:.1f} ms"
+    )
+
+
+def print_entry_cost() -> None:
+    """Prints the cost of decoding one entry of the list."""
+    stored = made.store("i", made.make_server())
+    cost_us = measure_us(lambda: wire.decode_upstream(stored), 1000)
+    print(f"entry of the list: {len(stored.value)} bytes, {cost_us:.1f} us")
+
+
+if __name__ == "__main__":
+    for of_users in (1, 3, 10):
+        print_path_cost(of_users)
+    asyncio.run(measure_reports())
+    for organisations in (10, 8_900):
+        print_configuration_cost(organisations)
+    print_entry_cost()
