Divide the larger modules; decide access outside the adapter

platform/front decided what an unconfirmed configuration may allow or deny; that is catalogs/access now, without I/O, with a table of tests. Plain requests, the watch for silent streams, callers' answers and requests have modules of their own; the port to engines stands in ports/. A test took its ports from those that the system gives to outgoing connections (address in use, once); it takes lower ones. No behaviour is meant to change.

--- a/src/fuchsiabarrow/catalogs/__init__.py
+++ b/src/fuchsiabarrow/catalogs/__init__.py
@@ -1,3 +1,3 @@
 """What operators configure for whole-request serving, indexed for look-up."""
 
-__all__ = ["documents", "engines", "service"]
+__all__ = ["access", "documents", "engines", "service"]
--- /dev/null
+++ b/src/fuchsiabarrow/catalogs/tests/test_access.py
@@ -0,0 +1,70 @@
+import pytest
+
+from fuchsiabarrow.catalogs import access
+from fuchsiabarrow.catalogs import documents
+
+FRESH_S = 0.1
+STALE_S = access.DENIAL_AGE_S + 0.1
+REVOKE_S = 5.0
+UNTRUSTED_S = REVOKE_S * access.KEY_TRUST_FRACTION + 0.1
+
+
+def make_route(name: str, prefix: str, is_anonymous: bool = False):
+    return documents.Route(
+        name,
+        "Shop.example",
+        prefix,
+        documents.RequestKind.IDEMPOTENT,
+        1.0,
+        0.1,
+        None,
+        1,
+        (("desk", 1.0),),
+        1,
+        is_anonymous,
+        False,
+    )
+
+
+def decide(age_s, path="/a/x", key="key", host="shop.example", with_keys=True):
+    organisations = [documents.Organisation("org", ("key",), None)]
+    catalog = documents.make_catalog(
+        1,
+        [make_route("a", "/a/"), make_route("open", "/open/", True)],
+        [],
+        organisations if with_keys else [],
+        documents.Limits(),
+    )
+    return access.decide_access(catalog, age_s, REVOKE_S, host, path, key)
+
+
+@pytest.mark.parametrize(
+    ("age_s", "path", "key", "verdict"),
+    [
+        (FRESH_S, "/a/x", "key", access.Verdict.ALLOWED),
+        (FRESH_S, "/a/x", "other", access.Verdict.UNKNOWN_KEY),
+        (FRESH_S, "/a/x", "", access.Verdict.UNKNOWN_KEY),
+        (FRESH_S, "/none/x", "key", access.Verdict.NO_ROUTE),
+        (FRESH_S, "/a", "key", access.Verdict.NO_ROUTE),
+        (STALE_S, "/a/x", "key", access.Verdict.ALLOWED),
+        (STALE_S, "/a/x", "other", access.Verdict.UNCONFIRMED),
+        (STALE_S, "/none/x", "key", access.Verdict.UNCONFIRMED),
+        (UNTRUSTED_S, "/a/x", "key", access.Verdict.UNCONFIRMED),
+        (UNTRUSTED_S, "/open/x", "", access.Verdict.ALLOWED),
+    ],
+)
+def test_age_of_the_configuration_bounds_what_it_decides(
+    age_s, path, key, verdict
+):
+    assert decide(age_s, path, key).verdict is verdict
+
+
+def test_holder_of_the_key_is_found():
+    assert decide(FRESH_S).organisation.name == "org"
+    assert decide(FRESH_S, host="SHOP.EXAMPLE").route.name == "a"
+
+
+def test_no_keys_are_needed_where_none_are_configured():
+    found = decide(UNTRUSTED_S, key="", with_keys=False)
+    assert found.verdict is access.Verdict.ALLOWED
+    assert found.organisation is None
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -7,10 +7,8 @@
 """
 
 import asyncio
-import dataclasses
 import enum
 from typing import TYPE_CHECKING
-from typing import Protocol
 
 import logbook
 
@@ -22,29 +20,16 @@
 from fuchsiabarrow.forwarding import connections
 from fuchsiabarrow.forwarding import events
 from fuchsiabarrow.forwarding import messages
+from fuchsiabarrow.forwarding import watches
 from fuchsiabarrow.limits import crashes
 from fuchsiabarrow.telemetry import logs
 
 if TYPE_CHECKING:
     from fuchsiabarrow.forwarding import service as service_module
 
-__all__ = ["EngineControl", "EngineReport", "GenerationRun", "RepathOutcome"]
-
-# Least silence after which the first instance is asked what it waits for.
-LEAST_SILENCE_S = 0.12
-# The same before the first event, which waits for the prompt to be read.
-FIRST_SILENCE_S = 0.3
-# Silence counts from a multiple of the usual time between events.
-SILENCE_FACTOR = 4.0
-# Weight of the newest time between events.
-INTERVAL_SMOOTHING = 0.2
-# A stream this many times slower than expected has a slow instance.
-SLOW_FACTOR = 2.5
-LEAST_SLOW_S = 0.06
+__all__ = ["GenerationRun"]
+
 MS_PER_S = 1000.0
-LONGEST_SILENCE_S = 1.0
-# Least time to the next inquiry about the same stream.
-NEXT_INQUIRY_S = 0.4
 REPORT_TIMEOUT_S = 0.25
 REPATH_TIMEOUT_S = 0.25
 # Pause before the next look for a path, for a stream that has begun.
@@ -61,56 +46,6 @@
 _log = logbook.Logger(__name__)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineReport:
-    """What an instance says of itself.
-
-    Attributes:
-        pace_factor: How many times slower than its kind it works.
-        stalled: Requests that wait for another instance, and its address.
-        is_busy: Whether an order is being carried out.
-        order_count: Orders accepted since its start.
-    """
-
-    pace_factor: float
-    stalled: tuple[tuple[str, str], ...]
-    is_busy: bool
-    order_count: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RepathOutcome:
-    """What an instance said to a change of path.
-
-    Attributes:
-        is_accepted: Whether the request goes on over the new path.
-        at_fault: ``ip:port`` of an instance that is not there.
-        detail: Status or error, for the log.
-    """
-
-    is_accepted: bool
-    at_fault: str
-    detail: str
-
-
-class EngineControl(Protocol):
-    """Reports and orders of engines."""
-
-    async def read_report(
-        self, upstream: upstreams.Upstream, timeout_s: float
-    ) -> EngineReport:
-        """Returns what an instance says; raises ``UpstreamError``."""
-
-    async def change_path(
-        self,
-        upstream: upstreams.Upstream,
-        request_id: str,
-        parts: tuple[paths.Part, ...],
-        timeout_s: float,
-    ) -> RepathOutcome:
-        """Has a running request go on over other instances; never raises."""
-
-
 class _Result(enum.Enum):
     DONE = enum.auto()
     NOT_RUN = enum.auto()
@@ -151,10 +86,9 @@
         self._sends = 0
         self._last_event_id = request.last_event_id
         self._event_count = 0
-        self._progress_s = 0.0
-        self._interval_s = 0.0
-        self._slow_interval_s = LEAST_SLOW_S
-        self._watchdog: asyncio.TimerHandle | None = None
+        self._watch = watches.StreamWatch(
+            self._ask_about_silence, self._look_for_slow_instance
+        )
         self._inquiry: asyncio.Task | None = None
         self._detail = ""
 
@@ -361,9 +295,7 @@
         event_ms = self._model.tokens_per_event * paths.compute_token_ms(
             list(parts), self._model, self._forwarding.ledger
         )
-        self._slow_interval_s = max(
-            LEAST_SLOW_S, SLOW_FACTOR * event_ms / MS_PER_S
-        )
+        self._watch.expect_interval(event_ms / MS_PER_S)
 
     # Attempts.
 
@@ -416,7 +348,7 @@
         self._entered[first.key] = first
         had_run = self._may_have_run
         self._may_have_run = True
-        self._watch()
+        self._watch.start()
         message = await connection.read_head()
         head = forwarding.codec.decode_head(message)
         messages.check_origin(head, request, first.address)
@@ -484,7 +416,7 @@
                 self._last_event_id = found[-1].event_id or self._last_event_id
                 self._event_count += len(found)
                 await self._caller.write(b"".join(e.data for e in found))
-                self._progress_s = loop.time()
+                self._watch.note_written()
         if reader.rest:
             raise exceptions.UpstreamLostError("ended inside an event")
         if not self._caller.is_started:
@@ -492,7 +424,7 @@
         await self._caller.finish()
         return _Result.DONE
 
-    # Watching for silence.
+    # Silent and slow streams.
 
     def _note_progress(self, now_s: float, count: int) -> None:
         metrics = self._forwarding.metrics
@@ -500,57 +432,24 @@
             self._reservation.finish_reading()
             metrics.first_event_s.observe(now_s - self._request.arrived_s)
         else:
-            metrics.event_gap_s.observe(now_s - self._progress_s)
-            interval_s = (now_s - self._progress_s) / count
-            self._interval_s += INTERVAL_SMOOTHING * (
-                interval_s - self._interval_s
-            )
-            if self._interval_s > self._slow_interval_s:
-                self._look_for_slow_instance()
-        self._progress_s = now_s
+            metrics.event_gap_s.observe(self._watch.get_silent_s())
+        self._watch.note_events(count)
 
     def _look_for_slow_instance(self) -> None:
         """Asks the instances of a slow stream how slow they work."""
         for part in self._parts:
             self._forwarding.inquire(part.upstream, "slow")
-        self._slow_interval_s *= 2
-
-    def _watch(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._progress_s = loop.time()
-        self._set_watchdog(FIRST_SILENCE_S)
 
-    def _set_watchdog(self, delay_s: float) -> None:
-        loop = asyncio.get_running_loop()
-        self._watchdog = loop.call_later(delay_s, self._check_silence)
+    def _ask_about_silence(self, silent_s: float) -> None:
+        if self._inquiry is None or self._inquiry.done():
+            self._inquiry = asyncio.create_task(self._inquire(silent_s))
 
     def _stop_watching(self) -> None:
-        if self._watchdog is not None:
-            self._watchdog.cancel()
-            self._watchdog = None
+        self._watch.stop()
         if self._inquiry is not None:
             self._inquiry.cancel()
             self._inquiry = None
 
-    def _get_silence_s(self) -> float:
-        if self._event_count == 0:
-            return FIRST_SILENCE_S
-        return min(
-            LONGEST_SILENCE_S,
-            max(LEAST_SILENCE_S, SILENCE_FACTOR * self._interval_s),
-        )
-
-    def _check_silence(self) -> None:
-        loop = asyncio.get_running_loop()
-        limit_s = self._get_silence_s()
-        silent_s = loop.time() - self._progress_s
-        if silent_s < limit_s:
-            self._set_watchdog(limit_s - silent_s)
-            return
-        if self._inquiry is None or self._inquiry.done():
-            self._inquiry = asyncio.create_task(self._inquire(silent_s))
-        self._set_watchdog(max(NEXT_INQUIRY_S, limit_s))
-
     async def _inquire(self, silent_s: float) -> None:
         """Asks the instances of a silent stream whether they are there.
 
@@ -621,7 +520,7 @@
         if outcome.is_accepted:
             self._take_path(parts)
             self._reservation.finish_reading()
-            self._progress_s = asyncio.get_running_loop().time()
+            self._watch.note_written()
         else:
             self._break_off("path not changed")
 
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -15,17 +15,15 @@
 from fuchsiabarrow.forwarding import connections
 from fuchsiabarrow.forwarding import generations
 from fuchsiabarrow.forwarding import messages
+from fuchsiabarrow.forwarding import plain_requests
 from fuchsiabarrow.limits import budgets
 from fuchsiabarrow.limits import crashes
+from fuchsiabarrow.ports import pipelines
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.telemetry import metrics as metrics_module
 
 __all__ = ["ForwardingService", "Settings"]
 
-MAX_ANSWER_BYTES = 16 * 1_048_576
-HTTP_SERVER_ERROR = 500
-# Time kept for a refusal to reach the caller before its deadline.
-ANSWER_SLACK_S = 0.02
 REPORT_TIMEOUT_S = 0.25
 # An upstream that answered is not asked again within this time.
 INQUIRY_REST_S = 0.3
@@ -84,7 +82,7 @@
         ledger: loads.Ledger,
         codec: messages.Codec,
         pool: connections.ConnectionPool,
-        control: generations.EngineControl,
+        control: pipelines.EngineControl,
         get_catalog: Callable[[], documents.Catalog | None],
         count_entries: Callable[[], int],
         settings: Settings,
@@ -293,7 +291,9 @@
                 )
                 await run.serve()
             else:
-                run = PlainRun(self, request, caller, service, fingerprint)
+                run = plain_requests.PlainRun(
+                    self, request, caller, service, fingerprint
+                )
                 await run.serve()
         finally:
             self.running -= 1
@@ -308,179 +308,3 @@
         request.target,
         request.body,
     )
-
-
-class PlainRun:
-    """One request to a plain service.
-
-    Args:
-        forwarding: Service that it belongs to.
-        request: The request.
-        caller: Gets the answer.
-        service: Where it goes.
-        fingerprint: Identifies the request, whoever carries it.
-    """
-
-    def __init__(
-        self,
-        forwarding: ForwardingService,
-        request: messages.Request,
-        caller: messages.Caller,
-        service: documents.Service,
-        fingerprint: int,
-    ):
-        self._fingerprint = fingerprint
-        self._forwarding = forwarding
-        self._request = request
-        self._caller = caller
-        self._service = service
-        self._tried: set[tuple[str, int]] = set()
-        self._ran = 0
-        self._sent = 0
-        self._lost_at: upstreams.Upstream | None = None
-        self._failure: tuple[messages.AnswerHead, bytes] | None = None
-
-    async def serve(self) -> None:
-        """Takes the request to its final answer."""
-        request = self._request
-        loop = asyncio.get_running_loop()
-        left_s = request.answer_by_s - loop.time() - ANSWER_SLACK_S
-        try:
-            async with asyncio.timeout(max(0.0, left_s)):
-                refusal = await self._run()
-        except TimeoutError:
-            refusal = messages.Refusal(
-                messages.RefusalReason.TIMEOUT,
-                self._ran == 0,
-                self._forwarding.draw_retry_after_s(),
-                f"no answer in {request.route.timeout_s} s",
-            )
-        if refusal is None:
-            return
-        if self._failure is not None:
-            await self._caller.answer(*self._failure)
-        else:
-            await self._caller.refuse(refusal)
-
-    async def _run(self) -> messages.Refusal | None:
-        """Tries upstreams; returns a refusal, or None if it was answered."""
-        forwarding, request = self._forwarding, self._request
-        detail = "no upstream"
-        while True:
-            upstream = self._choose()
-            if upstream is None:
-                break
-            if self._sent and not forwarding.spend_retry(self._service.name):
-                detail = "retry budget spent"
-                break
-            self._tried.add(upstream.key)
-            load = {upstream.key: loads.Load(1, 1)}
-            with loads.Reservation(forwarding.ledger, load):
-                detail = await self._try(upstream)
-            if detail is None:
-                forwarding.crashes.clear(self._fingerprint)
-                return None
-            if self._lost_at is not None and await self._has_crashed():
-                count = forwarding.crashes.add(self._fingerprint)
-                if count >= crashes.CRASH_LIMIT:
-                    return forwarding.make_crash_refusal(False)
-            may_repeat = request.route.may_repeat or self._ran == 0
-            if not may_repeat or self._ran >= request.route.max_attempts:
-                break
-        is_not_run = self._ran == 0
-        reason = messages.RefusalReason.UPSTREAM_FAILED
-        if is_not_run:
-            reason = messages.RefusalReason.NO_UPSTREAM
-        return messages.Refusal(
-            reason, is_not_run, forwarding.draw_retry_after_s(), detail
-        )
-
-    async def _has_crashed(self) -> bool:
-        """Returns whether the upstream that lost the answer takes no more."""
-        try:
-            connection = await self._forwarding.pool.open(
-                self._lost_at.address, False
-            )
-        except exceptions.UpstreamUnreachableError:
-            return True
-        connection.close()
-        return False
-
-    def _choose(self) -> upstreams.Upstream | None:
-        """Returns an upstream that was not tried, the least loaded one."""
-        forwarding = self._forwarding
-        usable = [
-            u
-            for u in forwarding.directory.get_usable(self._service.name)
-            if u.key not in self._tried
-        ]
-        if not usable and not self._tried:
-            # Evidence against all of them is evidence against none.
-            usable = [
-                u
-                for u in forwarding.directory.get_service(self._service.name)
-                if not u.is_leaving
-            ]
-        own_domain = forwarding.settings.failure_domain
-
-        def compute_cost(upstream: upstreams.Upstream) -> tuple:
-            requests = forwarding.ledger.get(upstream.key).requests
-            is_far = upstream.failure_domain != own_domain
-            crowding = requests / max(1, upstream.slots)
-            return (crowding, is_far, forwarding.source.random())
-
-        return min(usable, key=compute_cost, default=None)
-
-    async def _try(self, upstream: upstreams.Upstream) -> str | None:
-        """Sends the request once; returns why it failed, or None."""
-        forwarding, request = self._forwarding, self._request
-        may_reuse = request.route.may_repeat
-        try:
-            connection = await forwarding.pool.open(upstream.address, may_reuse)
-        except exceptions.UpstreamUnreachableError as error:
-            forwarding.note_failure(upstream, "connect")
-            return str(error)
-        self._lost_at = None
-        async with connection:
-            try:
-                return await self._exchange(connection, upstream)
-            except exceptions.UpstreamUnreachableError as error:
-                return str(error)
-            except exceptions.UpstreamLostError as error:
-                forwarding.directory.note_loss(upstream)
-                self._lost_at = upstream
-                return str(error)
-
-    async def _exchange(
-        self,
-        connection: connections.Connection,
-        upstream: upstreams.Upstream,
-    ) -> str | None:
-        forwarding, request = self._forwarding, self._request
-        left_s = request.deadline_s - asyncio.get_running_loop().time()
-        target = messages.Target(upstream)
-        data = forwarding.codec.encode_request(request, target, left_s, "")
-        connection.send(data)
-        self._forwarding.metrics.sends.labels(
-            "retry" if self._sent else "first"
-        ).inc()
-        self._sent += 1
-        self._ran += 1
-        head = forwarding.codec.decode_head(await connection.read_head())
-        messages.check_origin(head, request, upstream.address)
-        body = await connection.read_all(MAX_ANSWER_BYTES)
-        if head.is_not_run:
-            self._ran -= 1
-            return f"not run by {upstream.instance_id}: status {head.status}"
-        forwarding.directory.note_success(upstream)
-        may_retry = (
-            head.status >= HTTP_SERVER_ERROR
-            and request.route.may_repeat
-            and self._ran < request.route.max_attempts
-        )
-        if may_retry:
-            self._failure = (head, body)
-            return f"status {head.status}"
-        self._failure = None
-        await self._caller.answer(head, body)
-        return None
--- a/src/fuchsiabarrow/forwarding/tests/fakes.py
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -9,9 +9,9 @@
 from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet.tests import fleets
-from fuchsiabarrow.forwarding import generations
 from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.forwarding import service as service_module
+from fuchsiabarrow.ports import pipelines
 from fuchsiabarrow.telemetry import metrics
 
 MODEL = fleets.make_model(layer_mb=200.0)
@@ -155,13 +155,13 @@
         if upstream.address in self.silent:
             await asyncio.sleep(timeout_s)
             raise exceptions.UpstreamLostError("no answer")
-        return generations.EngineReport(
+        return pipelines.EngineReport(
             1.0, self.stalled.get(upstream.address, ()), False, 0
         )
 
     async def change_path(self, upstream, request_id, parts, timeout_s):
         self.paths.append((request_id, parts))
-        return generations.RepathOutcome(self.accepts_paths, "", "")
+        return pipelines.RepathOutcome(self.accepts_paths, "", "")
 
 
 class FakeCaller:
--- a/src/fuchsiabarrow/peers/tests/test_load_reports.py
+++ b/src/fuchsiabarrow/peers/tests/test_load_reports.py
@@ -9,7 +9,7 @@
 from fuchsiabarrow.fleet.tests import fleets
 from fuchsiabarrow.limits import crashes
 from fuchsiabarrow.peers import load_reports
-from fuchsiabarrow.platform.tests import worlds
+from fuchsiabarrow.utils.tests import ports as free_ports
 
 UPSTREAM = fleets.make_instance("i-1")
 
@@ -48,7 +48,7 @@
 @contextlib.asynccontextmanager
 async def run_entries(count: int):
     """Runs entries of which each knows the first one's address only."""
-    ports = worlds.find_ports(count)
+    ports = free_ports.find_ports(count)
     async with contextlib.AsyncExitStack() as stack:
         entries = []
         for index, port in enumerate(ports):
--- a/src/fuchsiabarrow/placement/service.py
+++ b/src/fuchsiabarrow/placement/service.py
@@ -17,8 +17,8 @@
 from fuchsiabarrow.catalogs import documents
 from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet import upstreams
-from fuchsiabarrow.forwarding import generations
 from fuchsiabarrow.placement import plans
+from fuchsiabarrow.ports import pipelines
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import tasks
 
@@ -47,7 +47,7 @@
     [upstreams.Upstream, upstreams.LayerRange, int], Awaitable[OrderOutcome]
 ]
 ReadReport = Callable[
-    [upstreams.Upstream, float], Awaitable[generations.EngineReport]
+    [upstreams.Upstream, float], Awaitable[pipelines.EngineReport]
 ]
 REPORT_TIMEOUT_S = 0.5
 
--- /dev/null
+++ b/src/fuchsiabarrow/platform/callers.py
@@ -0,0 +1,150 @@
+"""Answers to callers."""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp.web
+import logbook
+
+from fuchsiabarrow.forwarding import messages
+from fuchsiabarrow.platform import names
+from fuchsiabarrow.telemetry import logs
+from fuchsiabarrow.telemetry import metrics as metrics_module
+
+__all__ = ["HttpCaller", "round_since"]
+
+HTTP_BAD_GATEWAY = 502
+HTTP_UNAVAILABLE = 503
+HTTP_TIMEOUT = 504
+
+_log = logbook.Logger(__name__)
+
+
+def round_since(start_s: float) -> float:
+    """Returns the seconds since a loop time, for the log."""
+    return round(asyncio.get_running_loop().time() - start_s, 4)
+
+
+class HttpCaller:
+    """Implements `fuchsiabarrow.forwarding.messages.Caller`.
+
+    Attributes:
+        response: What was sent, once something was.
+        is_aborted: Whether the answer was cut off.
+
+    Args:
+        http_request: Request as received.
+        request_id: Its id, for the log.
+        is_last: Tells whether the connection is to close after the answer.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        http_request: aiohttp.web.BaseRequest,
+        request_id: str,
+        is_last: Callable[[], bool],
+        metrics: metrics_module.ForwardingMetrics,
+    ):
+        self.response: aiohttp.web.StreamResponse | None = None
+        self.is_aborted = False
+        self.outcome = ""
+        self._http_request = http_request
+        self._request_id = request_id
+        self._is_last = is_last
+        self._metrics = metrics
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the head of the answer was sent."""
+        return self.response is not None
+
+    async def start(self, head: messages.AnswerHead) -> None:
+        """Sends the head of an answer that comes in parts."""
+        response = aiohttp.web.StreamResponse(
+            status=head.status, reason=head.reason
+        )
+        for name, value in head.headers:
+            response.headers.add(name, value)
+        if self._is_last():
+            response.force_close()
+        self.response = response
+        await response.prepare(self._http_request)
+
+    async def write(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        await self.response.write(data)
+
+    async def finish(self) -> None:
+        """Ends the body as complete."""
+        self.outcome = str(self.response.status)
+        await self.response.write_eof()
+
+    async def answer(self, head: messages.AnswerHead, body: bytes) -> None:
+        """Sends a whole answer."""
+        response = aiohttp.web.Response(
+            status=head.status, reason=head.reason, body=body
+        )
+        if "Content-Type" in response.headers:
+            del response.headers["Content-Type"]
+        for name, value in head.headers:
+            response.headers.add(name, value)
+        self.outcome = str(head.status)
+        await self._send(response)
+
+    async def refuse(self, refusal: messages.Refusal) -> None:
+        """Sends an answer of the entry's own."""
+        if refusal.is_not_run:
+            status = HTTP_UNAVAILABLE
+        elif refusal.reason is messages.RefusalReason.TIMEOUT:
+            status = HTTP_TIMEOUT
+        else:
+            status = HTTP_BAD_GATEWAY
+        self.outcome = refusal.reason.value
+        self._metrics.refusals.labels(refusal.reason.value).inc()
+        _log.info(
+            logs.format_event(
+                "refused",
+                request_id=self._request_id,
+                status=status,
+                reason=refusal.reason.value,
+                is_not_run=refusal.is_not_run,
+                retry_after_s=round(refusal.retry_after_s, 2),
+                detail=refusal.detail,
+            )
+        )
+        response = _make_error(status, refusal.detail or refusal.reason.value)
+        if refusal.is_not_run:
+            response.headers[names.RETRY_AFTER] = f"{refusal.retry_after_s:.2f}"
+        await self._send(response)
+
+    async def deny(self, status: int, message: str) -> None:
+        """Sends a client error."""
+        self.outcome = str(status)
+        _log.info(
+            logs.format_event(
+                "denied",
+                request_id=self._request_id,
+                status=status,
+                why=message,
+            )
+        )
+        await self._send(_make_error(status, message))
+
+    def abort(self) -> None:
+        """Cuts an answer off so that it does not look complete."""
+        self.is_aborted = True
+        self.outcome = "aborted"
+
+    async def _send(self, response: aiohttp.web.Response) -> None:
+        if self._is_last():
+            response.force_close()
+        self.response = response
+        await response.prepare(self._http_request)
+        await response.write_eof()
+
+
+def _make_error(status: int, message: str) -> aiohttp.web.Response:
+    return aiohttp.web.Response(
+        status=status, text=message + "\n", content_type="text/plain"
+    )
--- /dev/null
+++ b/src/fuchsiabarrow/platform/requests.py
@@ -0,0 +1,166 @@
+"""Requests of callers, decoded and checked."""
+
+import aiohttp.web
+
+from fuchsiabarrow import exceptions
+from fuchsiabarrow.catalogs import documents
+from fuchsiabarrow.forwarding import messages
+from fuchsiabarrow.platform import exchanges
+from fuchsiabarrow.platform import names
+
+__all__ = [
+    "BadRequestError",
+    "check_sizes",
+    "decode_request",
+    "get_host",
+    "get_key",
+    "get_path",
+    "read_body",
+]
+
+HTTP_BAD_REQUEST = 400
+HTTP_TOO_LARGE = 413
+HTTP_HEADERS_TOO_LARGE = 431
+MS_PER_S = 1000.0
+
+
+class BadRequestError(exceptions.FuchsiabarrowError):
+    """A request is not proper.
+
+    Attributes:
+        status: Status of the answer.
+    """
+
+    def __init__(self, status: int, message: str):
+        super().__init__(message)
+        self.status = status
+
+
+def get_host(http_request: aiohttp.web.BaseRequest) -> str:
+    """Returns the host that was asked for, without its port."""
+    return http_request.headers.get("Host", "").partition(":")[0]
+
+
+def get_path(http_request: aiohttp.web.BaseRequest) -> str:
+    """Returns the path of a request target, absolute form included."""
+    target = http_request.raw_path
+    if not target.startswith("/") and "://" in target:
+        target = "/" + target.partition("://")[2].partition("/")[2]
+    return target.partition("?")[0]
+
+
+def get_key(http_request: aiohttp.web.BaseRequest) -> str:
+    """Returns the caller's key, empty if it sent none that can be read."""
+    scheme, _, key = http_request.headers.get(
+        names.AUTHORIZATION, ""
+    ).partition(" ")
+    if scheme.lower() != names.TOKEN_SCHEME.lower():
+        return ""
+    return key.strip()
+
+
+def check_sizes(
+    http_request: aiohttp.web.BaseRequest, limits: documents.Limits
+) -> None:
+    """Makes sure that headers and announced body keep within the limits.
+
+    Raises:
+        BadRequestError: They do not.
+    """
+    size = sum(
+        len(name) + len(value) + 4 for name, value in http_request.raw_headers
+    )
+    if size > limits.max_header_bytes:
+        raise BadRequestError(
+            HTTP_HEADERS_TOO_LARGE,
+            f"headers are over {limits.max_header_bytes} bytes",
+        )
+    length = http_request.content_length
+    if length is not None and length > limits.max_body_bytes:
+        raise BadRequestError(
+            HTTP_TOO_LARGE, f"body is over {limits.max_body_bytes} bytes"
+        )
+
+
+async def read_body(
+    http_request: aiohttp.web.BaseRequest, limits: documents.Limits
+) -> bytes:
+    """Returns the whole body.
+
+    Raises:
+        BadRequestError: It is longer than the limit.
+    """
+    if not http_request.body_exists:
+        return b""
+    if http_request.headers.get("Expect", "").lower() == "100-continue":
+        await http_request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        http_request.writer.output_size = 0
+    chunks, size = [], 0
+    while data := await http_request.content.readany():
+        size += len(data)
+        if size > limits.max_body_bytes:
+            raise BadRequestError(
+                HTTP_TOO_LARGE, f"body is over {limits.max_body_bytes} bytes"
+            )
+        chunks.append(data)
+    return b"".join(chunks)
+
+
+def decode_request(
+    http_request, route, organisation, arrived_s, body, version
+) -> messages.Request:
+    """Returns a request in the type of the package.
+
+    Raises:
+        BadRequestError: A header is missing or cannot be read.
+    """
+    headers = http_request.headers
+    request_id = headers.get(names.ATTEMPT_ID, "")
+    if not request_id:
+        raise BadRequestError(
+            HTTP_BAD_REQUEST, f"{names.ATTEMPT_ID} is missing; send one"
+        )
+    left_s = route.timeout_s
+    if names.DEADLINE_MS in headers:
+        left_s = _parse_number(headers, names.DEADLINE_MS) / MS_PER_S
+    return messages.Request(
+        request_id=request_id,
+        method=http_request.method,
+        target=http_request.raw_path,
+        headers=exchanges.select_end_to_end(
+            headers.items(), names.CALLER_PATH_HEADERS
+        ),
+        body=body,
+        route=route,
+        organisation=organisation,
+        arrived_s=arrived_s,
+        deadline_s=arrived_s + left_s,
+        last_event_id=headers.get(names.LAST_EVENT_ID, ""),
+        generation=_parse_generation(headers),
+        catalog_version=version,
+    )
+
+
+def _parse_number(headers, name: str) -> float:
+    text = headers[name].strip()
+    if not text.isdecimal() or len(text) > 12:
+        raise BadRequestError(
+            HTTP_BAD_REQUEST, f"{name} is not a whole number; correct it"
+        )
+    return float(text)
+
+
+def _parse_generation(headers) -> messages.Generation | None:
+    if names.TOKEN_COUNTS not in headers:
+        return None
+    prompt, _, answer = headers[names.TOKEN_COUNTS].partition(",")
+    prompt, answer = prompt.strip(), answer.strip()
+    if not (prompt.isdecimal() and answer.isdecimal()):
+        raise BadRequestError(
+            HTTP_BAD_REQUEST,
+            f"{names.TOKEN_COUNTS} is not PROMPT,ANSWER; correct it",
+        )
+    hint = headers.get(names.LENGTH_HINT, "").strip()
+    return messages.Generation(
+        int(prompt), int(answer), int(hint) if hint.isdecimal() else None
+    )
--- a/src/fuchsiabarrow/platform/runners.py
+++ b/src/fuchsiabarrow/platform/runners.py
@@ -8,10 +8,10 @@
 from fuchsiabarrow.fleet import paths
 from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.forwarding import connections
-from fuchsiabarrow.forwarding import generations
 from fuchsiabarrow.placement import service as placement
 from fuchsiabarrow.platform import exchanges
 from fuchsiabarrow.platform import names
+from fuchsiabarrow.ports import pipelines
 
 __all__ = ["RunnerControl"]
 
@@ -44,7 +44,7 @@
 
 
 class RunnerControl:
-    """Implements `fuchsiabarrow.forwarding.generations.EngineControl`.
+    """Implements `fuchsiabarrow.ports.pipelines.EngineControl`.
 
     Args:
         pool: Connections to runners.
@@ -55,7 +55,7 @@
 
     async def read_report(
         self, upstream: upstreams.Upstream, timeout_s: float
-    ) -> generations.EngineReport:
+    ) -> pipelines.EngineReport:
         """Returns what a runner says of itself."""
         status, body = await self._call(
             upstream, "GET", names.REPORT_PATH, b"", timeout_s
@@ -71,7 +71,7 @@
                 f"{upstream.address}: report cannot be read ({error})"
             ) from error
         stalled = tuple((s.id, s.address) for s in report.stalled or ())
-        return generations.EngineReport(
+        return pipelines.EngineReport(
             report.pace, stalled, report.busy, report.sequence
         )
 
@@ -81,7 +81,7 @@
         request_id: str,
         parts: tuple[paths.Part, ...],
         timeout_s: float,
-    ) -> generations.RepathOutcome:
+    ) -> pipelines.RepathOutcome:
         """Has a running request go on over other runners."""
         order = {
             "operation": "repath",
@@ -97,11 +97,11 @@
                 timeout_s,
             )
         except exceptions.UpstreamError as error:
-            return generations.RepathOutcome(False, "", str(error))
+            return pipelines.RepathOutcome(False, "", str(error))
         at_fault = ""
         if status >= HTTP_CLIENT_ERROR:
             at_fault = _decode_fault(body)
-        return generations.RepathOutcome(
+        return pipelines.RepathOutcome(
             status in (HTTP_OK, HTTP_ACCEPTED), at_fault, f"status {status}"
         )
 
--- a/src/fuchsiabarrow/platform/tests/test_process.py
+++ b/src/fuchsiabarrow/platform/tests/test_process.py
@@ -13,6 +13,7 @@
 from fuchsiabarrow.platform.tests import runners
 from fuchsiabarrow.platform.tests import stores
 from fuchsiabarrow.platform.tests import worlds
+from fuchsiabarrow.utils.tests import ports
 
 LOOKS = 20
 
@@ -28,7 +29,7 @@
             "config", "main", made.make_config(routes=worlds.ROUTES)
         )
         await store.put("servers", "desk-1", desk.make_entry())
-        front, ready, control, inner = worlds.find_ports(4)
+        front, ready, control, inner = ports.find_ports(4)
         settings = path / "node.conf"
         settings.write_text(
             worlds.SETTINGS.format(
--- a/src/fuchsiabarrow/platform/tests/worlds.py
+++ b/src/fuchsiabarrow/platform/tests/worlds.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 
 import aiohttp
 
@@ -12,6 +11,7 @@
 from fuchsiabarrow.platform.tests import objects_for_tests as made
 from fuchsiabarrow.platform.tests import runners
 from fuchsiabarrow.platform.tests import stores
+from fuchsiabarrow.utils.tests import ports
 
 HOST = "shop.example"
 ROUTES = [
@@ -67,17 +67,6 @@
 """
 
 
-def find_ports(count: int) -> list[int]:
-    """Returns free ports of loopback."""
-    sockets = [socket.socket() for _ in range(count)]
-    for found in sockets:
-        found.bind(("127.0.0.1", 0))
-    ports = [found.getsockname()[1] for found in sockets]
-    for found in sockets:
-        found.close()
-    return ports
-
-
 class World:
     """A store, runners and one entry.
 
@@ -95,7 +84,7 @@
         self.router: router_module.Router | None = None
         self.session: aiohttp.ClientSession | None = None
         self.settings_text = ""
-        self.ports = find_ports(4)
+        self.ports = ports.find_ports(4)
         self._grace_s = grace_s
         self._stack = contextlib.AsyncExitStack()
 
