Leave all suspects of a stream's path with one task

Cause: two instances of one path suspected within milliseconds started two changes of path; only the last was cancelled with the stream, and the other one booked room that nobody released (two tests, red before: a reservation stayed booked; an instance was forgotten as tried after a refusal there). Change: one task a stream changes the path until no instance of it is suspected, and ends with its connection. An instance counts as entered if an earlier try ran there. The path and its room are a module of their own; lost answers of plain requests and departures of callers are logged with what decided them. Ruled out: cancelling the first change (its order may have been taken already).

--- a/src/fuchsiabarrow/commands/explanations.py
+++ b/src/fuchsiabarrow/commands/explanations.py
@@ -161,9 +161,13 @@
                 f"refused with {line.fields.get('status')}:"
                 f" {line.fields.get('reason')}, {line.fields.get('detail')}"
             )
-        if line.event in ("denied", "stream_aborted", "caller_left"):
-            why = line.fields.get("why") or line.fields.get("after_s", "")
-            return f"{line.event}: {why}"
+        if line.event in ("denied", "stream_aborted"):
+            return f"{line.event}: {line.fields.get('why')}"
+        if line.event == "caller_left":
+            begun = line.fields.get("is_started") == "True"
+            state = "in the middle of" if begun else "before"
+            after_s = line.fields.get("after_s")
+            return f"the caller left after {after_s} s, {state} its answer"
     last = own[-1]
     if last.event == "served":
         return f"answered with {last.fields.get('outcome')}"
--- a/src/fuchsiabarrow/commands/tests/test_explanations.py
+++ b/src/fuchsiabarrow/commands/tests/test_explanations.py
@@ -69,6 +69,35 @@
     assert "entry-a" in story[1]
 
 
+@pytest.mark.parametrize(
+    ("is_started", "state"), [("True", "in the middle of"), ("False", "before")]
+)
+def test_caller_that_left_is_told_with_how_far_its_answer_was(
+    tmp_path, is_started, state
+):
+    story = explain(
+        tmp_path,
+        (
+            1.0,
+            "event=caller_left request_id=r1 route=quote organisation=o"
+            f" is_started={is_started} after_s=0.21",
+        ),
+    )
+    assert story[-1] == f"the caller left after 0.21 s, {state} its answer"
+
+
+def test_failed_attempts_of_a_plain_request_are_part_of_its_story(tmp_path):
+    story = explain(
+        tmp_path,
+        (1.0, "event=upstream_avoided instance=desk-1 why=connect"),
+        (1.1, "event=attempt_failed request_id=r1 instance=desk-1 why=reset"),
+        (1.2, "event=served request_id=r1 outcome=500"),
+    )
+    assert len(story) == 4
+    assert "desk-1" in story[1]
+    assert story[-1] == "answered with 500"
+
+
 @pytest.mark.parametrize(
     "text", ["", "no log line", "time=x", "event=alone", "\x00\xff"]
 )
--- a/src/fuchsiabarrow/fleet/paths.py
+++ b/src/fuchsiabarrow/fleet/paths.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
-import math
 
 from fuchsiabarrow.catalogs import engines
 from fuchsiabarrow.fleet import loads as loads_module
@@ -313,16 +312,3 @@
         )
         total_ms += step_ms * (part.end - part.first) / model.layers
     return total_ms + NEAR_DELAY_MS * len(parts)
-
-
-def compute_read_ms(
-    parts: list[Part], model: engines.EngineModel, prompt_tokens: float
-) -> float:
-    """Returns the expected time to read a prompt along a path."""
-    total_ms = math.fsum(
-        model.compute_read_ms(part.upstream.kind, prompt_tokens)
-        * (part.end - part.first)
-        / model.layers
-        for part in parts
-    )
-    return total_ms
--- a/src/fuchsiabarrow/forwarding/connections.py
+++ b/src/fuchsiabarrow/forwarding/connections.py
@@ -146,11 +146,6 @@
         if protocol.transport is not None:
             protocol.transport.abort()
 
-    @property
-    def has_received(self) -> bool:
-        """Whether any byte came back since the request was sent."""
-        return self._protocol is not None and self._protocol.received_bytes > 0
-
     async def read_head(self):
         """Returns the head of the answer, as the HTTP library parsed it.
 
@@ -224,10 +219,6 @@
                 protocol.close()
         self._idle.clear()
 
-    def count_open(self, address: str) -> int:
-        """Returns the connections in use or idle at an address."""
-        return self._counts[address] + len(self._idle.get(address, ()))
-
     async def open(
         self,
         address: str,
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -13,13 +13,12 @@
 import logbook
 
 from fuchsiabarrow import exceptions
-from fuchsiabarrow.catalogs import documents
-from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet import paths
 from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.forwarding import connections
 from fuchsiabarrow.forwarding import events
 from fuchsiabarrow.forwarding import messages
+from fuchsiabarrow.forwarding import stream_paths
 from fuchsiabarrow.forwarding import watches
 from fuchsiabarrow.limits import crashes
 from fuchsiabarrow.telemetry import logs
@@ -34,11 +33,7 @@
 REPATH_TIMEOUT_S = 0.25
 # Pause before the next look for a path, for a stream that has begun.
 PATH_RETRY_S = 0.1
-# Spread of the costs of equal paths among entries that choose at once.
-TIE_BREAK = 0.05
 MAX_ERROR_BYTES = 1_048_576
-# Share of the longest answer that is reserved when the caller gives no hint.
-ANSWER_SMOOTHING = 0.3
 # Most upstreams that one request is sent to, refusals included.
 MAX_SENDS = 5
 HTTP_MISDIRECTED = 421
@@ -57,39 +52,30 @@
 
     Args:
         forwarding: Service that it belongs to.
-        request: The request.
-        caller: Gets the answer.
-        service: Where it goes.
-        fingerprint: Identifies the request, whoever carries it.
+        exchange: The request, where it goes and who gets the answer.
     """
 
     def __init__(
         self,
         forwarding: "service_module.ForwardingService",
-        request: messages.Request,
-        caller: messages.Caller,
-        service: documents.Service,
-        fingerprint: int,
+        exchange: messages.Exchange,
     ):
-        self._fingerprint = fingerprint
         self._forwarding = forwarding
-        self._request = request
-        self._caller = caller
-        self._service = service
-        self._model = service.engine
-        self._parts: tuple[paths.Part, ...] = ()
-        self._reservation: loads.Reservation | None = None
+        self._request = exchange.request
+        self._caller = exchange.caller
+        self._service = exchange.service
+        self._fingerprint = exchange.fingerprint
+        self._path = stream_paths.StreamPath(forwarding, exchange)
         self._connection: connections.Connection | None = None
-        self._excluded: set[tuple[str, int]] = set()
-        self._entered: dict[tuple[str, int], upstreams.Upstream] = {}
         self._may_have_run = False
         self._sends = 0
-        self._last_event_id = request.last_event_id
+        self._last_event_id = exchange.request.last_event_id
         self._event_count = 0
         self._watch = watches.StreamWatch(
             self._ask_about_silence, self._look_for_slow_instance
         )
         self._inquiry: asyncio.Task | None = None
+        self._path_change: asyncio.Task | None = None
         self._detail = ""
 
     # Final answers.
@@ -103,7 +89,8 @@
             async with asyncio.timeout(
                 max(0.0, request.answer_by_s - loop.time())
             ):
-                refusal = await self._run()
+                with self._path:
+                    refusal = await self._run()
         except TimeoutError:
             refusal = messages.Refusal(
                 messages.RefusalReason.TIMEOUT,
@@ -114,8 +101,6 @@
         finally:
             forwarding.remove_stream(self)
             self._stop_watching()
-            if self._reservation is not None:
-                self._reservation.__exit__()
         if refusal is None:
             return
         if self._caller.is_started:
@@ -127,15 +112,15 @@
     async def _run(self) -> messages.Refusal | None:
         forwarding = self._forwarding
         while True:
-            parts = self._choose()
+            parts = self._choose_path()
             if parts is None:
                 if not self._caller.is_started:
                     return self._make_refusal(
                         messages.RefusalReason.OVERLOADED,
-                        self._describe_shortage(),
+                        self._path.describe_shortage(),
                     )
                 await asyncio.sleep(PATH_RETRY_S)
-                self._excluded.clear()
+                self._path.excluded.clear()
                 continue
             if self._sends >= MAX_SENDS:
                 return self._make_refusal(
@@ -167,7 +152,7 @@
         answers = await asyncio.gather(
             *(
                 self._forwarding.check_alive(part.upstream)
-                for part in self._parts
+                for part in self._path.parts
             )
         )
         return not all(answers)
@@ -182,29 +167,12 @@
             detail,
         )
 
-    def _get_entries(self) -> set[tuple[str, int]] | None:
-        """Returns the instances at which a path may begin, None for any.
-
-        A request may be sent to a bounded number of instances; those that are
-        gone from the list do not count.
-        """
-        directory = self._forwarding.directory
-        alive = {
-            key
-            for key, upstream in self._entered.items()
-            if (known := directory.get(upstream.instance_id)) is not None
-            and known.key == key
-        }
-        if len(alive) < self._request.route.max_attempts:
-            return None
-        return alive
-
     def _log(self, event: str, **fields: object) -> None:
         _log.info(
             logs.format_event(
                 event,
                 request_id=self._request.request_id,
-                path=_format_path(self._parts),
+                path=stream_paths.format_path(self._path.parts),
                 events=self._event_count,
                 **fields,
             )
@@ -212,89 +180,20 @@
 
     # Paths.
 
-    def _estimate_demand(self) -> paths.Demand:
-        generation = self._request.generation
-        expected = generation.expected_answer_tokens
-        if expected is None:
-            expected = self._model.usual_answer
-        # The hint is right at the median; a longer answer needs more room.
-        expected = (1 - ANSWER_SMOOTHING) * expected + (
-            ANSWER_SMOOTHING * generation.max_answer_tokens
-        )
-        answer = min(float(generation.max_answer_tokens), expected)
-        return paths.Demand(float(generation.prompt_tokens), answer)
-
-    def _choose(
+    def _choose_path(
         self, prefix: tuple[paths.Part, ...] = ()
     ) -> tuple[paths.Part, ...] | None:
-        forwarding, model = self._forwarding, self._model
-        demand = self._estimate_demand()
-        directory, ledger = forwarding.directory, forwarding.ledger
-        entries = self._get_entries()
-        candidates = [
-            paths.make_candidate(
-                upstream,
-                model,
-                demand,
-                ledger.get(upstream.key),
-                directory.get_pace_factor(upstream),
-                entries is None or upstream.key in entries,
-            )
-            for upstream in directory.get_usable(self._service.name)
-            if upstream.layers is not None
-            and upstream.key not in self._excluded
-            and not directory.is_full(upstream)
-            and upstream.kind in model.kinds
-        ]
-        found = paths.choose_path(
-            candidates,
-            model,
-            demand,
-            forwarding.settings.failure_domain,
-            lambda: TIE_BREAK * forwarding.source.random(),
-            prefix,
-        )
-        if found is None:
+        parts = self._path.choose(prefix)
+        if parts is None:
             return None
-        if not paths.is_whole(found, model.layers):
-            self._log("path_invalid", found=_format_path(tuple(found)))
+        if not paths.is_whole(list(parts), self._service.engine.layers):
+            self._log("path_invalid", found=stream_paths.format_path(parts))
             return None
-        return tuple(found)
-
-    def _describe_shortage(self) -> str:
-        """Says why no path was found."""
-        directory = self._forwarding.directory
-        holders = [0] * self._model.layers
-        usable = [
-            upstream
-            for upstream in directory.get_usable(self._service.name)
-            if upstream.layers is not None
-        ]
-        for upstream in usable:
-            for layer in range(upstream.layers.first, upstream.layers.end):
-                holders[layer] += 1
-        full = sum(directory.is_full(upstream) for upstream in usable)
-        demand = self._estimate_demand()
-        return (
-            f"no path has room: {len(usable)} instances, {full} just refused,"
-            f" {len(self._excluded)} left out, {holders.count(0)} layers"
-            f" without holder, {demand.context_tokens:.0f} tokens needed,"
-            f" list {directory.get_age_s():.2f} s old"
-        )
+        return parts
 
     def _take_path(self, parts: tuple[paths.Part, ...]) -> None:
-        """Books the room on a path in place of the one before."""
-        if self._reservation is not None:
-            self._reservation.__exit__()
-        self._parts = parts
-        demand = self._estimate_demand()
-        self._reservation = paths.reserve_path(
-            self._forwarding.ledger, list(parts), demand
-        )
-        self._reservation.__enter__()
-        event_ms = self._model.tokens_per_event * paths.compute_token_ms(
-            list(parts), self._model, self._forwarding.ledger
-        )
+        self._path.take(parts)
+        event_ms = self._path.estimate_event_ms()
         self._watch.expect_interval(event_ms / MS_PER_S)
 
     # Attempts.
@@ -336,7 +235,7 @@
         connection.send(
             forwarding.codec.encode_request(
                 request,
-                messages.Target(first, self._parts),
+                messages.Target(first, self._path.parts),
                 left_s,
                 self._last_event_id,
             )
@@ -345,7 +244,7 @@
             "retry" if self._sends else "first"
         ).inc()
         self._sends += 1
-        self._entered[first.key] = first
+        is_new = self._path.note_entered(first)
         had_run = self._may_have_run
         self._may_have_run = True
         self._watch.start()
@@ -354,7 +253,8 @@
         messages.check_origin(head, request, first.address)
         if head.is_not_run:
             self._may_have_run = had_run
-            self._entered.pop(first.key, None)
+            if is_new:
+                self._path.forget_entered(first)
             return self._note_not_run(head, first)
         if not head.is_success:
             return await self._pass_failure(connection, head)
@@ -369,12 +269,12 @@
         at_fault = next(
             (
                 part.upstream
-                for part in self._parts
+                for part in self._path.parts
                 if part.upstream.address == head.at_fault
             ),
             first,
         )
-        self._excluded.add(at_fault.key)
+        self._path.excluded.add(at_fault.key)
         if head.status == HTTP_MISDIRECTED:
             self._forwarding.note_misdirected(at_fault)
         else:
@@ -395,7 +295,7 @@
         """Passes an upstream's own failure on, or tries another path."""
         body = await connection.read_all(MAX_ERROR_BYTES)
         self._detail = f"status {head.status}"
-        self._excluded.add(self._parts[0].upstream.key)
+        self._path.excluded.add(self._path.parts[0].upstream.key)
         may_repeat = self._request.route.may_repeat
         if self._caller.is_started or (may_repeat and self._sends == 1):
             return _Result.LOST
@@ -428,8 +328,8 @@
 
     def _note_progress(self, now_s: float, count: int) -> None:
         metrics = self._forwarding.metrics
-        if self._event_count == 0 and self._reservation is not None:
-            self._reservation.finish_reading()
+        if self._event_count == 0:
+            self._path.finish_reading()
             metrics.first_event_s.observe(now_s - self._request.arrived_s)
         else:
             metrics.event_gap_s.observe(self._watch.get_silent_s())
@@ -437,7 +337,7 @@
 
     def _look_for_slow_instance(self) -> None:
         """Asks the instances of a slow stream how slow they work."""
-        for part in self._parts:
+        for part in self._path.parts:
             self._forwarding.inquire(part.upstream, "slow")
 
     def _ask_about_silence(self, silent_s: float) -> None:
@@ -446,9 +346,10 @@
 
     def _stop_watching(self) -> None:
         self._watch.stop()
-        if self._inquiry is not None:
-            self._inquiry.cancel()
-            self._inquiry = None
+        for task in (self._inquiry, self._path_change):
+            if task is not None:
+                task.cancel()
+        self._inquiry = self._path_change = None
 
     async def _inquire(self, silent_s: float) -> None:
         """Asks the instances of a silent stream whether they are there.
@@ -456,8 +357,8 @@
         The first one knows which instance it waits for, but says so late.
         """
         forwarding = self._forwarding
-        first = self._parts[0].upstream
-        for part in self._parts[1:]:
+        first = self._path.parts[0].upstream
+        for part in self._path.parts[1:]:
             forwarding.inquire(part.upstream, "silent")
         try:
             report = await forwarding.control.read_report(
@@ -482,24 +383,42 @@
 
     def note_suspect(self, upstream: upstreams.Upstream) -> None:
         """Leaves an instance that is believed not to answer."""
-        keys = [part.upstream.key for part in self._parts]
+        keys = [part.upstream.key for part in self._path.parts]
         if upstream.key not in keys or self._connection is None:
             return
         if keys[0] == upstream.key or self._event_count == 0:
             self._break_off("instance suspected")
-        else:
-            self._inquiry = asyncio.create_task(self._repath(upstream))
+        elif self._path_change is None or self._path_change.done():
+            self._path_change = asyncio.create_task(
+                self._leave_suspects(self._connection)
+            )
 
     def _break_off(self, why: str) -> None:
         if self._connection is not None:
             self._connection.break_off(why)
 
-    async def _repath(self, upstream: upstreams.Upstream) -> None:
+    async def _leave_suspects(self, connection: connections.Connection) -> None:
+        """Changes the path until none of its instances is suspected."""
+        directory = self._forwarding.directory
+        while self._connection is connection:
+            parts = self._path.parts[1:]
+            suspects = [
+                part.upstream.instance_id
+                for part in parts
+                if directory.is_avoided(part.upstream)
+            ]
+            if not suspects:
+                return
+            await self._change_path(connection, suspects)
+
+    async def _change_path(
+        self, connection: connections.Connection, suspects: list[str]
+    ) -> None:
         """Has the first instance go on over other instances."""
-        prefix = (self._parts[0],)
-        parts = self._choose(prefix)
+        parts = self._choose_path(self._path.parts[:1])
         if parts is None:
-            self._break_off("no other path from the first instance")
+            connection.break_off("no other path from the first instance")
+            self._connection = None
             return
         outcome = await self._forwarding.control.change_path(
             parts[0].upstream,
@@ -509,23 +428,20 @@
         )
         self._log(
             "path_changed",
-            suspect=upstream.instance_id,
-            new_path=_format_path(parts),
+            suspects=",".join(suspects),
+            new_path=stream_paths.format_path(parts),
             is_accepted=outcome.is_accepted,
             detail=outcome.detail,
         )
         self._forwarding.metrics.path_changes.labels(
             "accepted" if outcome.is_accepted else "refused"
         ).inc()
+        if self._connection is not connection:
+            return
         if outcome.is_accepted:
             self._take_path(parts)
-            self._reservation.finish_reading()
+            self._path.finish_reading()
             self._watch.note_written()
         else:
-            self._break_off("path not changed")
-
-
-def _format_path(parts: tuple[paths.Part, ...]) -> str:
-    return ",".join(
-        f"{part.upstream.instance_id}={part.first}-{part.end}" for part in parts
-    )
+            connection.break_off("path not changed")
+            self._connection = None
--- a/src/fuchsiabarrow/forwarding/messages.py
+++ b/src/fuchsiabarrow/forwarding/messages.py
@@ -10,6 +10,7 @@
 from fuchsiabarrow.fleet import upstreams
 
 __all__ = [
+    "Exchange",
     "AnswerHead",
     "Caller",
     "Codec",
@@ -208,3 +209,20 @@
 
     def abort(self) -> None:
         """Cuts an answer off so that it does not look complete."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exchange:
+    """A request on its way to an answer.
+
+    Attributes:
+        request: The request.
+        caller: Gets the answer.
+        service: Where the request goes.
+        fingerprint: Identifies the request, whoever carries it.
+    """
+
+    request: Request
+    caller: Caller
+    service: documents.Service
+    fingerprint: int
--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -3,13 +3,15 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import logbook
+
 from fuchsiabarrow import exceptions
-from fuchsiabarrow.catalogs import documents
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.forwarding import connections
 from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.limits import crashes
+from fuchsiabarrow.telemetry import logs
 
 if TYPE_CHECKING:
     from fuchsiabarrow.forwarding import service as service_module
@@ -21,31 +23,27 @@
 # Time kept for a refusal to reach the caller before its deadline.
 ANSWER_SLACK_S = 0.02
 
+_log = logbook.Logger(__name__)
+
 
 class PlainRun:
     """One request to a plain service.
 
     Args:
         forwarding: Service that it belongs to.
-        request: The request.
-        caller: Gets the answer.
-        service: Where it goes.
-        fingerprint: Identifies the request, whoever carries it.
+        exchange: The request, where it goes and who gets the answer.
     """
 
     def __init__(
         self,
         forwarding: "service_module.ForwardingService",
-        request: messages.Request,
-        caller: messages.Caller,
-        service: documents.Service,
-        fingerprint: int,
+        exchange: messages.Exchange,
     ):
-        self._fingerprint = fingerprint
         self._forwarding = forwarding
-        self._request = request
-        self._caller = caller
-        self._service = service
+        self._request = exchange.request
+        self._caller = exchange.caller
+        self._service = exchange.service
+        self._fingerprint = exchange.fingerprint
         self._tried: set[tuple[str, int]] = set()
         self._ran = 0
         self._sent = 0
@@ -89,7 +87,9 @@
             load = {upstream.key: loads.Load(1, 1)}
             with loads.Reservation(forwarding.ledger, load):
                 detail = await self._try(upstream)
-            if detail is None:
+            if detail is not None:
+                self._log_failure(upstream, detail)
+            else:
                 forwarding.crashes.clear(self._fingerprint)
                 return None
             if self._lost_at is not None and await self._has_crashed():
@@ -107,6 +107,18 @@
             reason, is_not_run, forwarding.draw_retry_after_s(), detail
         )
 
+    def _log_failure(self, upstream: upstreams.Upstream, why: str) -> None:
+        _log.info(
+            logs.format_event(
+                "attempt_failed",
+                request_id=self._request.request_id,
+                instance=upstream.instance_id,
+                ran=self._ran,
+                why=why,
+                list_age_s=round(self._forwarding.directory.get_age_s(), 3),
+            )
+        )
+
     async def _has_crashed(self) -> bool:
         """Returns whether the upstream that lost the answer takes no more."""
         try:
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -145,7 +145,7 @@
         """Takes one repeat from the budget of a service."""
         return self._get_budget(service).spend()
 
-    def _get_budget(self, service: str) -> budgets.RetryBudget:
+    def _get_budget(self, service: str) -> budgets.WindowBudget:
         settings = self.settings
         budget = self._budgets.get(service)
         if budget is None:
@@ -285,16 +285,13 @@
                         f"service {service_name} is not configured",
                     )
                 )
-            elif service.engine is not None and request.generation:
-                run = generations.GenerationRun(
-                    self, request, caller, service, fingerprint
-                )
-                await run.serve()
+                return
+            exchange = messages.Exchange(request, caller, service, fingerprint)
+            if service.engine is not None and request.generation:
+                run = generations.GenerationRun(self, exchange)
             else:
-                run = plain_requests.PlainRun(
-                    self, request, caller, service, fingerprint
-                )
-                await run.serve()
+                run = plain_requests.PlainRun(self, exchange)
+            await run.serve()
         finally:
             self.running -= 1
             self.metrics.running.set(self.running)
--- a/src/fuchsiabarrow/forwarding/tests/test_generations.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_generations.py
@@ -266,3 +266,102 @@
 
     _, world = serve(prepare, FIRST, LAST, last_event_id=last_event_id)
     assert world.pool.sent[0][3] == last_event_id
+
+
+THIRD = fleets.make_instance(
+    "third", "a", "fast", (60, 80), address="10.0.0.5:80"
+)
+MIDDLE = fleets.make_instance(
+    "middle", "a", "fast", (40, 60), address="10.0.0.6:80"
+)
+
+
+def slow_down_path_changes(world, delay_s: float) -> None:
+    change_path = world.control.change_path
+
+    async def change_late(*arguments):
+        await asyncio.sleep(delay_s)
+        return await change_path(*arguments)
+
+    world.control.change_path = change_late
+
+
+@pytest.mark.parametrize("end_s", [0.05, 0.15, 0.3])
+def test_two_suspects_at_once_leave_no_room_booked(end_s):
+    async def run():
+        world = fakes.World(FIRST, MIDDLE, THIRD, SPARE_LAST)
+        slow_down_path_changes(world, 0.1)
+        gap_s = 0.02
+        world.script(
+            FIRST.address,
+            [
+                *fakes.stream(1, 3, gap_s),
+                fakes.Wait(end_s),
+                fakes.make_event(3),
+            ],
+        )
+        task = asyncio.create_task(world.serve(fakes.make_stream_request()))
+        await asyncio.sleep(2.5 * gap_s)
+        used = [part.upstream for part in world.pool.sent[0][1].parts]
+        for upstream in used[1:]:
+            world.forwarding.note_failure(upstream, "test")
+        await task
+        await asyncio.sleep(1.0)
+        return world, used
+
+    world, used = virtual_time.run(run())
+    assert len(used) > 1
+    for instance in (FIRST, MIDDLE, THIRD, SPARE_LAST):
+        assert world.ledger.get(instance.key) == loads.IDLE
+
+
+def test_suspect_found_during_a_change_of_path_is_left_as_well():
+    async def run():
+        world = fakes.World(FIRST, LAST, SPARE_LAST, MIDDLE, THIRD)
+        slow_down_path_changes(world, 0.1)
+        world.script(
+            FIRST.address,
+            [*fakes.stream(1, 3), fakes.Wait(2.0), fakes.make_event(3)],
+        )
+        task = asyncio.create_task(world.serve(fakes.make_stream_request()))
+        await asyncio.sleep(0.05)
+        tried = {part.upstream.key for part in world.pool.sent[0][1].parts[1:]}
+        gone = [
+            u
+            for u in (LAST, MIDDLE, THIRD, SPARE_LAST)
+            if u.key in tried or u in (LAST, SPARE_LAST)
+        ]
+        for upstream in gone:
+            world.forwarding.note_failure(upstream, "test")
+            await asyncio.sleep(0.02)
+        await task
+        return world, gone
+
+    world, gone = virtual_time.run(run())
+    _, parts = world.control.paths[-1]
+    used = {part.upstream.instance_id for part in parts}
+    assert not used & {upstream.instance_id for upstream in gone}
+
+
+def test_refusal_does_not_hide_an_earlier_try_at_the_same_instance():
+    third_first = fleets.make_instance(
+        "third-first", "c", "fast", (0, 40), address="10.0.0.7:80"
+    )
+
+    def prepare(world):
+        world.script(
+            FIRST.address,
+            [*fakes.stream(1, 3), fakes.Lost],
+            fakes.answer(status=503, is_not_run=True),
+            fakes.stream(4, 11),
+        )
+        for instance in (SPARE_FIRST, third_first):
+            world.script(
+                instance.address,
+                [*fakes.stream(3, 4), fakes.Lost],
+                fakes.Unreachable,
+            )
+
+    caller, world = serve(prepare, FIRST, LAST, SPARE_FIRST, third_first)
+    assert caller.body == WHOLE
+    assert len(set(world.targets)) == 2
--- a/src/fuchsiabarrow/platform/callers.py
+++ b/src/fuchsiabarrow/platform/callers.py
@@ -31,6 +31,8 @@
     Attributes:
         response: What was sent, once something was.
         is_aborted: Whether the answer was cut off.
+        outcome: How the request ended, for log and metrics.
+        request: What was asked, once it was understood.
 
     Args:
         http_request: Request as received.
@@ -49,6 +51,7 @@
         self.response: aiohttp.web.StreamResponse | None = None
         self.is_aborted = False
         self.outcome = ""
+        self.request: messages.Request | None = None
         self._http_request = http_request
         self._request_id = request_id
         self._is_last = is_last
@@ -136,6 +139,21 @@
         self.is_aborted = True
         self.outcome = "aborted"
 
+    def log_departure(self, arrived_s: float) -> None:
+        """Logs that the caller left before its answer was whole."""
+        request = self.request
+        organisation = request.organisation if request else None
+        _log.info(
+            logs.format_event(
+                "caller_left",
+                request_id=self._request_id,
+                route=request.route.name if request else "",
+                organisation=organisation.name if organisation else "",
+                is_started=self.is_started,
+                after_s=round_since(arrived_s),
+            )
+        )
+
     async def _send(self, response: aiohttp.web.Response) -> None:
         if self._is_last():
             response.force_close()
--- a/src/fuchsiabarrow/platform/front.py
+++ b/src/fuchsiabarrow/platform/front.py
@@ -115,13 +115,7 @@
             await caller.deny(error.status, str(error))
         except asyncio.CancelledError:
             if not caller.is_aborted:
-                _log.info(
-                    logs.format_event(
-                        "caller_left",
-                        request_id=request_id,
-                        after_s=callers.round_since(arrived_s),
-                    )
-                )
+                caller.log_departure(arrived_s)
             raise
         finally:
             self.busy.discard(http_request.protocol)
@@ -171,6 +165,7 @@
             http_request, caller, catalog, arrived_s, body
         )
         if request is not None:
+            caller.request = request
             await self._forwarding.serve(request, caller)
             self._log_served(request, caller, arrived_s)
 
--- a/src/fuchsiabarrow/platform/tests/test_front.py
+++ b/src/fuchsiabarrow/platform/tests/test_front.py
@@ -1,6 +1,7 @@
 import asyncio
 
 import aiohttp
+import logbook
 import pytest
 
 from fuchsiabarrow.platform import names
@@ -251,6 +252,30 @@
     run(test)
 
 
+def test_caller_that_leaves_is_logged_with_its_route_and_progress():
+    with logbook.TestHandler() as handler:
+
+        async def test(world):
+            for runner in world.runners.values():
+                runner.gap_s = 0.2
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.3):
+                    await world.fetch(
+                        "/draft/x", "POST", data=b"p", headers=GENERATION
+                    )
+            await world.wait(
+                lambda: any("caller_left" in r.message for r in handler.records)
+            )
+
+        run(test)
+        (line,) = [
+            r.message for r in handler.records if "caller_left" in r.message
+        ]
+    assert "route=draft" in line
+    assert "organisation=" in line
+    assert "is_started=True" in line
+
+
 def test_metrics_tell_what_was_served():
     async def test(world):
         await world.fetch("/read/x")
