--- a/src/fuchsiabarrow/commands/routing.py
+++ b/src/fuchsiabarrow/commands/routing.py
@@ -1,6 +1,7 @@
 """Runs an entry on the platform; imports nothing that this does not need.
 
-A process that starts sooner serves sooner after a stop of all of them.
+A process that starts sooner serves sooner after a stop of all of them, and the
+starts of many are a good part of their processor time.
 """
 
 import asyncio
@@ -30,7 +31,8 @@
         path: Settings file; the environment names it if empty.
     """
     try:
-        loops.run(run_router(path or platform_settings.find_path()))
+        with asyncio.Runner(loop_factory=loops.make_loop) as runner:
+            runner.run(run_router(path or platform_settings.find_path()))
     except exceptions.SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_INVALID)
--- a/src/fuchsiabarrow/entry/router.py
+++ b/src/fuchsiabarrow/entry/router.py
@@ -124,6 +124,7 @@
                 keeper.make_sink(),
                 self._source,
                 lists.LATE_LAPSE_S,
+                count_entries=self._count_entries,
             ),
         )
         upstream_follower = await kernel.add(
@@ -135,10 +136,16 @@
                 self._source,
                 lists.LATE_LAPSE_S,
                 followers.VOUCHED_WAIT_S,
+                self._count_entries,
             ),
         )
         catalog_follower.vouch_for(upstream_follower)
 
+    def _count_entries(self) -> int:
+        """Returns how many entries are alive, as far as is known."""
+        is_begun = "entries" in self.kernel
+        return self.kernel.get("entries").count_live() if is_begun else 1
+
     async def _add_forwarding(self) -> None:
         kernel, settings = self.kernel, self._settings
         metrics = metrics_module.ForwardingMetrics()
@@ -167,6 +174,7 @@
                 control,
                 kernel.get("catalogs").get,
                 lambda: kernel.get("entries").count_sharing(),
+                lambda: kernel.get("entries").get_lag_s(),
                 forwarding_settings,
                 self._source,
                 metrics,
@@ -190,6 +198,7 @@
                 kernel.get("catalogs").get_age_s,
                 load_reports.Settings(
                     settings.name,
+                    settings.failure_domain,
                     f"{settings.ip}:{settings.entry_port}",
                     tuple(
                         f"{ip}:{settings.entry_port}"
--- a/src/fuchsiabarrow/fleet/followers.py
+++ b/src/fuchsiabarrow/fleet/followers.py
@@ -17,7 +17,7 @@
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import jitter
 
-__all__ = ["Follower", "Sink"]
+__all__ = ["Follower", "Sink", "compute_gather_s"]
 
 # A watch waits this long for a change; a lost connection is noticed after it.
 WATCH_WAIT_S = 2.2
@@ -25,6 +25,11 @@
 VOUCHED_WAIT_S = 15.0
 # Changes that come in quick succession are taken together.
 GATHER_S = 0.15
+# Among many entries for longer, so that all of them ask the store so often for
+# changes a second, but no longer than what a leaving upstream may wait for
+# (letter 2's sites: 3 s, of which the watch and the answer take a part).
+GATHERED_CALLS_PER_S = 100.0
+LONGEST_GATHER_S = 1.0
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.6
 # Failures in a row after which the store counts as out of reach.
@@ -63,6 +68,7 @@
         source: Random source.
         settle_s: How long after an outage its effects may still show.
         wait_s: How long a watch waits for a change.
+        count_entries: Returns how many entries follow the same store.
     """
 
     def __init__(
@@ -73,6 +79,7 @@
         source: random.Random,
         settle_s: float,
         wait_s: float = WATCH_WAIT_S,
+        count_entries: Callable[[], int] = lambda: 1,
     ):
         self._store = store
         self._kind = kind
@@ -80,6 +87,7 @@
         self._source = source
         self._settle_s = settle_s
         self._wait_s = wait_s
+        self._count_entries = count_entries
         self._vouched: list[Follower] = []
         self._watching: asyncio.Task | None = None
         self._is_poked = False
@@ -178,7 +186,7 @@
         for other in self._vouched:
             other.note_revision(changes.revision, current_s)
         if changes.changes:
-            await asyncio.sleep(GATHER_S)
+            await asyncio.sleep(compute_gather_s(self._count_entries()))
 
     def _note_answer(self) -> None:
         """Notes that the store answered."""
@@ -211,3 +219,9 @@
                 event, kind=self._kind, revision=self._revision, **fields
             )
         )
+
+
+def compute_gather_s(entry_count: int) -> float:
+    """Returns for how long changes are gathered by each of some entries."""
+    shared_s = entry_count / GATHERED_CALLS_PER_S
+    return min(LONGEST_GATHER_S, max(GATHER_S, shared_s))
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -29,7 +29,6 @@
 __all__ = ["GenerationRun"]
 
 MS_PER_S = 1000.0
-REPORT_TIMEOUT_S = 0.25
 REPATH_TIMEOUT_S = 0.25
 # Pause before the next look for a path, for a stream that has begun.
 PATH_RETRY_S = 0.1
@@ -360,13 +359,8 @@
         first = self._path.parts[0].upstream
         for part in self._path.parts[1:]:
             forwarding.inquire(part.upstream, "silent")
-        try:
-            report = await forwarding.control.read_report(
-                first, REPORT_TIMEOUT_S
-            )
-        except exceptions.UpstreamError as error:
-            self._log("first_silent", silent_s=round(silent_s, 3), why=error)
-            forwarding.note_failure(first, "report")
+        report = await forwarding.ask(first, "silent")
+        if report is None:
             return
         addresses = {address for _, address in report.stalled}
         self._log(
@@ -375,7 +369,6 @@
             stalled=",".join(sorted(addresses)),
             pace_factor=report.pace_factor,
         )
-        forwarding.directory.set_pace_factor(first, report.pace_factor)
         for address in addresses:
             upstream = forwarding.directory.find_address(address)
             if upstream is not None:
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -11,6 +11,7 @@
 from fuchsiabarrow.catalogs import documents
 from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet import loads
+from fuchsiabarrow.fleet import thinning
 from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.forwarding import connections
 from fuchsiabarrow.forwarding import generations
@@ -25,8 +26,12 @@
 __all__ = ["ForwardingService", "Settings"]
 
 REPORT_TIMEOUT_S = 0.25
-# An upstream that answered is not asked again within this time.
-INQUIRY_REST_S = 0.3
+# An upstream that answered is not asked again within this time, and with each
+# answer in a row within twice the time before, up to the longest.
+FIRST_REST_S = 0.3
+LONGEST_REST_S = 1.2
+# Answers that far apart are not in a row.
+ROW_GAP_S = 3.0
 # When the caller of a request that crashes its upstreams may come back.
 CRASH_RETRY_S = 60.0
 
@@ -56,6 +61,15 @@
     retry_after_s: float = 0.6
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    """Last answer of an upstream to a question how it does."""
+
+    report: pipelines.EngineReport
+    at_s: float
+    rest_s: float
+
+
 class ForwardingService:
     """Takes each request to its final answer.
 
@@ -71,6 +85,7 @@
         control: Reports and orders of engines.
         get_catalog: Returns the configuration in force.
         count_entries: Returns how many entries share the retry budget.
+        get_lag_s: Returns how late entries know of each other's work.
         settings: Bounds.
         source: Random source.
         metrics: Counters.
@@ -85,6 +100,7 @@
         control: pipelines.EngineControl,
         get_catalog: Callable[[], documents.Catalog | None],
         count_entries: Callable[[], int],
+        get_lag_s: Callable[[], float],
         settings: Settings,
         source: random.Random,
         metrics: metrics_module.ForwardingMetrics,
@@ -100,10 +116,12 @@
         self.source = source
         self._get_catalog = get_catalog
         self._count_entries = count_entries
+        self._get_lag_s = get_lag_s
+        self._rates: dict[str, thinning.RateMeter] = {}
         self.crashes = crashes.CrashCounts(asyncio.get_running_loop().time)
         self._budgets: dict[str, budgets.WindowBudget] = {}
         self._streams: set[generations.GenerationRun] = set()
-        self._answered_s: dict[tuple[str, int], float] = {}
+        self._answers: dict[tuple[str, int], _Answer] = {}
         self._inquiries: dict[tuple[str, int], asyncio.Task] = {}
 
     async def __aenter__(self) -> "ForwardingService":
@@ -159,6 +177,21 @@
         budget.divide(self._count_entries())
         return budget
 
+    def _get_rate(self, service: str) -> thinning.RateMeter:
+        rate = self._rates.get(service)
+        if rate is None:
+            rate = thinning.RateMeter(asyncio.get_running_loop().time)
+            self._rates[service] = rate
+        return rate
+
+    def estimate_unseen(self, service: str) -> float:
+        """Returns the requests at others that nothing is known of yet.
+
+        Callers spread over the entries, so that each gets about as many.
+        """
+        others = self._count_entries() - 1
+        return self._get_rate(service).get_per_s() * others * self._get_lag_s()
+
     def choose_service(self, request: messages.Request) -> str:
         """Draws the service of a request by the weights of its route."""
         names = [name for name, _ in request.route.services]
@@ -224,11 +257,11 @@
         that serve all others well.
         """
         now_s = asyncio.get_running_loop().time()
-        answered_s = self._answered_s.get(upstream.key, float("-inf"))
+        answer = self._answers.get(upstream.key)
         if (
             upstream.key in self._inquiries
             or self.directory.is_avoided(upstream)
-            or now_s - answered_s < INQUIRY_REST_S
+            or (answer is not None and now_s - answer.at_s < answer.rest_s)
         ):
             return
         task = asyncio.create_task(self._inquire(upstream, why))
@@ -239,13 +272,39 @@
 
         task.add_done_callback(forget)
 
+    async def ask(
+        self, upstream: upstreams.Upstream, why: str
+    ) -> pipelines.EngineReport | None:
+        """Returns what an upstream says now, one question for all who ask.
+
+        Returns:
+            Its report; None if it gives none, or gave one a while ago and is
+            not to be asked again yet.
+        """
+        self.inquire(upstream, why)
+        task = self._inquiries.get(upstream.key)
+        if task is not None:
+            await asyncio.wait({task})
+        answer = self._answers.get(upstream.key)
+        now_s = asyncio.get_running_loop().time()
+        if answer is None or now_s - answer.at_s > FIRST_REST_S:
+            return None
+        return answer.report
+
     async def _inquire(self, upstream: upstreams.Upstream, why: str) -> None:
+        self.metrics.inquiries.labels(why.partition(" ")[0]).inc()
         try:
             report = await self.control.read_report(upstream, REPORT_TIMEOUT_S)
         except exceptions.UpstreamError as error:
+            self._answers.pop(upstream.key, None)
             self.note_failure(upstream, f"{why}, then {error}")
             return
-        self._answered_s[upstream.key] = asyncio.get_running_loop().time()
+        now_s = asyncio.get_running_loop().time()
+        before = self._answers.get(upstream.key)
+        rest_s = FIRST_REST_S
+        if before is not None and now_s - before.at_s < ROW_GAP_S:
+            rest_s = min(LONGEST_REST_S, 2 * before.rest_s)
+        self._answers[upstream.key] = _Answer(report, now_s, rest_s)
         self.directory.set_pace_factor(upstream, report.pace_factor)
 
     def move_streams(self, upstream: upstreams.Upstream) -> None:
@@ -287,6 +346,7 @@
                 )
                 return
             exchange = messages.Exchange(request, caller, service, fingerprint)
+            self._get_rate(service_name).add()
             if service.engine is not None and request.generation:
                 run = generations.GenerationRun(self, exchange)
             else:
--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -5,6 +5,7 @@
 from fuchsiabarrow.catalogs import documents
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet import paths
+from fuchsiabarrow.fleet import thinning
 from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.forwarding import messages
 
@@ -81,9 +82,24 @@
             and not directory.is_full(upstream)
             and upstream.kind in model.kinds
         ]
+        if not prefix:
+            unseen = forwarding.estimate_unseen(self._service.name)
+            thinned = thinning.thin_out(
+                candidates, self._demand, unseen, forwarding.source.random
+            )
+            if len(thinned) < len(candidates):
+                found = self._find(thinned, prefix)
+                if found is not None:
+                    return found
+        return self._find(candidates, prefix)
+
+    def _find(
+        self, candidates: list[paths.Candidate], prefix: tuple[paths.Part, ...]
+    ) -> tuple[paths.Part, ...] | None:
+        forwarding = self._forwarding
         found = paths.choose_path(
             candidates,
-            model,
+            self._service.engine,
             self._demand,
             forwarding.settings.failure_domain,
             lambda: TIE_BREAK * forwarding.source.random(),
--- a/src/fuchsiabarrow/forwarding/tests/fakes.py
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -150,8 +150,11 @@
         self.stalled: dict[str, tuple] = {}
         self.accepts_paths = True
         self.paths: list[tuple] = []
+        self.asked: list[tuple[str, float]] = []
 
     async def read_report(self, upstream, timeout_s):
+        now_s = asyncio.get_running_loop().time()
+        self.asked.append((upstream.address, now_s))
         if upstream.address in self.silent:
             await asyncio.sleep(timeout_s)
             raise exceptions.UpstreamLostError("no answer")
@@ -226,6 +229,7 @@
             self.control,
             lambda: self.catalog,
             lambda: 1,
+            lambda: 0.0,
             service_module.Settings("a", budget_extra=budget_extra),
             random.Random(1),
             metrics.ForwardingMetrics(),
--- a/src/fuchsiabarrow/forwarding/tests/test_generations.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_generations.py
@@ -5,6 +5,7 @@
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet.tests import fleets
 from fuchsiabarrow.forwarding import messages
+from fuchsiabarrow.forwarding import service
 from fuchsiabarrow.forwarding.tests import fakes
 from fuchsiabarrow.utils.tests import virtual_time
 
@@ -365,3 +366,45 @@
     caller, world = serve(prepare, FIRST, LAST, SPARE_FIRST, third_first)
     assert caller.body == WHOLE
     assert len(set(world.targets)) == 2
+
+
+def test_overloaded_upstreams_that_keep_answering_are_asked_ever_less():
+    """Many streams wait for busy upstreams that are well."""
+
+    async def run():
+        world = fakes.World(FIRST, LAST)
+        world.script(
+            FIRST.address, [fakes.Head(), fakes.Wait(8.0), fakes.make_event(1)]
+        )
+        await asyncio.gather(
+            *(
+                world.serve(fakes.make_stream_request(request_id=f"r{n}"))
+                for n in range(40)
+            )
+        )
+        return world
+
+    world = virtual_time.run(run())
+    asked = [at_s for address, at_s in world.control.asked]
+    # Two upstreams, once in the longest rest each, and a few at first.
+    assert len(asked) <= 2 * (8.0 / service.LONGEST_REST_S + 3)
+    assert not world.directory.get_avoided()
+
+
+def test_upstream_that_was_often_asked_and_dies_is_left_soon():
+    async def run():
+        world = fakes.World(FIRST, LAST, SPARE_FIRST)
+        world.script(
+            FIRST.address, [fakes.Head(), fakes.Wait(30.0), fakes.make_event(1)]
+        )
+        world.script(SPARE_FIRST.address, fakes.stream(1, 11))
+        task = asyncio.create_task(world.serve(fakes.make_stream_request()))
+        await asyncio.sleep(5.0)
+        world.control.silent.add(FIRST.address)
+        began_s = asyncio.get_running_loop().time()
+        caller = await task
+        return caller, asyncio.get_running_loop().time() - began_s
+
+    caller, took_s = virtual_time.run(run())
+    assert caller.body == WHOLE
+    assert took_s < 2.2
--- a/src/fuchsiabarrow/kernel/registry.py
+++ b/src/fuchsiabarrow/kernel/registry.py
@@ -50,6 +50,9 @@
         self._services[name] = started
         return started
 
+    def __contains__(self, name: str) -> bool:
+        return name in self._services
+
     def get(self, name: str) -> Any:
         """Returns the service of that name.
 
--- a/src/fuchsiabarrow/limits/crashes.py
+++ b/src/fuchsiabarrow/limits/crashes.py
@@ -91,15 +91,19 @@
     def take_report(
         self, reporter: str, counts: Iterable[tuple[int, int]]
     ) -> None:
-        """Takes over the own counts of another entry.
+        """Takes over the counts of others.
 
-        What it no longer tells is kept until it lapses: it may have restarted.
+        What is no longer told, or told as less, is kept until it lapses: an
+        entry may have restarted.
         """
         until_s = self._read_time_s() + FORGET_S
         known = self._told.setdefault(reporter, {})
+        now_s = self._read_time_s()
         for fingerprint, crashes in counts:
+            before = known.get(fingerprint)
+            if before is not None and before.until_s > now_s:
+                crashes = max(crashes, before.crashes)
             known[fingerprint] = _Count(crashes, until_s)
-        now_s = self._read_time_s()
         for fingerprint in [f for f, c in known.items() if c.until_s <= now_s]:
             del known[fingerprint]
         while len(known) > MAX_COUNTED:
--- a/src/fuchsiabarrow/peers/load_report.capnp
+++ b/src/fuchsiabarrow/peers/load_report.capnp
@@ -1,40 +1,61 @@
 @0xb1c6a4d0e35f7182;
 
-# What one entry tells the others a few times a second, as one datagram.
-
-struct Load {
-  upstream @0 :UInt64;
-  requests @1 :UInt16;
-  entered @2 :UInt16;
-  context @3 :UInt32;
-  reading @4 :UInt32;
+# What an entry tells others a few times a second, as one datagram: its own work,
+# or the sum for a failure domain or for all entries. Numbers of one kind are
+# columns, which cost less to read than a list of structures.
+
+enum Scope {
+  entry @0;
+  domain @1;
+  all @2;
+  # Only contacts, in answer to a report that was sent to the wrong entry.
+  contacts @3;
 }
 
-struct Suspect {
-  upstream @0 :UInt64;
-  # Milliseconds for which the sender avoids it from now on.
-  forMs @1 :UInt32;
+struct Contact {
+  name @0 :Text;
+  domain @1 :Text;
+  address @2 :Text;
+  # Number of the last report of this entry that is part of the sum, 0 for none.
+  sequence @3 :UInt32;
 }
 
-struct Crash {
-  fingerprint @0 :UInt64;
-  count @1 :UInt16;
+struct Informed {
+  address @0 :Text;
+  # Age of what this entry knows, in milliseconds.
+  ageMs @1 :UInt32;
 }
 
 struct LoadReport {
   sender @0 :Text;
+  domain @1 :Text;
   # Start of the sender, in milliseconds since the Unix epoch.
-  incarnation @1 :UInt64;
-  sequence @2 :UInt32;
-  isStopping @3 :Bool;
-  # Age of what the sender knows of the list of upstreams.
-  listAgeMs @4 :UInt32;
-  loads @5 :List(Load);
-  suspects @6 :List(Suspect);
-  # Addresses of live entries, so that all learn of each other.
-  entries @7 :List(Text);
-  # Age of the sender's configuration.
-  configurationAgeMs @8 :UInt32;
-  # Requests whose upstreams crashed while the sender had them.
-  crashes @9 :List(Crash);
+  incarnation @2 :UInt64;
+  sequence @3 :UInt32;
+  scope @4 :Scope;
+  # Entries that the sums are over.
+  entryCount @5 :UInt16;
+  # First by name of the entries that can perform common duties.
+  first @6 :Text;
+
+  # Work in flight, a row for each upstream.
+  upstreams @7 :List(UInt64);
+  requests @8 :List(UInt16);
+  entered @9 :List(UInt16);
+  context @10 :List(UInt32);
+  reading @11 :List(UInt32);
+
+  # Upstreams that are avoided, and for how many milliseconds from now on.
+  suspects @12 :List(UInt64);
+  suspectMs @13 :List(UInt32);
+
+  # Requests whose upstreams crashed, and how often.
+  crashed @14 :List(UInt64);
+  crashes @15 :List(UInt16);
+
+  # Entries with the youngest list of upstreams and configuration.
+  listInformed @16 :List(Informed);
+  configurationInformed @17 :List(Informed);
+
+  contacts @18 :List(Contact);
 }
--- a/src/fuchsiabarrow/peers/load_reports.py
+++ b/src/fuchsiabarrow/peers/load_reports.py
@@ -5,20 +5,22 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Callable
-from collections.abc import Iterable
 import dataclasses
-import pathlib
 import random
 
-import capnp
 import logbook
 import xxhash
 
+from fuchsiabarrow import exceptions
 from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.limits import crashes as crashes_module
+from fuchsiabarrow.peers import groups
+from fuchsiabarrow.peers import report_codec
+from fuchsiabarrow.peers import summaries
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import addresses as addresses_module
 from fuchsiabarrow.utils import clocks
@@ -28,24 +30,21 @@
 __all__ = ["LoadReports", "Settings"]
 
 MILLISECONDS_PER_S = 1000.0
-MAX_UINT16 = 2**16 - 1
-MAX_UINT32 = 2**32 - 1
-# Addresses told in one report, so that it fits in one packet.
-MAX_ENTRIES_TOLD = 16
-MAX_SUSPECTS_TOLD = 16
 MAX_CRASHES_TOLD = 8
-MAX_LOADS_TOLD = 40
 # An entry whose list is older gives no orders.
 CURRENT_S = 3.2
-MAX_AGE_S = 1e6
 # Time in which a new process hears of all entries, and how many it assumes
 # until then.
 HEARING_S = 1.5
 MANY_ENTRIES = 16
-# Up to so many entries tell each other at the periods of the settings.
-FEW_ENTRIES = 32
+# Periods after which work is known to others in the mean: half of one where it
+# is told directly; three times that by way of speakers, whose periods add up.
+DIRECT_LAG_PERIODS = 0.5
+GROUPED_LAG_PERIODS = 1.5
+# Bytes of sums that one entry is sent a second by a speaker; with longer sums
+# the period grows (letter 1 allows 18 KB/s a node for all control).
+SUM_BYTES_PER_S = 6000.0
 
-_schema = capnp.load(str(pathlib.Path(__file__).with_name("load_report.capnp")))
 _log = logbook.Logger(__name__)
 
 
@@ -55,39 +54,31 @@
 
     Attributes:
         name: Name of this entry.
+        failure_domain: Its failure domain.
         address: ``ip:port`` for UDP.
         seeds: Addresses of entries that may be up.
         period_s: Time between two reports.
         idle_period_s: The same while nothing is in flight.
+        grouped_period_s: The same among many entries.
         alive_s: An entry that was heard within this time is alive.
         forget_s: An entry that was not heard for this time is forgotten.
         seed_period_s: Time between two calls to silent seeds.
     """
 
     name: str
+    failure_domain: str
     address: str
     seeds: tuple[str, ...] = ()
     period_s: float = 0.25
     idle_period_s: float = 0.5
+    grouped_period_s: float = 0.4
     alive_s: float = 1.6
     forget_s: float = 6.0
     seed_period_s: float = 2.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Entry:
-    name: str
-    incarnation: int
-    sequence: int
-    heard_s: float
-    is_stopping: bool
-    # Loop times at which its knowledge was current.
-    list_current_s: float
-    configuration_current_s: float
-
-
 class LoadReports(asyncio.DatagramProtocol):
-    """Exchanges load reports with all entries.
+    """Exchanges load reports with other entries.
 
     Args:
         directory: Upstreams.
@@ -119,14 +110,27 @@
         self._source = source
         self._incarnation = int(clocks.read_wall_time_s() * MILLISECONDS_PER_S)
         self._sequence = 0
-        self._started_s = asyncio.get_running_loop().time()
-        self._entries: dict[str, _Entry] = {}
-        self._silent: dict[str, float] = {
+        loop = asyncio.get_running_loop()
+        self._read_time_s = loop.time
+        self._started_s = loop.time()
+        self._groups = groups.Groups(
+            report_codec.Contact(
+                settings.name, settings.failure_domain, settings.address
+            ),
+            settings.alive_s,
+            settings.forget_s,
+            _log_peer,
+        )
+        # Sums taken over into the ledger, by who told them.
+        self._taken: dict[str, summaries.Summary] = {}
+        self._sum_bytes = 0
+        # Addresses that may belong to an entry, and when they were called.
+        self._called_s: dict[str, float] = {
             seed: float("-inf")
             for seed in settings.seeds
             if seed != settings.address
         }
-        self._keys: dict[int, upstreams.Upstream] = {}
+        self._marks: dict[int, upstreams.Upstream] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._task: asyncio.Task | None = None
 
@@ -152,25 +156,16 @@
 
     # Who is there.
 
-    def add_addresses(self, found: Iterable[str]) -> None:
-        """Learns of entries that may be up."""
-        for address in found:
-            if address != self._settings.address and (
-                address not in self._entries
-            ):
-                self._silent.setdefault(address, float("-inf"))
-
     def count_live(self) -> int:
         """Returns how many entries are alive, this one included."""
-        return 1 + len(self._get_live())
+        return self._groups.count_live(self._read_time_s())
 
     def count_sharing(self) -> int:
         """Returns how many entries to divide a common allowance by.
 
         A process that has just started may not have heard the others yet.
         """
-        now_s = asyncio.get_running_loop().time()
-        if now_s - self._started_s < HEARING_S:
+        if self._read_time_s() - self._started_s < HEARING_S:
             return max(MANY_ENTRIES, self.count_live())
         return self.count_live()
 
@@ -182,13 +177,10 @@
         """
         if self.is_stopping:
             return False
-        now_s = asyncio.get_running_loop().time()
-        current_s = now_s - CURRENT_S * self._get_stretch()
+        sources = self._groups.get_sources(self._read_time_s())
         return all(
-            entry.is_stopping
-            or entry.list_current_s < current_s
-            or entry.name > self._settings.name
-            for entry in self._get_live()
+            not summary.first or summary.first >= self._settings.name
+            for summary in sources.values()
         )
 
     def find_list_informed(self, limit_s: float) -> list[str]:
@@ -196,118 +188,130 @@
 
         The one with the youngest comes first.
         """
-        return self._find_younger(limit_s, lambda e: e.list_current_s)
+        return self._find_younger(limit_s, lambda s: s.list_informed)
 
     def find_configuration_informed(self, limit_s: float) -> list[str]:
         """Returns entries whose configuration is younger, youngest first."""
-        return self._find_younger(limit_s, lambda e: e.configuration_current_s)
+        return self._find_younger(limit_s, lambda s: s.configuration_informed)
 
     def _find_younger(
-        self, limit_s: float, get_current_s: Callable[[_Entry], float]
+        self,
+        limit_s: float,
+        get_informed: Callable[
+            [summaries.Summary], tuple[summaries.Informed, ...]
+        ],
     ) -> list[str]:
-        least_s = asyncio.get_running_loop().time() - limit_s
+        now_s = self._read_time_s()
         found = [
-            (get_current_s(entry), address)
-            for address, entry in self._entries.items()
-            if get_current_s(entry) > least_s
-        ]
-        return [address for _, address in sorted(found, reverse=True)]
-
-    def _get_live(self) -> list[_Entry]:
-        now_s = asyncio.get_running_loop().time()
-        limit_s = self._settings.alive_s * self._get_stretch()
-        return [
-            e for e in self._entries.values() if now_s - e.heard_s < limit_s
+            informed
+            for summary in self._groups.get_sources(now_s).values()
+            for informed in get_informed(summary)
+            if informed.current_s > now_s - limit_s
+            and informed.address != self._settings.address
         ]
+        return [informed.address for informed in sorted(found, reverse=True)]
 
     # Sending.
 
-    def _get_period_s(self) -> float:
-        is_idle = not self._ledger.get_own()
-        settings = self._settings
-        period_s = settings.idle_period_s if is_idle else settings.period_s
-        return jitter.spread_period_s(
-            period_s * self._get_stretch(), self._source
-        )
+    def get_lag_s(self) -> float:
+        """Returns how late others know in the mean of work of this entry."""
+        if self._groups.is_grouped():
+            return GROUPED_LAG_PERIODS * self._get_grouped_period_s()
+        return DIRECT_LAG_PERIODS * self._settings.period_s
 
-    def _get_stretch(self) -> float:
-        """Returns how much longer periods are among many entries.
+    def _get_grouped_period_s(self) -> float:
+        return max(
+            self._settings.grouped_period_s, self._sum_bytes / SUM_BYTES_PER_S
+        )
 
-        The rate of datagrams that an entry sends and gets is bounded by it.
-        """
-        return max(1.0, len(self._entries) / FEW_ENTRIES)
+    def _get_period_s(self) -> float:
+        settings = self._settings
+        if self._groups.is_grouped():
+            period_s = self._get_grouped_period_s()
+        elif self._ledger.get_own():
+            period_s = settings.period_s
+        else:
+            period_s = settings.idle_period_s
+        return jitter.spread_period_s(period_s, self._source)
 
     async def _tell(self) -> None:
-        """Sends one report to all known entries."""
-        self._ledger.expire(self._get_stretch())
-        self._forget()
-        now_s = asyncio.get_running_loop().time()
-        report = self._encode()
-        targets = list(self._entries)
-        for address, asked_s in self._silent.items():
-            if now_s - asked_s > self._settings.seed_period_s:
-                self._silent[address] = now_s
-                targets.append(address)
-        for address in targets:
-            host, port = addresses_module.parse_address(address)
-            self._transport.sendto(report, (host, port))
+        """Sends what is due in this period."""
+        now_s = self._read_time_s()
+        self._groups.expire(now_s)
+        self._take_over(now_s)
+        own = self._summarise(now_s)
+        self._sequence += 1
+        self._groups.note_sent(self._sequence, own)
+        for message in self._groups.plan(now_s):
+            self._send(message, own, now_s)
+        self._call_silent(own, now_s)
 
     async def tell_now(self) -> None:
         """Sends a report out of turn."""
         await self._tell()
 
-    def _forget(self) -> None:
-        now_s = asyncio.get_running_loop().time()
-        for address, entry in list(self._entries.items()):
-            forget_s = self._settings.forget_s * self._get_stretch()
-            if now_s - entry.heard_s > forget_s:
-                del self._entries[address]
-                _log.info(
-                    logs.format_event(
-                        "entry_silent",
-                        name=entry.name,
-                        heard_ago_s=round(now_s - entry.heard_s, 2),
-                    )
-                )
-                if address in self._settings.seeds:
-                    self._silent[address] = now_s
+    def _call_silent(self, own: summaries.Summary, now_s: float) -> None:
+        """Sends a report to addresses that may belong to an entry."""
+        known = set(self._groups.get_addresses())
+        due = [
+            address
+            for address, called_s in self._called_s.items()
+            if address not in known
+            and now_s - called_s > self._settings.seed_period_s
+        ]
+        for address in due:
+            self._called_s[address] = now_s
+        entry = report_codec.Scope.ENTRY
+        self._send(groups.Message(entry, tuple(due)), own, now_s)
+
+    def _send(
+        self, message: groups.Message, own: summaries.Summary, now_s: float
+    ) -> None:
+        if not message.addresses:
+            return
+        scope = message.scope
+        report = report_codec.Report(
+            self._settings.name,
+            self._settings.failure_domain,
+            self._incarnation,
+            self._sequence,
+            scope,
+            self._groups.sum_up(scope, own, now_s),
+            self._groups.select_contacts(scope, self._source.sample, now_s),
+        )
+        data = report_codec.encode(report, now_s)
+        if scope is report_codec.Scope.ALL:
+            self._sum_bytes = len(data)
+        for address in message.addresses:
+            self._transport.sendto(
+                data, addresses_module.parse_address(address)
+            )
 
-    def _encode(self) -> bytes:
-        self._sequence += 1
-        message = _schema.LoadReport.new_message(
-            sender=self._settings.name,
-            incarnation=self._incarnation,
-            sequence=self._sequence,
-            isStopping=self.is_stopping,
-            listAgeMs=_encode_age(self._directory.get_age_s()),
-            configurationAgeMs=_encode_age(self._get_configuration_age_s()),
+    def _summarise(self, now_s: float) -> summaries.Summary:
+        """Returns what this entry tells of itself."""
+        settings, directory = self._settings, self._directory
+        list_age_s = directory.get_age_s()
+        configuration_age_s = self._get_configuration_age_s()
+        is_able = not self.is_stopping and list_age_s < CURRENT_S
+        return summaries.Summary(
+            1,
+            settings.name if is_able else "",
+            {
+                compute_mark(key): load
+                for key, load in self._ledger.get_own().items()
+            },
+            {
+                compute_mark(upstream.key): now_s + left_s
+                for upstream, left_s in directory.get_avoided()
+            },
+            dict(self._crashes.get_own(MAX_CRASHES_TOLD)),
+            (summaries.Informed(now_s - list_age_s, settings.address),),
+            (
+                summaries.Informed(
+                    now_s - configuration_age_s, settings.address
+                ),
+            ),
         )
-        own = sorted(
-            self._ledger.get_own().items(), key=lambda item: -item[1].requests
-        )[:MAX_LOADS_TOLD]
-        told = message.init("loads", len(own))
-        for place, (key, load) in zip(told, own, strict=True):
-            place.upstream = compute_mark(key)
-            place.requests = min(MAX_UINT16, load.requests)
-            place.entered = min(MAX_UINT16, load.entered)
-            place.context = min(MAX_UINT32, int(load.context))
-            place.reading = min(MAX_UINT32, max(0, int(load.reading)))
-        self._encode_suspects(message)
-        message.crashes = [
-            {"fingerprint": fingerprint, "count": min(MAX_UINT16, count)}
-            for fingerprint, count in self._crashes.get_own(MAX_CRASHES_TOLD)
-        ]
-        live = list(self._entries)
-        known = self._source.sample(live, min(MAX_ENTRIES_TOLD, len(live)))
-        message.entries = [self._settings.address, *known]
-        return message.to_bytes_packed()
-
-    def _encode_suspects(self, message) -> None:
-        avoided = self._directory.get_avoided()[:MAX_SUSPECTS_TOLD]
-        told = message.init("suspects", len(avoided))
-        for place, (upstream, left_s) in zip(told, avoided, strict=True):
-            place.upstream = compute_mark(upstream.key)
-            place.forMs = int(left_s * MILLISECONDS_PER_S)
 
     # Receiving.
 
@@ -323,72 +327,76 @@
 
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Implements `asyncio.DatagramProtocol.datagram_received`."""
+        now_s = self._read_time_s()
         try:
-            report = _schema.LoadReport.from_bytes_packed(data)
-            if not report.sender:
-                raise ValueError("no sender")
-            self._take(report, f"{addr[0]}:{addr[1]}")
-        except (capnp.KjException, ValueError) as error:
+            report = report_codec.decode(data, now_s)
+        except exceptions.PeerError as error:
             _log.warning(
                 logs.format_event(
                     "load_report_invalid", sender=addr[0], error=error
                 )
             )
-
-    def _take(self, report, address: str) -> None:
-        now_s = asyncio.get_running_loop().time()
-        known = self._entries.get(address)
-        order = (report.incarnation, report.sequence)
-        if known is not None and order <= (known.incarnation, known.sequence):
             return
-        if known is None:
-            _log.info(
-                logs.format_event(
-                    "entry_heard", name=report.sender, address=address
-                )
-            )
-        self._silent.pop(address, None)
-        self._entries[address] = _Entry(
-            report.sender,
-            report.incarnation,
-            report.sequence,
-            now_s,
-            report.isStopping,
-            now_s - report.listAgeMs / MILLISECONDS_PER_S,
-            now_s - report.configurationAgeMs / MILLISECONDS_PER_S,
+        if report.scope is report_codec.Scope.ALL:
+            self._sum_bytes = len(data)
+        address = f"{addr[0]}:{addr[1]}"
+        answer = self._groups.take(report, address, now_s)
+        self._take_over(now_s)
+        if answer is not None:
+            self._send(answer, summaries.Summary(0), now_s)
+
+    def _take_over(self, now_s: float) -> None:
+        """Brings ledger and crash counts to what is known now."""
+        sources = self._groups.get_sources(now_s)
+        for reporter in [r for r in self._taken if r not in sources]:
+            del self._taken[reporter]
+            self._ledger.drop_report(reporter)
+        for reporter, summary in sources.items():
+            if self._taken.get(reporter) is not summary:
+                self._taken[reporter] = summary
+                self._take_summary(reporter, summary, now_s)
+        # One count whoever tells it, as the same crash comes by several ways
+        # where speakers change.
+        crashed: collections.Counter[int] = collections.Counter()
+        for summary in sources.values():
+            crashed.update(summary.crashes)
+        self._crashes.take_report("others", crashed.items())
+
+    def _take_summary(
+        self, reporter: str, summary: summaries.Summary, now_s: float
+    ) -> None:
+        marks = self._marks
+        self._ledger.take_report(
+            reporter,
+            (
+                (marks[mark].key, load)
+                for mark, load in summary.loads.items()
+                if mark in marks
+            ),
         )
-        self._ledger.take_report(report.sender, self._decode_loads(report))
-        self._crashes.take_report(
-            report.sender, [(c.fingerprint, c.count) for c in report.crashes]
-        )
-        self.add_addresses(str(entry) for entry in report.entries)
-        for suspect in report.suspects:
-            upstream = self._keys.get(suspect.upstream)
-            if upstream is not None and not (
-                self._directory.is_avoided(upstream)
+        for mark, until_s in summary.suspects.items():
+            upstream = marks.get(mark)
+            if (
+                upstream is not None
+                and until_s > now_s
+                and not self._directory.is_avoided(upstream)
             ):
-                self._note_suspect(upstream, report.sender)
-
-    def _decode_loads(self, report):
-        for told in report.loads:
-            upstream = self._keys.get(told.upstream)
-            if upstream is not None:
-                yield (
-                    upstream.key,
-                    loads.Load(
-                        told.requests,
-                        told.entered,
-                        float(told.context),
-                        float(told.reading),
-                    ),
-                )
+                self._note_suspect(upstream, reporter)
 
     def _index(self) -> None:
-        self._keys = {compute_mark(u.key): u for u in self._directory.get_all()}
+        self._marks = {
+            compute_mark(u.key): u for u in self._directory.get_all()
+        }
 
 
-def _encode_age(age_s: float) -> int:
-    return min(MAX_UINT32, int(min(age_s, MAX_AGE_S) * MILLISECONDS_PER_S))
+def _log_peer(contact: report_codec.Contact, is_new: bool) -> None:
+    _log.info(
+        logs.format_event(
+            "entry_heard" if is_new else "entry_silent",
+            name=contact.name,
+            address=contact.address,
+        )
+    )
 
 
 def compute_mark(key: tuple[str, int]) -> int:
--- a/src/fuchsiabarrow/peers/tests/test_load_reports.py
+++ b/src/fuchsiabarrow/peers/tests/test_load_reports.py
@@ -33,6 +33,7 @@
             lambda: 0.1,
             load_reports.Settings(
                 name,
+                "a",
                 f"127.0.0.1:{port}",
                 tuple(f"127.0.0.1:{seed}" for seed in seeds),
                 period_s=0.03,
--- a/src/fuchsiabarrow/telemetry/metrics.py
+++ b/src/fuchsiabarrow/telemetry/metrics.py
@@ -64,6 +64,9 @@
         self.path_changes = self._count(
             "path_changes", "Running streams led elsewhere.", ["outcome"]
         )
+        self.inquiries = self._count(
+            "inquiries", "Questions to upstreams how they do.", ["cause"]
+        )
         self.avoided = self._count(
             "upstreams_avoided", "Upstreams avoided for a while.", []
         )
--- a/src/fuchsiabarrow/utils/loops.py
+++ b/src/fuchsiabarrow/utils/loops.py
@@ -5,9 +5,6 @@
 import os
 from typing import Any
 
-# Plugins of other packages are not looked for; nothing of ours is one.
-os.environ.setdefault("AIOMISC_NO_PLUGINS", "1")
-import aiomisc  # noqa: E402, I001
 import uvloop
 
 __all__ = ["make_loop", "run"]
@@ -29,6 +26,11 @@
 
 def run(main: Coroutine[Any, Any, Any]) -> Any:
     """Runs `main` to its end on a fresh loop and returns its result."""
+    # Plugins of other packages are not looked for; nothing of ours is one.
+    os.environ.setdefault("AIOMISC_NO_PLUGINS", "1")
+    # Takes a tenth of a second to import; some processes run without it.
+    import aiomisc
+
     entrypoint = aiomisc.entrypoint(
         log_config=False,
         pool_size=POOL_THREADS,
