Avoid plain upstreams that fail what others serve; test slow callers

Two tests, the first red before. Also: refused calls to a store that is down grow rarer among many entries (they are priced as well); tests of slow readers, of runners that close after each answer, of kept connections with requests sent ahead.

--- a/benchmarks/router_costs.py
+++ b/benchmarks/router_costs.py
@@ -3,16 +3,15 @@
 Usage: python benchmarks/router_costs.py
 """
 
-import asyncio
 import random
 import time
 
-from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet import paths
 from fuchsiabarrow.fleet.tests import fleets
-from fuchsiabarrow.limits import crashes
 from fuchsiabarrow.peers import load_reports
+from fuchsiabarrow.peers import report_codec
+from fuchsiabarrow.peers import summaries
 from fuchsiabarrow.placement import plans
 from fuchsiabarrow.placement.tests import test_plans
 from fuchsiabarrow.platform import wire
@@ -65,35 +64,47 @@
     )
 
 
-async def measure_reports() -> None:
-    """Prints the cost of writing and reading one load report."""
-    loop = asyncio.get_running_loop()
-    _, placed = make_fleet(3)
-    directory = directory_module.Directory(loop.time)
-    directory.replace(placed)
-    ledger = loads.Ledger(loop.time)
-    for instance in placed[:40]:
-        ledger.book({instance.key: loads.Load(3, 1, 9000.0, 10.0)}, 1)
-    reports = load_reports.LoadReports(
-        directory,
-        ledger,
-        crashes.CrashCounts(loop.time),
-        lambda upstream, sender: None,
-        lambda: 0.1,
-        load_reports.Settings("entry-1", "127.0.0.1:0"),
-        random.Random(1),
+def make_report(entry_count: int, upstream_count: int) -> report_codec.Report:
+    """Returns the sum that a speaker tells its members."""
+    informed = tuple(
+        summaries.Informed(99.0, f"10.0.0.{n}:7000")
+        for n in range(summaries.MAX_INFORMED)
+    )
+    load = loads.Load(3, 1, 9000.0, 10.0)
+    return report_codec.Report(
+        "entry-1",
+        "a",
+        1_700_000_000_000,
+        17,
+        report_codec.Scope.ALL,
+        summaries.Summary(
+            entry_count,
+            "entry-1",
+            {
+                load_reports.compute_mark((f"i-{n}", n)): load
+                for n in range(upstream_count)
+            },
+            {},
+            {},
+            informed,
+            informed,
+        ),
+        tuple(
+            report_codec.Contact(f"entry-{n}", "a", f"10.0.0.{n}:7000", 17)
+            for n in range(entry_count // 4 + 6)
+        ),
     )
-    reports._index()
-    data = reports._encode()
-    encode_us = measure_us(reports._encode, 300)
 
-    def read() -> None:
-        reports.datagram_received(reports._encode(), ("127.0.0.2", 1))
 
-    read_us = measure_us(read, 300) - encode_us
+def print_report_cost(entry_count: int, upstream_count: int) -> None:
+    """Prints the cost of writing and reading a sum of work in flight."""
+    report = make_report(entry_count, upstream_count)
+    data = report_codec.encode(report, 100.0)
+    write_us = measure_us(lambda: report_codec.encode(report, 100.0), 300)
+    read_us = measure_us(lambda: report_codec.decode(data, 100.0), 300)
     print(
-        f"load report of 40 instances: {len(data)} bytes,"
-        f" write {encode_us:.0f} us, read {read_us:.0f} us"
+        f"sum of {entry_count} entries over {upstream_count} instances:"
+        f" {len(data)} bytes, write {write_us:.0f} us, read {read_us:.0f} us"
     )
 
 
@@ -121,7 +132,8 @@
 if __name__ == "__main__":
     for of_users in (1, 3, 10):
         print_path_cost(of_users)
-    asyncio.run(measure_reports())
+    for entries, instances in ((9, 33), (70, 90), (400, 1000)):
+        print_report_cost(entries, instances)
     for organisations in (10, 8_900):
         print_configuration_cost(organisations)
     print_entry_cost()
--- a/src/fuchsiabarrow/fleet/followers.py
+++ b/src/fuchsiabarrow/fleet/followers.py
@@ -28,10 +28,13 @@
 # Among many entries for longer, so that all of them ask the store so often for
 # changes a second, but no longer than what a leaving upstream may wait for
 # (letter 2's sites: 3 s, of which the watch and the answer take a part).
-GATHERED_CALLS_PER_S = 100.0
+GATHERED_CALLS_PER_S = 70.0
 LONGEST_GATHER_S = 1.0
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.6
+# The same among many entries, as a multiple of the time to gather changes:
+# calls that are refused count as well.
+RETRY_GATHERS = 1.5
 # Failures in a row after which the store counts as out of reach.
 OUTAGE_FAILURES = 2
 # An answer may have been on its way for this long; with slower ones the time
@@ -208,8 +211,12 @@
             self._log("store_lost", why=error)
         # The next answer shows that the store is back; it is to come at once.
         self._is_poked = True
+        gather_s = compute_gather_s(self._count_entries())
         pause_s = jitter.compute_backoff_s(
-            self._failures, FIRST_RETRY_S, LONGEST_RETRY_S, self._source
+            self._failures,
+            FIRST_RETRY_S,
+            max(LONGEST_RETRY_S, RETRY_GATHERS * gather_s),
+            self._source,
         )
         await asyncio.sleep(pause_s)
 
--- a/src/fuchsiabarrow/fleet/tests/test_followers.py
+++ b/src/fuchsiabarrow/fleet/tests/test_followers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from fuchsiabarrow import exceptions
 from fuchsiabarrow.fleet import followers
 from fuchsiabarrow.ports import collections
 from fuchsiabarrow.ports import objects
@@ -75,3 +76,29 @@
     _, taken_s = follow(entry_count, 20.0)
     assert len(taken_s) > 10
     assert max(b - a for a, b in itertools.pairwise(taken_s)) <= most_s
+
+
+@pytest.mark.parametrize(("entry_count", "most"), [(9, 60.0), (70, 130.0)])
+def test_store_that_is_down_is_asked_a_bounded_number_of_times(
+    entry_count, most
+):
+    class DownStore(BusyStore):
+        async def list(self, kind):
+            self.calls += 1
+            raise exceptions.StoreUnavailableError("down")
+
+    async def run():
+        store = DownStore()
+        sink = followers.Sink(lambda *_: None, lambda *_: None, lambda _: None)
+        async with followers.Follower(
+            store,
+            "list",
+            sink,
+            random.Random(1),
+            1.0,
+            count_entries=lambda: entry_count,
+        ):
+            await asyncio.sleep(20.0)
+        return store.calls
+
+    assert virtual_time.run(run()) / 20.0 * entry_count <= most
--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -49,6 +49,7 @@
         self._sent = 0
         self._lost_at: upstreams.Upstream | None = None
         self._failure: tuple[messages.AnswerHead, bytes] | None = None
+        self._failed_at: upstreams.Upstream | None = None
 
     async def serve(self) -> None:
         """Takes the request to its final answer."""
@@ -196,7 +197,12 @@
         if head.is_not_run:
             self._ran -= 1
             return f"not run by {upstream.instance_id}: status {head.status}"
-        forwarding.directory.note_success(upstream)
+        if head.status < HTTP_SERVER_ERROR:
+            forwarding.directory.note_success(upstream)
+            if self._failed_at is not None:
+                # The request was sound: some requests fail everywhere, and
+                # say nothing of the upstream.
+                forwarding.directory.note_loss(self._failed_at)
         may_retry = (
             head.status >= HTTP_SERVER_ERROR
             and request.route.may_repeat
@@ -204,6 +210,7 @@
         )
         if may_retry:
             self._failure = (head, body)
+            self._failed_at = upstream
             return f"status {head.status}"
         self._failure = None
         await self._caller.answer(head, body)
--- a/src/fuchsiabarrow/forwarding/tests/test_plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_plain_requests.py
@@ -169,3 +169,28 @@
         return world
 
     assert set(virtual_time.run(run()).targets) == {FAR.address}
+
+
+def serve_in_turn(count: int, far_status: int):
+    """Serves requests one after the other while NEAR fails all of them."""
+
+    async def run():
+        world = fakes.World(NEAR, FAR)
+        world.script(NEAR.address, fakes.answer(b"failed", status=500))
+        world.script(FAR.address, fakes.answer(b"far", status=far_status))
+        for _ in range(count):
+            await world.serve(fakes.make_request(fakes.make_route(IDEMPOTENT)))
+        return world
+
+    return virtual_time.run(run())
+
+
+def test_upstream_that_fails_what_others_serve_is_avoided():
+    world = serve_in_turn(6, 200)
+    assert [u for u in (NEAR, FAR) if world.directory.is_avoided(u)] == [NEAR]
+    assert world.targets[-1] == world.targets[-2] == FAR.address
+
+
+def test_requests_that_fail_everywhere_speak_against_no_upstream():
+    world = serve_in_turn(10, 500)
+    assert not any(world.directory.is_avoided(u) for u in (NEAR, FAR))
--- a/src/fuchsiabarrow/platform/tests/runners.py
+++ b/src/fuchsiabarrow/platform/tests/runners.py
@@ -24,6 +24,8 @@
         delay_s: Time before an answer.
         event_count: Events of a stream.
         gap_s: Time between events.
+        padding: Extra bytes in each event.
+        closes: Whether its answers close their connections.
         layers: Layers that it holds, or None.
     """
 
@@ -37,6 +39,8 @@
         self.delay_s = 0.0
         self.event_count = 5
         self.gap_s = 0.01
+        self.padding = 0
+        self.closes = False
         self.layers: tuple[int, int] | None = None
         self.cancelled = 0
         self.born = int(time.time() * 1000)
@@ -113,6 +117,8 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        if self.closes:
+            headers["Connection"] = "close"
         return aiohttp.web.Response(
             status=self.status, text=f"{self.name}:{body!r}", headers=headers
         )
@@ -124,6 +130,9 @@
         first = int(request.headers.get(names.LAST_EVENT_ID, "0")) + 1
         for number in range(first, self.event_count + 1):
             await asyncio.sleep(self.gap_s)
-            await response.write(b"id: %d\ndata: token\n\n" % number)
+            padding = b"x" * self.padding
+            await response.write(
+                b"id: %d\ndata: token%s\n\n" % (number, padding)
+            )
         await response.write_eof()
         return response
--- /dev/null
+++ b/src/fuchsiabarrow/platform/tests/test_callers.py
@@ -0,0 +1,152 @@
+"""Callers and runners that behave badly on their connections."""
+
+import asyncio
+import socket
+
+from fuchsiabarrow.platform import names
+from fuchsiabarrow.platform.tests import worlds
+
+STREAM_REQUEST = (
+    "POST /draft/x HTTP/1.1\r\n"
+    f"Host: {worlds.HOST}\r\n"
+    f"{names.ATTEMPT_ID}: slow\r\n"
+    f"{names.AUTHORIZATION}: Token key-1\r\n"
+    f"{names.DEADLINE_MS}: 20000\r\n"
+    f"{names.TOKEN_COUNTS}: 800,60\r\n"
+    f"{names.LENGTH_HINT}: 60\r\n"
+    "Content-Length: 1\r\n\r\np"
+)
+SMALL_BUFFER_BYTES = 4096
+
+
+def run(test):
+    async def main():
+        async with worlds.World() as world:
+            return await test(world)
+
+    return asyncio.run(main())
+
+
+async def read_to_end(sock: socket.socket, is_whole) -> bytes:
+    loop = asyncio.get_running_loop()
+    received = b""
+    async with asyncio.timeout(10.0):
+        while not is_whole(received):
+            data = await loop.sock_recv(sock, 65_536)
+            assert data, "closed before the end"
+            received += data
+    return received
+
+
+def test_slow_reader_gets_its_whole_stream_and_holds_nobody_up():
+    async def test(world):
+        left = world.runners["left"]
+        left.event_count, left.gap_s, left.padding = 400, 0.0, 8000
+        loop = asyncio.get_running_loop()
+        with socket.socket() as sock:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
+            )
+            sock.setblocking(False)
+            await loop.sock_connect(sock, ("127.0.0.1", world.ports[0]))
+            await loop.sock_sendall(sock, STREAM_REQUEST.encode())
+            # Long enough to look like a silent upstream if the caller's
+            # slowness were taken for one.
+            for _ in range(4):
+                await asyncio.sleep(0.4)
+                began_s = loop.time()
+                status, _, _ = await world.fetch("/read/x")
+                assert status == 200
+                assert loop.time() - began_s < 0.3
+            received = await read_to_end(
+                sock, lambda data: data.endswith(b"0\r\n\r\n")
+            )
+        assert received.count(b"id: ") == 400
+        assert [run[0] for run in left.runs] == ["slow"]
+        assert not world.router.kernel.get("directory").get_avoided()
+
+    run(test)
+
+
+def test_slow_reader_that_leaves_ends_its_run():
+    async def test(world):
+        left = world.runners["left"]
+        left.event_count, left.gap_s, left.padding = 4000, 0.0, 8000
+        loop = asyncio.get_running_loop()
+        with socket.socket() as sock:
+            sock.setblocking(False)
+            await loop.sock_connect(sock, ("127.0.0.1", world.ports[0]))
+            await loop.sock_sendall(sock, STREAM_REQUEST.encode())
+            await world.wait(lambda: left.runs)
+            await asyncio.sleep(0.5)
+        await world.wait(lambda: left.cancelled, 0.5)
+
+    run(test)
+
+
+def test_runner_that_closes_after_each_answer_is_used_on():
+    async def test(world):
+        for name in ("desk-1", "desk-2"):
+            world.runners[name].closes = True
+        for number in range(10):
+            status, _, body = await world.fetch(
+                "/book/x", "POST", data=b"%d" % number
+            )
+            assert status == 200
+            assert body.endswith(b":b'%d'" % number)
+        runs = world.runners["desk-1"].runs + world.runners["desk-2"].runs
+        assert len(runs) == 10
+
+    run(test)
+
+
+def test_caller_that_asks_for_a_close_gets_it_after_the_whole_answer():
+    async def test(world):
+        request = (
+            f"GET /open/x HTTP/1.1\r\nHost: {worlds.HOST}\r\n"
+            f"{names.ATTEMPT_ID}: one\r\n{names.DEADLINE_MS}: 2000\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", world.ports[0]
+        )
+        writer.write(request.encode())
+        async with asyncio.timeout(2.0):
+            answer = await reader.read()
+        writer.close()
+        head, _, body = answer.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200")
+        length = next(
+            int(line.split(b":")[1])
+            for line in head.lower().split(b"\r\n")
+            if line.startswith(b"content-length")
+        )
+        assert len(body) == length
+
+    run(test)
+
+
+def test_requests_sent_ahead_on_one_connection_are_answered_in_order():
+    async def test(world):
+        request = (
+            f"GET /open/%s HTTP/1.1\r\nHost: {worlds.HOST}\r\n"
+            f"{names.ATTEMPT_ID}: %s\r\n{names.DEADLINE_MS}: 2000\r\n"
+            "\r\n"
+        )
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", world.ports[0]
+        )
+        ids = ["a", "b", "c"]
+        writer.write("".join(request % (i, i) for i in ids).encode())
+        received = b""
+        async with asyncio.timeout(3.0):
+            while received.count(b"HTTP/1.1 200") < len(ids):
+                received += await reader.read(65_536)
+        writer.close()
+        found = [
+            received.find(f"{names.ATTEMPT_ID}: {i}\r\n".encode()) for i in ids
+        ]
+        assert -1 not in found
+        assert found == sorted(found)
+
+    run(test)
