--- /dev/null
+++ b/src/fuchsiabarrow/platform/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded soak: entries as processes, faults from outside, promises."""
