Answer keys and bodies that are no text as what they are

Cause: a bearer key with other bytes than ASCII was hashed as text and failed with 500; so did a body whose Content-Encoding it does not have (found by the new table of bad input). Unknown roles of messages were taken.

--- a/src/fuchsiabarrow/entry/authentication.py
+++ b/src/fuchsiabarrow/entry/authentication.py
@@ -16,6 +16,9 @@
     header = request.headers.get("Authorization", "")
     if not header.startswith(PREFIX) or len(header) > MAX_KEY_LENGTH:
         return None
+    if not header.isascii():
+        # No key has such bytes, and they may be no text at all.
+        return None
     return documents.hash_key(header[len(PREFIX) :])
 
 
--- a/src/fuchsiabarrow/entry/chats.py
+++ b/src/fuchsiabarrow/entry/chats.py
@@ -31,6 +31,10 @@
     content: str
 
 
+# Roles of messages, by docs/api.md.
+ROLES = frozenset(("system", "user", "assistant"))
+
+
 class TriggeredAction(msgspec.Struct, frozen=True):
     """An action that the whole answer triggers."""
 
@@ -198,6 +202,14 @@
                 "unknown-model",
                 f"no model {body.model!r}; GET /v1/models lists them",
             )
+        unknown = [m.role for m in body.messages if m.role not in ROLES]
+        if unknown:
+            known = ", ".join(sorted(ROLES))
+            raise requests.refuse(
+                422,
+                "unknown-role",
+                f"no role {unknown[0]!r}; use one of {known}",
+            )
         model = configuration.models[pipeline.model]
         text = "\n".join(f"{m.role}: {m.content}" for m in body.messages)
         prompt = tokenizers.encode_text(text)
--- a/src/fuchsiabarrow/entry/problems.py
+++ b/src/fuchsiabarrow/entry/problems.py
@@ -3,6 +3,7 @@
 import math
 
 import aiohttp
+import aiohttp.http_exceptions
 import aiohttp.web
 import logbook
 import msgspec
@@ -80,6 +81,15 @@
             return make_problem(
                 error.status, "http-error", f"{error.reason}; see docs/api.md"
             )
+        except (
+            aiohttp.web.RequestPayloadError,
+            aiohttp.http_exceptions.BadHttpMessage,
+        ) as error:
+            return make_problem(
+                400,
+                "malformed-body",
+                f"the body cannot be read ({error}); see docs/api.md",
+            )
         except (ConnectionError, aiohttp.ClientConnectionResetError):
             raise
         except Exception as error:
