--- a/src/fuchsiabarrow/platform/tests/soak/play.py
+++ b/src/fuchsiabarrow/platform/tests/soak/play.py
@@ -78,6 +78,7 @@
 
     Attributes:
         record: What was seen.
+        faults: Kind, begin and end of each fault, on the loop's clock.
 
     Args:
         seed: Draws requests and faults.
@@ -102,7 +103,6 @@
         self._version = 7
         self._keys = ["key-1", "key-2"]
         self._busy: set[object] = set()
-        # Kind, begin and end of each fault.
         self.faults: list[list] = []
         self._count = 0
         self._stack = contextlib.AsyncExitStack()
--- a/src/fuchsiabarrow/platform/tests/soak/promises.py
+++ b/src/fuchsiabarrow/platform/tests/soak/promises.py
@@ -26,8 +26,7 @@
         status: Status of the answer, None if there was none.
         is_whole: Whether the answer came to its end.
         body: The answer.
-        is_stop_planned: Whether the entry was told to stop meanwhile, with no
-            other trouble near it.
+        ended_s: When it ended, whole or not.
     """
 
     request_id: str
@@ -46,8 +45,11 @@
 
     Attributes:
         attempts: Attempts by id.
-        runs: Runs by id: time, runner, key's organisation.
+        runs: Runs by id: when they began, and the runner.
         broken: Promises that were broken, as text.
+        revoked_s: When keys were taken away.
+        leaving_s: When runners that are leaving said so.
+        disturbed_store_s: Begin and end of faults of the store.
     """
 
     def __init__(self):
