--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -95,7 +95,8 @@
                 messages.RefusalReason.TIMEOUT,
                 not self._may_have_run,
                 forwarding.draw_retry_after_s(),
-                f"no whole answer in {request.route.timeout_s} s",
+                f"no whole answer in {request.route.timeout_s} s;"
+                f" last path {stream_paths.format_path(self._path.parts)}",
             )
         finally:
             forwarding.remove_stream(self)
--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -47,6 +47,8 @@
         self._tried: set[tuple[str, int]] = set()
         self._ran = 0
         self._sent = 0
+        # Where the request is, for the log.
+        self._where = "not sent"
         self._lost_at: upstreams.Upstream | None = None
         self._failure: tuple[messages.AnswerHead, bytes] | None = None
         self._failed_at: upstreams.Upstream | None = None
@@ -64,7 +66,7 @@
                 messages.RefusalReason.TIMEOUT,
                 self._ran == 0,
                 self._forwarding.draw_retry_after_s(),
-                f"no answer in {request.route.timeout_s} s",
+                f"no answer in {request.route.timeout_s} s; {self._where}",
             )
         if refusal is None:
             return
@@ -159,6 +161,7 @@
     async def _try(self, upstream: upstreams.Upstream) -> str | None:
         """Sends the request once; returns why it failed, or None."""
         forwarding, request = self._forwarding, self._request
+        self._where = f"last sent to {upstream.instance_id}"
         may_reuse = request.route.may_repeat
         try:
             connection = await forwarding.pool.open(upstream.address, may_reuse)
--- a/src/fuchsiabarrow/forwarding/tests/test_generations.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_generations.py
@@ -408,3 +408,12 @@
     caller, took_s = virtual_time.run(run())
     assert caller.body == WHOLE
     assert took_s < 2.2
+
+
+def test_stream_that_never_begins_ends_at_its_routes_timeout_and_says_where():
+    def prepare(world):
+        world.script(FIRST.address, [fakes.Wait(60.0)])
+
+    caller, _ = serve(prepare, FIRST, LAST)
+    assert caller.refusal.reason is messages.RefusalReason.TIMEOUT
+    assert "first=0-40,last=40-80" in caller.refusal.detail
--- a/src/fuchsiabarrow/forwarding/tests/test_plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_plain_requests.py
@@ -107,6 +107,7 @@
     caller, _ = serve([[fakes.Wait(30.0)]], ONCE)
     assert caller.refusal.reason is messages.RefusalReason.TIMEOUT
     assert not caller.refusal.is_not_run
+    assert "last sent to near" in caller.refusal.detail
 
 
 def test_no_upstream_is_refused_at_once_as_not_run():
