Tests: run entries as processes in one way

The soak and the tests of processes each wrote settings, started an entry, waited until it was ready and ended it; platform/tests/processes.py does so for both. A time that nothing read is gone. Assertions are as they were.

--- a/src/fuchsiabarrow/fleet/tests/test_followers.py
+++ b/src/fuchsiabarrow/fleet/tests/test_followers.py
@@ -36,9 +36,14 @@
         return collections.Changes((change,), found)
 
 
-def follow(entry_count: int, duration_s: float):
+class DownStore(BusyStore):
+    async def list(self, kind):
+        self.calls += 1
+        raise exceptions.StoreUnavailableError("down")
+
+
+def follow(entry_count: int, duration_s: float, store: BusyStore):
     async def run():
-        store = BusyStore()
         loop = asyncio.get_running_loop()
         taken_s = []
 
@@ -64,7 +69,7 @@
 def test_all_entries_together_ask_a_busy_store_a_bounded_number_of_times(
     entry_count,
 ):
-    calls, _ = follow(entry_count, 20.0)
+    calls, _ = follow(entry_count, 20.0, BusyStore())
     most = followers.GATHERED_CALLS_PER_S
     if entry_count / most > followers.LONGEST_GATHER_S:
         most = entry_count / followers.LONGEST_GATHER_S
@@ -73,7 +78,7 @@
 
 @pytest.mark.parametrize(("entry_count", "most_s"), [(9, 0.3), (400, 1.2)])
 def test_changes_are_known_soon_however_many_entries_ask(entry_count, most_s):
-    _, taken_s = follow(entry_count, 20.0)
+    _, taken_s = follow(entry_count, 20.0, BusyStore())
     assert len(taken_s) > 10
     assert max(b - a for a, b in itertools.pairwise(taken_s)) <= most_s
 
@@ -82,23 +87,5 @@
 def test_store_that_is_down_is_asked_a_bounded_number_of_times(
     entry_count, most
 ):
-    class DownStore(BusyStore):
-        async def list(self, kind):
-            self.calls += 1
-            raise exceptions.StoreUnavailableError("down")
-
-    async def run():
-        store = DownStore()
-        sink = followers.Sink(lambda *_: None, lambda *_: None, lambda _: None)
-        async with followers.Follower(
-            store,
-            "list",
-            sink,
-            random.Random(1),
-            1.0,
-            count_entries=lambda: entry_count,
-        ):
-            await asyncio.sleep(20.0)
-        return store.calls
-
-    assert virtual_time.run(run()) / 20.0 * entry_count <= most
+    calls, _ = follow(entry_count, 20.0, DownStore())
+    assert calls / 20.0 * entry_count <= most
--- a/src/fuchsiabarrow/platform/tests/soak/entries.py
+++ b/src/fuchsiabarrow/platform/tests/processes.py
@@ -28,7 +28,8 @@
         front: Port for callers.
         ready: Port for readiness checks.
         inner: Port for other entries, the same for all.
-        disturbed_s: Last time at which something was done to the process.
+        settings_path: Its settings file.
+        log_path: What it writes.
 
     Args:
         name: Name of the entry.
@@ -42,9 +43,8 @@
         self.host = host
         self.inner = inner
         self.front, self.ready, self.control = ports.find_ports(3)
-        self.disturbed_s = float("-inf")
         self.log_path = folder / f"{name}.log"
-        self._settings_path = folder / f"{name}.conf"
+        self.settings_path = folder / f"{name}.conf"
         self._process: subprocess.Popen | None = None
 
     def write_settings(self, store: str, seeds: list[str]) -> None:
@@ -61,7 +61,12 @@
         text = text.replace("127.0.0.1", self.host).replace("STORE", store)
         lines = [x for x in text.splitlines() if not x.startswith("seeds=")]
         told = ",".join(f"{seed}:{self.control}" for seed in seeds)
-        self._settings_path.write_text("\n".join([*lines, f"seeds={told}\n"]))
+        self.settings_path.write_text("\n".join([*lines, f"seeds={told}\n"]))
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self._process.pid
 
     def start(self) -> None:
         """Starts the process."""
@@ -72,13 +77,12 @@
                 stderr=subprocess.STDOUT,
                 env={
                     **os.environ,
-                    "FUCHSIABARROW_SETTINGS": str(self._settings_path),
+                    "FUCHSIABARROW_SETTINGS": str(self.settings_path),
                 },
             )
 
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the process if it runs."""
-        self.disturbed_s = asyncio.get_running_loop().time()
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
 
@@ -88,7 +92,6 @@
             async with asyncio.timeout(limit_s):
                 while self._process.poll() is None:
                     await asyncio.sleep(0.02)
-        self.disturbed_s = asyncio.get_running_loop().time()
         return self._process.poll()
 
     async def wait_ready(self, session: aiohttp.ClientSession) -> bool:
@@ -101,7 +104,6 @@
                     await asyncio.sleep(0.05)
         except TimeoutError:
             return False
-        self.disturbed_s = asyncio.get_running_loop().time()
         return True
 
     def get_status(self) -> int | None:
--- a/src/fuchsiabarrow/platform/tests/soak/play.py
+++ b/src/fuchsiabarrow/platform/tests/soak/play.py
@@ -11,10 +11,10 @@
 
 from fuchsiabarrow.platform import names
 from fuchsiabarrow.platform.tests import objects_for_tests as made
+from fuchsiabarrow.platform.tests import processes
 from fuchsiabarrow.platform.tests import runners
 from fuchsiabarrow.platform.tests import stores
 from fuchsiabarrow.platform.tests import worlds
-from fuchsiabarrow.platform.tests.soak import entries
 from fuchsiabarrow.platform.tests.soak import promises
 from fuchsiabarrow.platform.tests.soak import proxies
 from fuchsiabarrow.utils.tests import ports
@@ -44,10 +44,15 @@
 
 
 class SoakRunner(runners.Runner):
-    """Notes runs as they begin and marks what it answers as the request's."""
+    """Notes runs as they begin and marks what it answers as the request's.
+
+    Attributes:
+        proxy: What entries reach it through.
+    """
 
     def __init__(self, record: promises.Record, name: str, *place):
         super().__init__(name, *place)
+        self.proxy: proxies.Proxy | None = None
         self._record = record
         self.delay_s = 0.01
 
@@ -91,13 +96,12 @@
         self._source = random.Random(seed)
         inner = ports.find_ports(1)[0]
         self._entries = [
-            entries.EntryProcess(
+            processes.EntryProcess(
                 f"entry-{n}", f"127.0.0.{HOST_NUMBER + n}", inner, folder
             )
             for n in range(entry_count)
         ]
-        self._runners: dict[str, SoakRunner] = {}
-        self._runner_proxies: dict[str, proxies.Proxy] = {}
+        self._runners: list[SoakRunner] = []
         self._store_proxies: list[proxies.Proxy] = []
         self._store = stores.Store()
         self._version = 7
@@ -115,11 +119,10 @@
         await self._write_configuration()
         for name, (service, kind, layers) in PLACES.items():
             runner = SoakRunner(self.record, name, service, kind)
-            self._runners[name] = await enter(runner)
+            self._runners.append(await enter(runner))
             runner.layers = layers
-            proxy = await enter(proxies.Proxy(runner.address))
-            self._runner_proxies[name] = proxy
-            await self._register(name)
+            runner.proxy = await enter(proxies.Proxy(runner.address))
+            await self._register(runner)
         hosts = [entry.host for entry in self._entries]
         for entry in self._entries:
             proxy = await enter(proxies.Proxy(self._store.address))
@@ -137,10 +140,10 @@
     def _read_time_s(self) -> float:
         return asyncio.get_running_loop().time()
 
-    async def _register(self, name: str, **changes) -> None:
-        entry = self._runners[name].make_entry(**changes)
-        entry["address"] = self._runner_proxies[name].address
-        await self._store.put("servers", name, entry)
+    async def _register(self, runner: SoakRunner, **changes) -> None:
+        entry = runner.make_entry(**changes)
+        entry["address"] = runner.proxy.address
+        await self._store.put("servers", runner.name, entry)
 
     async def _write_configuration(self) -> None:
         self._version += 1
@@ -179,7 +182,7 @@
     async def _call(
         self,
         session: aiohttp.ClientSession,
-        entry: entries.EntryProcess,
+        entry: processes.EntryProcess,
         kind: str,
         key: str,
     ) -> promises.Attempt:
@@ -241,18 +244,10 @@
             "store_history_gone": lambda: self._disturb_store(
                 forgets_history=True
             ),
-            "store_reset": lambda: self._disturb_proxy(
-                self._store_proxies, "reset"
-            ),
-            "store_cut": lambda: self._disturb_proxy(
-                self._store_proxies, "cuts_requests"
-            ),
-            "store_cut_back": lambda: self._disturb_proxy(
-                self._store_proxies, "cuts_answers"
-            ),
-            "store_slow": lambda: self._disturb_proxy(
-                self._store_proxies, "delay_s"
-            ),
+            "store_reset": lambda: self._disturb_link("reset"),
+            "store_cut": lambda: self._disturb_link("cuts_requests"),
+            "store_cut_back": lambda: self._disturb_link("cuts_answers"),
+            "store_slow": lambda: self._disturb_link("delay_s"),
             "runner_reset": lambda: self._disturb_runner("reset"),
             "runner_slow": lambda: self._disturb_runner("delay_s"),
             "runner_cut": lambda: self._disturb_runner("cuts_requests"),
@@ -276,6 +271,9 @@
         finally:
             self._busy.discard(id(drawn))
 
+    def _hold_runner(self):
+        return self._hold(self._runners)
+
     async def _kill_entry(self) -> None:
         with self._hold(self._entries) as entry:
             if entry is not None:
@@ -295,7 +293,7 @@
             if entry is None:
                 return
             entry.send(signal.SIGTERM)
-            status = await entry.wait_exit(entries.GRACE_S + 1.0)
+            status = await entry.wait_exit(processes.GRACE_S + 1.0)
             if status != 0:
                 self.record.broken.append(
                     f"{entry.name} ended with {status} after SIGTERM"
@@ -303,7 +301,7 @@
                 entry.close()
             await self._start_entry(entry)
 
-    async def _start_entry(self, entry: entries.EntryProcess) -> None:
+    async def _start_entry(self, entry: processes.EntryProcess) -> None:
         entry.start()
         if not await entry.wait_ready(self._session):
             self.record.broken.append(
@@ -331,56 +329,54 @@
                 setattr(store, name, value)
             span[1] = self._read_time_s() + CALM_S
 
-    async def _disturb_proxy(self, found: list, how: str) -> None:
-        with self._hold(found) as proxy:
-            if proxy is None:
-                return
-            span = [self._read_time_s(), float("inf")]
-            if found is self._store_proxies:
+    async def _disturb_link(self, how: str) -> None:
+        """Disturbs the way of one entry to the store."""
+        with self._hold(self._store_proxies) as proxy:
+            if proxy is not None:
+                span = [self._read_time_s(), float("inf")]
                 self.record.disturbed_store_s.append(span)
-            if how == "reset":
-                proxy.reset()
-            elif how == "delay_s":
-                proxy.delay_s = self._source.uniform(0.01, 0.3)
-            else:
-                setattr(proxy, how, True)
-            await asyncio.sleep(self._draw_s())
-            proxy.heal()
-            if how.startswith("cuts"):
-                # What was swallowed leaves the connections out of step.
-                proxy.reset()
-            span[1] = self._read_time_s() + CALM_S
+                await self._disturb_proxy(proxy, how)
+                span[1] = self._read_time_s() + CALM_S
 
     async def _disturb_runner(self, how: str) -> None:
-        await self._disturb_proxy(list(self._runner_proxies.values()), how)
+        with self._hold_runner() as runner:
+            if runner is not None:
+                await self._disturb_proxy(runner.proxy, how)
+
+    async def _disturb_proxy(self, proxy: proxies.Proxy, how: str) -> None:
+        if how == "reset":
+            proxy.reset()
+        elif how == "delay_s":
+            proxy.delay_s = self._source.uniform(0.01, 0.3)
+        else:
+            setattr(proxy, how, True)
+        await asyncio.sleep(self._draw_s())
+        proxy.heal()
+        if how.startswith("cuts"):
+            # What was swallowed leaves the connections out of step.
+            proxy.reset()
 
     async def _restart_runner(self) -> None:
-        with self._hold(list(self._runner_proxies.values())) as proxy:
-            if proxy is None:
+        with self._hold_runner() as runner:
+            if runner is None:
                 return
-            name = next(
-                n for n, p in self._runner_proxies.items() if p is proxy
-            )
-            proxy.refuses = True
-            proxy.reset()
+            runner.proxy.refuses = True
+            runner.proxy.reset()
             await asyncio.sleep(self._draw_s())
-            proxy.heal()
-            self._runners[name].born += 1000
-            await self._register(name)
+            runner.proxy.heal()
+            runner.born += 1000
+            await self._register(runner)
 
     async def _drain_runner(self) -> None:
-        with self._hold(list(self._runner_proxies.values())) as proxy:
-            if proxy is None:
+        with self._hold_runner() as runner:
+            if runner is None:
                 return
-            name = next(
-                n for n, p in self._runner_proxies.items() if p is proxy
-            )
-            await self._register(name, state="draining")
-            self.record.leaving_s[name] = self._read_time_s()
+            await self._register(runner, state="draining")
+            self.record.leaving_s[runner.name] = self._read_time_s()
             await asyncio.sleep(promises.DRAIN_S + self._draw_s())
-            del self.record.leaving_s[name]
-            self._runners[name].born += 1000
-            await self._register(name)
+            del self.record.leaving_s[runner.name]
+            runner.born += 1000
+            await self._register(runner)
 
     async def _change_keys(self) -> None:
         removed, added = self._keys[1], f"key-{self._version + 1}"
--- a/src/fuchsiabarrow/platform/tests/test_process.py
+++ b/src/fuchsiabarrow/platform/tests/test_process.py
@@ -1,6 +1,5 @@
 import asyncio
 import contextlib
-import os
 import pathlib
 import signal
 import subprocess
@@ -10,6 +9,7 @@
 
 from fuchsiabarrow.entry.tests import fleets
 from fuchsiabarrow.platform.tests import objects_for_tests as made
+from fuchsiabarrow.platform.tests import processes
 from fuchsiabarrow.platform.tests import runners
 from fuchsiabarrow.platform.tests import stores
 from fuchsiabarrow.platform.tests import worlds
@@ -21,7 +21,7 @@
 
 
 @contextlib.asynccontextmanager
-async def run_process(path: pathlib.Path, early: signal.Signals | None = None):
+async def run_entry(path: pathlib.Path, early: signal.Signals | None = None):
     """Runs an entry as a process before stand-ins of store and runner.
 
     Args:
@@ -31,52 +31,27 @@
     async with (
         stores.Store() as store,
         runners.Runner("desk-1", "desk") as desk,
+        aiohttp.ClientSession() as session,
     ):
         await store.put(
             "config", "main", made.make_config(routes=worlds.ROUTES)
         )
         await store.put("servers", "desk-1", desk.make_entry())
-        front, ready, control, inner = ports.find_ports(4)
-        settings = path / "node.conf"
-        settings.write_text(
-            worlds.SETTINGS.format(
-                front=front,
-                ready=ready,
-                control=control,
-                inner=inner,
-                store=store.address,
-                grace_s=6,
-            )
-        )
-        with open(path / "log", "wb") as log:
-            process = subprocess.Popen(
-                [sys.executable, "-m", "fuchsiabarrow", "route"],
-                stdout=log,
-                stderr=subprocess.STDOUT,
-                env={**os.environ, "FUCHSIABARROW_SETTINGS": str(settings)},
-            )
+        host = "127.0.0.1"
+        inner = ports.find_ports(1)[0]
+        entry = processes.EntryProcess("entry-1", host, inner, path)
+        entry.write_settings(store.address, [host])
+        entry.start()
         try:
             if early is not None:
                 await asyncio.sleep(EARLY_S)
-                process.send_signal(early)
+                entry.send(early)
                 await asyncio.sleep(EARLY_S)
-                assert process.poll() is None
-            await wait_ready(ready)
-            yield process, front, settings
+                assert entry.get_status() is None
+            assert await entry.wait_ready(session)
+            yield entry
         finally:
-            process.kill()
-            process.wait()
-
-
-async def wait_ready(port: int) -> None:
-    async with aiohttp.ClientSession() as session, asyncio.timeout(30.0):
-        while True:
-            with contextlib.suppress(aiohttp.ClientError):
-                url = f"http://127.0.0.1:{port}/ready"
-                async with session.get(url) as response:
-                    if response.status == 200:
-                        return
-            await asyncio.sleep(0.05)
+            entry.close()
 
 
 async def fetch(port: int) -> int:
@@ -91,11 +66,6 @@
             return response.status
 
 
-async def wait_exit(process) -> int:
-    loop = asyncio.get_running_loop()
-    return await loop.run_in_executor(None, process.wait, 15)
-
-
 async def wait_for_text(path: pathlib.Path, text: str) -> None:
     async with asyncio.timeout(10.0):
         while text not in path.read_text():
@@ -104,38 +74,38 @@
 
 def test_process_serves_rereads_its_settings_and_stops(tmp_path):
     async def test():
-        async with run_process(tmp_path) as (process, front, settings):
-            assert await fetch(front) == 200
-            text = settings.read_text()
-            settings.write_text(
+        async with run_entry(tmp_path) as entry:
+            assert await fetch(entry.front) == 200
+            text = entry.settings_path.read_text()
+            entry.settings_path.write_text(
                 text.replace("budget_extra=202", "budget_extra=50")
             )
-            process.send_signal(signal.SIGHUP)
-            await wait_for_text(tmp_path / "log", "event=reloaded")
-            settings.write_text("broken")
-            process.send_signal(signal.SIGHUP)
-            await wait_for_text(tmp_path / "log", "event=settings_kept")
-            assert await fetch(front) == 200
-            process.send_signal(signal.SIGTERM)
-            assert await wait_exit(process) == 0
+            entry.send(signal.SIGHUP)
+            await wait_for_text(entry.log_path, "event=reloaded")
+            entry.settings_path.write_text("broken")
+            entry.send(signal.SIGHUP)
+            await wait_for_text(entry.log_path, "event=settings_kept")
+            assert await fetch(entry.front) == 200
+            entry.send(signal.SIGTERM)
+            assert await entry.wait_exit(15.0) == 0
 
     asyncio.run(test())
-    lines = (tmp_path / "log").read_text().splitlines()
+    lines = (tmp_path / "entry-1.log").read_text().splitlines()
     assert all("event=" in line for line in lines)
     assert any("event=stopped" in line for line in lines)
 
 
 def test_process_holds_no_ring_child_or_shared_memory(tmp_path):
     async def test():
-        async with run_process(tmp_path) as (process, front, _):
+        async with run_entry(tmp_path) as entry:
             for _ in range(LOOKS):
-                assert await fetch(front) == 200
-                links = fleets.read_descriptors(process.pid)
+                assert await fetch(entry.front) == 200
+                links = fleets.read_descriptors(entry.pid)
                 assert any("eventpoll" in link for link in links)
                 assert not [link for link in links if "io_uring" in link]
-            task = f"/proc/{process.pid}/task/{process.pid}/children"
+            task = f"/proc/{entry.pid}/task/{entry.pid}/children"
             assert pathlib.Path(task).read_text().strip() == ""
-            maps = pathlib.Path(f"/proc/{process.pid}/maps").read_text()
+            maps = pathlib.Path(f"/proc/{entry.pid}/maps").read_text()
             assert "/dev/shm" not in maps
             assert "/SYSV" not in maps
 
@@ -159,12 +129,8 @@
 
 def test_reload_signal_during_the_start_does_not_end_the_process(tmp_path):
     async def test():
-        async with run_process(tmp_path, early=signal.SIGHUP) as (
-            process,
-            front,
-            _,
-        ):
-            assert await fetch(front) == 200
-            assert process.poll() is None
+        async with run_entry(tmp_path, early=signal.SIGHUP) as entry:
+            assert await fetch(entry.front) == 200
+            assert entry.get_status() is None
 
     asyncio.run(test())
