Share what both kinds of requests send; drop what load reports replaced

Found by reading the change: nothing called Ledger.expire any more, as sums of silent entries are dropped with their sources; its test stands for drop_report, and one of load reports shows that the load of a silent entry lapses. Sending a request and reading the head of its answer, waiting for an inquiry, and sending an order were each written twice. merge() added loads by hand beside Load.add. Behaviour is as it was; tests keep their assertions.

--- a/src/fuchsiabarrow/entry/router.py
+++ b/src/fuchsiabarrow/entry/router.py
@@ -150,7 +150,7 @@
         kernel, settings = self.kernel, self._settings
         metrics = metrics_module.ForwardingMetrics()
         await kernel.add("metrics", contextlib.nullcontext(metrics))
-        ledger = loads.Ledger(asyncio.get_running_loop().time)
+        ledger = loads.Ledger()
         await kernel.add("ledger", contextlib.nullcontext(ledger))
         forwarding_settings = forwarding_service.Settings(
             failure_domain=settings.failure_domain,
--- a/src/fuchsiabarrow/fleet/loads.py
+++ b/src/fuchsiabarrow/fleet/loads.py
@@ -1,10 +1,9 @@
 """Work in flight at upstreams: this entry's own, and what other entries tell.
 
 Free of I/O. Own work is known exactly; that of other entries as of their last
-report, which lapses when they fall silent.
+report.
 """
 
-from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
@@ -12,9 +11,6 @@
 
 UpstreamKey = tuple[str, int]
 
-# A report older than this says nothing; a few missed ones are borne.
-REPORT_LIFETIME_S = 1.5
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
@@ -75,16 +71,11 @@
 
 
 class Ledger:
-    """Sums of work in flight, by upstream.
-
-    Args:
-        read_time_s: Monotonic clock.
-    """
+    """Sums of work in flight, by upstream."""
 
-    def __init__(self, read_time_s: Callable[[], float]):
-        self._read_time_s = read_time_s
+    def __init__(self):
         self._own: dict[UpstreamKey, Load] = {}
-        self._reports: dict[str, tuple[float, dict[UpstreamKey, Load]]] = {}
+        self._reports: dict[str, dict[UpstreamKey, Load]] = {}
         # Sums over the reports: requests, entered, context, reading.
         self._others: dict[UpstreamKey, list[float]] = {}
 
@@ -101,27 +92,14 @@
         self, reporter: str, loads: Iterable[tuple[UpstreamKey, Load]]
     ) -> None:
         """Takes over what another entry has in flight."""
-        _, before = self._reports.get(reporter, (0.0, {}))
-        self._add_others(before, -1)
+        self.drop_report(reporter)
         told = dict(loads)
-        self._reports[reporter] = (self._read_time_s(), told)
+        self._reports[reporter] = told
         self._add_others(told, 1)
 
     def drop_report(self, reporter: str) -> None:
-        """Forgets the work of an entry that stopped."""
-        _, before = self._reports.pop(reporter, (0.0, {}))
-        self._add_others(before, -1)
-
-    def expire(self, stretch: float = 1.0) -> None:
-        """Forgets reports of entries that fell silent.
-
-        Args:
-            stretch: How much longer than usual the period of reports is.
-        """
-        now_s = self._read_time_s()
-        for reporter, (told_at_s, _) in list(self._reports.items()):
-            if now_s - told_at_s > REPORT_LIFETIME_S * stretch:
-                self.drop_report(reporter)
+        """Forgets what a reporter told."""
+        self._add_others(self._reports.pop(reporter, {}), -1)
 
     def _add_others(self, loads: dict[UpstreamKey, Load], sign: int) -> None:
         for key, load in loads.items():
--- a/src/fuchsiabarrow/fleet/tests/test_paths.py
+++ b/src/fuchsiabarrow/fleet/tests/test_paths.py
@@ -183,7 +183,7 @@
 
 
 def test_reservation_is_given_back():
-    ledger = loads.Ledger(lambda: 0.0)
+    ledger = loads.Ledger()
     parts = choose([fleets.make_instance("only", "a", "fast", (0, 80))])
     with paths.reserve_path(ledger, parts, DEMAND) as reservation:
         load = ledger.get(("only", 1))
@@ -196,24 +196,22 @@
     assert ledger.get(("only", 1)) == loads.IDLE
 
 
-def test_reports_of_other_entries_add_up_and_lapse():
-    now_s = 0.0
-    ledger = loads.Ledger(lambda: now_s)
+def test_reports_of_other_entries_add_up_until_they_are_dropped():
+    ledger = loads.Ledger()
     ledger.take_report("x", [(("i", 1), loads.Load(2))])
     ledger.take_report("y", [(("i", 1), loads.Load(3))])
     assert ledger.get(("i", 1)).requests == 5
     ledger.take_report("x", [(("i", 1), loads.Load(1))])
     assert ledger.get(("i", 1)).requests == 4
-    now_s = loads.REPORT_LIFETIME_S + 0.1
     ledger.take_report("y", [(("i", 1), loads.Load(3))])
-    ledger.expire()
+    ledger.drop_report("x")
     assert ledger.get(("i", 1)).requests == 3
 
 
 @pytest.mark.parametrize("seed", range(10))
 def test_sum_of_reports_is_that_of_the_last_report_of_each_entry(seed):
     source = random.Random(seed)
-    ledger = loads.Ledger(lambda: 0.0)
+    ledger = loads.Ledger()
     last = {}
     for _ in range(200):
         reporter = f"entry-{source.randrange(6)}"
--- a/src/fuchsiabarrow/fleet/tests/test_thinning.py
+++ b/src/fuchsiabarrow/fleet/tests/test_thinning.py
@@ -38,12 +38,12 @@
         self.lag_s = lag_s
         self.source = random.Random(seed)
         self.placed = make_placed()
-        self.entries = [loads.Ledger(lambda: 0.0) for _ in range(count)]
-        self.truth = loads.Ledger(lambda: 0.0)
+        self.entries = [loads.Ledger() for _ in range(count)]
+        self.truth = loads.Ledger()
         self.running: list = []
         # Bookings that the others have not heard of yet, by time.
         self.unheard: list = []
-        self.heard = loads.Ledger(lambda: 0.0)
+        self.heard = loads.Ledger()
         self.refused = self.served = 0
 
     def play(self, rate_per_s: float, duration_s: float, is_thinned: bool):
--- a/src/fuchsiabarrow/fleet/thinning.py
+++ b/src/fuchsiabarrow/fleet/thinning.py
@@ -14,8 +14,7 @@
 
 __all__ = ["RateMeter", "thin_out"]
 
-# Time over which requests are counted: long enough for some of them, short
-# enough to follow a burst.
+# Time constant of the rate of requests.
 RATE_WINDOW_S = 2.0
 
 
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -230,27 +230,19 @@
         self, connection: connections.Connection, first: upstreams.Upstream
     ) -> _Result:
         forwarding, request = self._forwarding, self._request
-        loop = asyncio.get_running_loop()
-        left_s = request.deadline_s - loop.time()
-        connection.send(
-            forwarding.codec.encode_request(
-                request,
-                messages.Target(first, self._path.parts),
-                left_s,
-                self._last_event_id,
-            )
+        forwarding.send(
+            connection,
+            request,
+            messages.Target(first, self._path.parts),
+            self._last_event_id,
+            self._sends > 0,
         )
-        forwarding.metrics.sends.labels(
-            "retry" if self._sends else "first"
-        ).inc()
         self._sends += 1
         is_new = self._path.note_entered(first)
         had_run = self._may_have_run
         self._may_have_run = True
         self._watch.start()
-        message = await connection.read_head()
-        head = forwarding.codec.decode_head(message)
-        messages.check_origin(head, request, first.address)
+        head = await forwarding.read_head(connection, request, first)
         if head.is_not_run:
             self._may_have_run = had_run
             if is_new:
--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -185,17 +185,11 @@
         upstream: upstreams.Upstream,
     ) -> str | None:
         forwarding, request = self._forwarding, self._request
-        left_s = request.deadline_s - asyncio.get_running_loop().time()
         target = messages.Target(upstream)
-        data = forwarding.codec.encode_request(request, target, left_s, "")
-        connection.send(data)
-        self._forwarding.metrics.sends.labels(
-            "retry" if self._sent else "first"
-        ).inc()
+        forwarding.send(connection, request, target, "", self._sent > 0)
         self._sent += 1
         self._ran += 1
-        head = forwarding.codec.decode_head(await connection.read_head())
-        messages.check_origin(head, request, upstream.address)
+        head = await forwarding.read_head(connection, request, upstream)
         body = await connection.read_all(MAX_ANSWER_BYTES)
         if head.is_not_run:
             self._ran -= 1
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -151,14 +151,45 @@
 
     async def check_alive(self, upstream: upstreams.Upstream) -> bool:
         """Returns whether an upstream whose answer was lost still answers."""
-        self.inquire(upstream, "lost")
-        task = self._inquiries.get(upstream.key)
-        if task is not None:
-            await asyncio.wait({task})
+        await self._wait_for_inquiry(upstream, "lost")
         return not self.directory.is_avoided(upstream)
 
     # What both kinds of requests share.
 
+    def send(
+        self,
+        connection: connections.Connection,
+        request: messages.Request,
+        target: messages.Target,
+        last_event_id: str,
+        is_retry: bool,
+    ) -> None:
+        """Sends a request to an upstream, with the time that is left for it.
+
+        Raises:
+            UpstreamUnreachableError: Nothing was sent.
+        """
+        left_s = request.deadline_s - asyncio.get_running_loop().time()
+        connection.send(
+            self.codec.encode_request(request, target, left_s, last_event_id)
+        )
+        self.metrics.sends.labels("retry" if is_retry else "first").inc()
+
+    async def read_head(
+        self,
+        connection: connections.Connection,
+        request: messages.Request,
+        upstream: upstreams.Upstream,
+    ) -> messages.AnswerHead:
+        """Returns the head of the answer to a request that was sent.
+
+        Raises:
+            UpstreamLostError: There is none, or it is of another answer.
+        """
+        head = self.codec.decode_head(await connection.read_head())
+        messages.check_origin(head, request, upstream.address)
+        return head
+
     def spend_retry(self, service: str) -> bool:
         """Takes one repeat from the budget of a service."""
         return self._get_budget(service).spend()
@@ -189,8 +220,11 @@
 
         Callers spread over the entries, so that each gets about as many.
         """
+        lag_s = self._get_lag_s()
+        if not lag_s:
+            return 0.0
         others = self._count_entries() - 1
-        return self._get_rate(service).get_per_s() * others * self._get_lag_s()
+        return self._get_rate(service).get_per_s() * others * lag_s
 
     def choose_service(self, request: messages.Request) -> str:
         """Draws the service of a request by the weights of its route."""
@@ -281,16 +315,21 @@
             Its report; None if it gives none, or gave one a while ago and is
             not to be asked again yet.
         """
-        self.inquire(upstream, why)
-        task = self._inquiries.get(upstream.key)
-        if task is not None:
-            await asyncio.wait({task})
+        await self._wait_for_inquiry(upstream, why)
         answer = self._answers.get(upstream.key)
         now_s = asyncio.get_running_loop().time()
         if answer is None or now_s - answer.at_s > FIRST_REST_S:
             return None
         return answer.report
 
+    async def _wait_for_inquiry(
+        self, upstream: upstreams.Upstream, why: str
+    ) -> None:
+        self.inquire(upstream, why)
+        task = self._inquiries.get(upstream.key)
+        if task is not None:
+            await asyncio.wait({task})
+
     async def _inquire(self, upstream: upstreams.Upstream, why: str) -> None:
         self.metrics.inquiries.labels(why.partition(" ")[0]).inc()
         try:
--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -82,8 +82,10 @@
             and not directory.is_full(upstream)
             and upstream.kind in model.kinds
         ]
+        unseen = 0.0
         if not prefix:
             unseen = forwarding.estimate_unseen(self._service.name)
+        if unseen:
             thinned = thinning.thin_out(
                 candidates, self._demand, unseen, forwarding.source.random
             )
--- a/src/fuchsiabarrow/forwarding/tests/fakes.py
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -210,7 +210,7 @@
         self.control = FakeControl()
         self.directory = directory_module.Directory(loop.time)
         self.directory.replace(list(instances))
-        self.ledger = loads.Ledger(loop.time)
+        self.ledger = loads.Ledger()
         self.catalog = documents.make_catalog(
             1,
             [],
--- a/src/fuchsiabarrow/peers/load_reports.py
+++ b/src/fuchsiabarrow/peers/load_reports.py
@@ -36,7 +36,7 @@
 # Time in which a new process hears of all entries, and how many it assumes
 # until then.
 HEARING_S = 1.5
-MANY_ENTRIES = 16
+ASSUMED_ENTRIES = 16
 # Periods after which others know in the mean of work told by way of speakers:
 # half of one on each of three hops.
 GROUPED_LAG_PERIODS = 1.5
@@ -165,7 +165,7 @@
         A process that has just started may not have heard the others yet.
         """
         if self._read_time_s() - self._started_s < HEARING_S:
-            return max(MANY_ENTRIES, self.count_live())
+            return max(ASSUMED_ENTRIES, self.count_live())
         return self.count_live()
 
     def is_first(self) -> bool:
--- a/src/fuchsiabarrow/peers/summaries.py
+++ b/src/fuchsiabarrow/peers/summaries.py
@@ -54,16 +54,12 @@
 def merge(summaries: Iterable[Summary]) -> Summary:
     """Returns the sum of what several entries tell."""
     parts = list(summaries)
-    totals: dict[int, list[float]] = {}
+    totals: dict[int, loads_module.Load] = {}
     suspects: dict[int, float] = {}
     crashes: dict[int, int] = {}
     for part in parts:
         for mark, load in part.loads.items():
-            sums = totals.setdefault(mark, [0, 0, 0.0, 0.0])
-            sums[0] += load.requests
-            sums[1] += load.entered
-            sums[2] += load.context
-            sums[3] += load.reading
+            totals[mark] = totals.get(mark, loads_module.IDLE).add(load)
         for mark, until_s in part.suspects.items():
             suspects[mark] = max(until_s, suspects.get(mark, until_s))
         for fingerprint, count in part.crashes.items():
@@ -71,7 +67,7 @@
     return Summary(
         sum(part.entry_count for part in parts),
         min((part.first for part in parts if part.first), default=""),
-        {mark: loads_module.Load(*sums) for mark, sums in totals.items()},
+        totals,
         suspects,
         crashes,
         _select_informed(part.list_informed for part in parts),
--- a/src/fuchsiabarrow/peers/tests/test_load_reports.py
+++ b/src/fuchsiabarrow/peers/tests/test_load_reports.py
@@ -22,7 +22,7 @@
         self.directory = directory_module.Directory(loop.time)
         self.directory.replace([UPSTREAM])
         self.directory.confirm(loop.time())
-        self.ledger = loads.Ledger(loop.time)
+        self.ledger = loads.Ledger()
         self.crashes = crashes.CrashCounts(loop.time)
         self.suspects = []
         self.reports = load_reports.LoadReports(
@@ -109,6 +109,20 @@
     asyncio.run(run())
 
 
+def test_load_of_an_entry_that_fell_silent_lapses():
+    async def run():
+        async with run_entries(3) as entries:
+            load = loads.Load(3, 1, 4000.0, 500.0)
+            entries[0].ledger.book({UPSTREAM.key: load}, 1)
+            entries[1].ledger.book({UPSTREAM.key: load}, 1)
+            ledger = entries[2].ledger
+            await wait(lambda: ledger.get(UPSTREAM.key).requests == 6)
+            await entries[0].reports.__aexit__(None, None, None)
+            await wait(lambda: ledger.get(UPSTREAM.key).requests == 3, 1.0)
+
+    asyncio.run(run())
+
+
 def test_entry_with_an_old_list_leaves_the_duty_to_others():
     async def run():
         async with run_entries(2) as entries:
@@ -177,7 +191,7 @@
     async def run():
         async with run_entries(1) as entries:
             reports = entries[0].reports
-            assert reports.count_sharing() == load_reports.MANY_ENTRIES
+            assert reports.count_sharing() == load_reports.ASSUMED_ENTRIES
             await asyncio.sleep(load_reports.HEARING_S)
             assert reports.count_sharing() == 1
 
--- a/src/fuchsiabarrow/platform/runners.py
+++ b/src/fuchsiabarrow/platform/runners.py
@@ -89,13 +89,7 @@
             "path": exchanges.format_path(parts),
         }
         try:
-            status, body = await self._call(
-                upstream,
-                "POST",
-                names.ORDER_PATH,
-                msgspec.json.encode(order),
-                timeout_s,
-            )
+            status, body = await self._send_order(upstream, order, timeout_s)
         except exceptions.UpstreamError as error:
             return pipelines.RepathOutcome(False, "", str(error))
         at_fault = ""
@@ -121,12 +115,8 @@
             "precondition": after_orders,
         }
         try:
-            status, body = await self._call(
-                upstream,
-                "POST",
-                names.ORDER_PATH,
-                msgspec.json.encode(order),
-                ORDER_TIMEOUT_S,
+            status, body = await self._send_order(
+                upstream, order, ORDER_TIMEOUT_S
             )
         except exceptions.UpstreamUnreachableError as error:
             return placement.OrderOutcome(False, True, str(error))
@@ -139,6 +129,14 @@
             is_accepted, is_refused, f"status {status} {text}".strip()
         )
 
+    async def _send_order(
+        self, upstream: upstreams.Upstream, order: dict, timeout_s: float
+    ) -> tuple[int, bytes]:
+        body = msgspec.json.encode(order)
+        return await self._call(
+            upstream, "POST", names.ORDER_PATH, body, timeout_s
+        )
+
     async def _call(
         self,
         upstream: upstreams.Upstream,
