--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -88,10 +88,12 @@
         self._silence_check_task: asyncio.Task | None = None
         self._path_change_task: asyncio.Task | None = None
         self._failure_detail = ""
+        self._first_event_s: float | None = None
+        self._longest_gap_s = 0.0
 
     # Attempts until the final answer.
 
-    async def serve(self) -> None:
+    async def serve(self) -> messages.StreamSummary:
         """Forwards the request until the caller has a final answer."""
         request, forwarding = self._request, self._forwarding
         loop = asyncio.get_running_loop()
@@ -114,13 +116,18 @@
         finally:
             forwarding.remove_stream(self)
             self._stop_monitoring()
-        if refusal is None:
-            return
-        if self._writer.is_started:
+        if refusal is not None and self._writer.is_started:
             self._log("stream_aborted", why=refusal.detail)
             self._writer.abort()
-        else:
+        elif refusal is not None:
             await self._writer.refuse(refusal)
+        return messages.StreamSummary(
+            stream_paths.format_path(self._path.segments),
+            stream_paths.count_crossings(self._path.segments),
+            self._send_count,
+            self._first_event_s,
+            round(self._longest_gap_s, 4),
+        )
 
     async def _run(self) -> messages.Refusal | None:
         """Tries paths; returns a refusal, or None if an answer was sent."""
@@ -263,6 +270,9 @@
             self._send_count > 0,
         )
         self._send_count += 1
+        forwarding.metrics.domain_crossings.inc(
+            stream_paths.count_crossings(self._path.segments)
+        )
         is_first_send = self._path.record_first_instance(first)
         may_have_run_before = self._may_have_run
         self._may_have_run = True
@@ -354,9 +364,13 @@
         metrics = self._forwarding.metrics
         if self._event_count == 0:
             self._path.finish_prefill()
-            metrics.first_event_s.observe(now_s - self._request.arrived_s)
+            first_event_s = now_s - self._request.arrived_s
+            self._first_event_s = round(first_event_s, 4)
+            metrics.first_event_s.observe(first_event_s)
         else:
-            metrics.event_gap_s.observe(self._monitor.get_silence_s())
+            gap_s = self._monitor.get_silence_s()
+            self._longest_gap_s = max(self._longest_gap_s, gap_s)
+            metrics.event_gap_s.observe(gap_s)
         self._monitor.record_events(count)
 
     def _probe_slow_path(self) -> None:
--- a/src/fuchsiabarrow/forwarding/messages.py
+++ b/src/fuchsiabarrow/forwarding/messages.py
@@ -128,6 +128,26 @@
         return 200 <= self.status < 300
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamSummary:
+    """How a request to a language model was served, for the log.
+
+    Attributes:
+        path: Last path, formatted; empty if none was found.
+        crossings: Hops of this path between failure domains.
+        sends: Number of times that the request was sent.
+        first_event_s: Time from the arrival of the request to its first event;
+            None if there was none.
+        longest_gap_s: Longest time between two events.
+    """
+
+    path: str
+    crossings: int
+    sends: int
+    first_event_s: float | None
+    longest_gap_s: float
+
+
 class RefusalReason(enum.Enum):
     """Why the entry refuses a request instead of forwarding an answer."""
 
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -398,15 +398,19 @@
 
     async def serve(
         self, request: messages.Request, writer: messages.ResponseWriter
-    ) -> None:
-        """Serves one request until its caller has a final answer."""
+    ) -> messages.StreamSummary | None:
+        """Serves one request until its caller has a final answer.
+
+        Returns:
+            How it was served if it was sent over a path, else None.
+        """
         self.running += 1
         self.metrics.running.set(self.running)
         try:
             fingerprint = _compute_fingerprint(request)
             if self.crash_counts.is_blocked(fingerprint):
                 await writer.refuse(self.make_crash_refusal(True))
-                return
+                return None
             service_name = self.choose_service(request)
             self._get_budget(service_name).deposit()
             catalog = self._get_catalog()
@@ -420,14 +424,15 @@
                         f"service {service_name} is not configured",
                     )
                 )
-                return
+                return None
             exchange = messages.Exchange(request, writer, service, fingerprint)
             self._get_rate_meter(service_name).add()
             if service.engine is not None and request.generation:
-                handler = generations.GenerationHandler(self, exchange)
-            else:
-                handler = plain_requests.PlainRequestHandler(self, exchange)
-            await handler.serve()
+                return await generations.GenerationHandler(
+                    self, exchange
+                ).serve()
+            await plain_requests.PlainRequestHandler(self, exchange).serve()
+            return None
         finally:
             self.running -= 1
             self.metrics.running.set(self.running)
--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -1,5 +1,6 @@
 """Path of one language model request and the capacity reserved on it."""
 
+import itertools
 from typing import TYPE_CHECKING
 
 from fuchsiabarrow.catalogs import documents
@@ -12,7 +13,7 @@
 if TYPE_CHECKING:
     from fuchsiabarrow.forwarding import service as service_module
 
-__all__ = ["StreamPath", "format_path"]
+__all__ = ["StreamPath", "count_crossings", "format_path"]
 
 # Relative size of the random cost that makes entries which choose at the same
 # time prefer different ones of several equal paths.
@@ -214,3 +215,9 @@
         f"{segment.upstream.instance_id}={segment.first}-{segment.end}"
         for segment in segments
     )
+
+
+def count_crossings(segments: tuple[paths.PathSegment, ...]) -> int:
+    """Returns the number of hops of a path between failure domains."""
+    domains = [segment.upstream.failure_domain for segment in segments]
+    return sum(a != b for a, b in itertools.pairwise(domains))
--- a/src/fuchsiabarrow/platform/frontend.py
+++ b/src/fuchsiabarrow/platform/frontend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import math
 import random
 
@@ -168,10 +169,16 @@
         )
         if request is not None:
             writer.request = request
-            await self._forwarding.serve(request, writer)
-            self._log_served(request, writer, arrived_s)
+            summary = await self._forwarding.serve(request, writer)
+            self._log_served(request, writer, arrived_s, summary)
 
-    def _log_served(self, request, writer, arrived_s: float) -> None:
+    def _log_served(
+        self,
+        request,
+        writer,
+        arrived_s: float,
+        summary: messages.StreamSummary | None,
+    ) -> None:
         """Updates metrics; logs every response but 200, and a sample of 200."""
         metrics = self._forwarding.metrics
         metrics.requests.labels(request.route.kind.value, writer.outcome).inc()
@@ -192,6 +199,7 @@
                 outcome=writer.outcome,
                 took_s=response_writers.compute_elapsed_s(arrived_s),
                 left_out=left_out,
+                **(dataclasses.asdict(summary) if summary else {}),
             )
         )
 
--- a/src/fuchsiabarrow/telemetry/metrics.py
+++ b/src/fuchsiabarrow/telemetry/metrics.py
@@ -71,6 +71,11 @@
             "Requests sent to upstreams, by cause: first or retry.",
             ["cause"],
         )
+        self.domain_crossings = self._make_counter(
+            "domain_crossings",
+            "Hops between failure domains on the paths of sent requests.",
+            [],
+        )
         self.path_changes = self._make_counter(
             "path_changes",
             "Changes of the path of a running stream that were requested from"
