--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -4,8 +4,8 @@
 from typing import TYPE_CHECKING
 
 from fuchsiabarrow.catalogs import documents
-from fuchsiabarrow.fleet import candidate_sampling
 from fuchsiabarrow.fleet import loads
+from fuchsiabarrow.fleet import path_selection
 from fuchsiabarrow.fleet import paths
 from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.forwarding import messages
@@ -15,9 +15,6 @@
 
 __all__ = ["StreamPath", "count_crossings", "format_path"]
 
-# Relative size of the random cost that makes entries which choose at the same
-# time prefer different ones of several equal paths.
-TIE_BREAK_SPREAD = 0.05
 # Weight of the maximum answer length in the estimate of an answer's length: the
 # expected length is a median, so that half of the answers are longer and need
 # more memory.
@@ -87,39 +84,15 @@
             and not directory.is_full(upstream)
             and upstream.kind in model.kinds
         ]
-        unreported = 0.0
-        if not prefix:
-            unreported = forwarding.estimate_unreported_requests(
-                self._service.name
-            )
-        if unreported:
-            sampled = candidate_sampling.sample_candidates(
-                candidates,
-                self._size,
-                unreported,
-                forwarding.random_source.random,
-            )
-            if len(sampled) < len(candidates):
-                found = self._search(sampled, prefix)
-                if found is not None:
-                    return found
-        return self._search(candidates, prefix)
-
-    def _search(
-        self,
-        candidates: list[paths.Candidate],
-        prefix: tuple[paths.PathSegment, ...],
-    ) -> tuple[paths.PathSegment, ...] | None:
-        forwarding = self._forwarding
-        found = paths.choose_path(
+        return path_selection.select_path(
             candidates,
-            self._service.engine,
+            model,
             self._size,
             forwarding.settings.failure_domain,
-            lambda: TIE_BREAK_SPREAD * forwarding.random_source.random(),
+            forwarding.estimate_unreported_requests(self._service.name),
+            forwarding.random_source,
             prefix,
         )
-        return None if found is None else tuple(found)
 
     def reserve(self, segments: tuple[paths.PathSegment, ...]) -> None:
         """Reserves capacity on a path and releases that on the previous one."""
