--- a/src/fuchsiabarrow/fleet/path_selection.py
+++ b/src/fuchsiabarrow/fleet/path_selection.py
@@ -4,7 +4,16 @@
 While some failure domain holds all layers, paths stay in one domain, also if
 instances of another one are faster: all entries would cross for the same
 instances, and the queue on the link would delay every stream by far more than
-they gain. Without I/O; the search itself is in `fuchsiabarrow.fleet.paths`.
+they gain.
+
+Entries that learn of each other's load with a delay would all choose the same
+cheapest instances until the next report. The more requests are unreported, the
+more the costs are randomised, up to exponentially distributed factors, with
+which one of several instances is chosen with a probability inversely
+proportional to its cost (an exponential race): each gets a share of the
+requests by its speed and free memory, whatever the others do meanwhile.
+
+Without I/O; the search itself is in `fuchsiabarrow.fleet.paths`.
 """
 
 import collections
@@ -12,7 +21,6 @@
 import random
 
 from fuchsiabarrow.catalogs import engines
-from fuchsiabarrow.fleet import candidate_sampling
 from fuchsiabarrow.fleet import paths
 
 __all__ = ["select_path"]
@@ -44,30 +52,28 @@
         prefix: Segments that the path must begin with.
     """
     candidates = list(candidates)
+    spread = unreported_requests / (1.0 + unreported_requests)
 
-    def search(usable: list[paths.Candidate], may_cross: bool):
+    def draw_factor() -> float:
+        tie_break = 1.0 + TIE_BREAK_SPREAD * random_source.random()
+        exponential = random_source.expovariate(1.0)
+        return tie_break * (1.0 - spread + spread * exponential)
+
+    def search(may_cross: bool):
         found = paths.choose_path(
-            usable,
+            candidates,
             model,
             size,
             own_domain,
-            lambda: TIE_BREAK_SPREAD * random_source.random(),
+            draw_factor,
             prefix,
             may_cross,
         )
         return None if found is None else tuple(found)
 
-    if unreported_requests and not prefix:
-        sampled = candidate_sampling.sample_candidates(
-            candidates, size, unreported_requests, random_source.random
-        )
-        if len(sampled) < len(candidates):
-            found = search(sampled, may_cross=False)
-            if found is not None:
-                return found
-    found = search(candidates, may_cross=False)
+    found = search(may_cross=False)
     if found is None and (prefix or not has_complete_domain(candidates, model)):
-        found = search(candidates, may_cross=True)
+        found = search(may_cross=True)
     return found
 
 
--- a/src/fuchsiabarrow/fleet/paths.py
+++ b/src/fuchsiabarrow/fleet/paths.py
@@ -37,6 +37,8 @@
 # Fraction of an instance's context memory that may be reserved; the rest is for
 # answers longer than expected and for load not yet reported.
 CONTEXT_FRACTION = 0.92
+# Free fraction of the memory below which the cost does not rise further.
+MIN_FREE_FRACTION = 0.01
 # Maximum number of equivalent instances with enough room that are considered.
 MAX_EQUIVALENT = 2
 BITS_PER_BYTE = 8.0
@@ -125,10 +127,16 @@
         upstream.kind, size.prompt_tokens + queued_tokens
     )
     total_ms = slowdown * (size.answer_tokens * step_ms + prefill_ms)
+    usable = capacity * CONTEXT_FRACTION
+    free = usable - load.context
+    # The time of a step hardly grows with the load. Without this factor the
+    # fastest instances would be filled to the limit of their memory, and load
+    # that is not reported yet would exceed it.
+    total_ms *= usable / max(free, usable * MIN_FREE_FRACTION)
     return Candidate(
         upstream,
         total_ms / model.layers,
-        capacity * CONTEXT_FRACTION - load.context,
+        free,
         may_be_first and load.path_starts < model.slots,
     )
 
@@ -147,7 +155,7 @@
     model: engines.EnginePerformance,
     size: RequestSize,
     own_domain: str,
-    tie_break: Callable[[], float] = lambda: 0.0,
+    draw_factor: Callable[[], float] = lambda: 1.0,
     prefix: tuple[PathSegment, ...] = (),
     may_cross: bool = True,
 ) -> list[PathSegment] | None:
@@ -158,16 +166,15 @@
         model: Performance model of the engine.
         size: Expected size of the request.
         own_domain: Failure domain of this entry.
-        tie_break: Returns a small random number, at least 0, by which the
-            cost of a candidate is increased in proportion, so that entries
-            with the same information choose different paths of equal cost.
+        draw_factor: Returns a random factor on the cost of a candidate, so
+            that entries with the same information choose different paths.
         prefix: Segments that the path must begin with.
         may_cross: Whether the path may cross between failure domains.
     """
     fixed = {segment.upstream.key for segment in prefix}
     usable = _select_cheapest(
         [
-            (c, c.layer_cost_ms * (1 + tie_break()))
+            (c, c.layer_cost_ms * draw_factor())
             for c in candidates
             if c.upstream.layers is not None and c.upstream.key not in fixed
         ],
--- a/src/fuchsiabarrow/fleet/tests/test_path_selection.py
+++ b/src/fuchsiabarrow/fleet/tests/test_path_selection.py
@@ -17,16 +17,20 @@
 DURATION_S = 10.0
 # Share of requests that the requirements want to be in time.
 IN_TIME = 0.95
+SIZE = paths.RequestSize(775.0, 221.0)
+FAST_MODEL = fleets.make_model(layer_mb=200.0)
 
 
 @functools.cache
-def run_fleet(seed: int) -> concurrent_entries.Outcomes:
+def run_fleet(
+    seed: int, lag_s: float = REPORT_LAG_S
+) -> concurrent_entries.Outcomes:
     """Runs a fleet at a load that none of its resources needs to refuse."""
     placed = concurrent_entries.place_layers()
     shares = concurrent_entries.compute_shares(placed, RATE_PER_S)
     assert shares.pop("link") > 0.9
     assert max(shares.values()) < 0.5
-    fleet = concurrent_entries.Fleet(placed, ENTRIES, REPORT_LAG_S, seed)
+    fleet = concurrent_entries.Fleet(placed, ENTRIES, lag_s, seed)
     return fleet.run(lambda at_s: RATE_PER_S, DURATION_S)
 
 
@@ -48,9 +52,12 @@
 
 # Guards against the incident SHORT: entries that knew each other's load late
 # filled the same fast engines, which refused work while others were idle.
-@pytest.mark.parametrize("seed", [1, 2])
-def test_instances_with_free_neighbours_are_not_overfilled(seed):
-    outcomes = run_fleet(seed)
+@pytest.mark.parametrize(
+    ("seed", "lag_s"),
+    [(1, REPORT_LAG_S), (2, REPORT_LAG_S), (1, 0.3), (1, 0.7)],
+)
+def test_instances_with_free_neighbours_are_not_overfilled(seed, lag_s):
+    outcomes = run_fleet(seed, lag_s)
     rejected = outcomes.compute_share(outcomes.rejections)
     assert rejected <= 1 - IN_TIME, outcomes
 
@@ -64,16 +71,15 @@
 
 
 def select(placed: list, **changes):
-    size = paths.RequestSize(775.0, 221.0)
     candidates = [
-        paths.make_candidate(i, concurrent_entries.MODEL, size, loads.IDLE, 1.0)
+        paths.make_candidate(i, concurrent_entries.MODEL, SIZE, loads.IDLE, 1.0)
         for i in placed
     ]
     arguments = {"own_domain": "a", "unreported_requests": 0.0} | changes
     return path_selection.select_path(
         candidates,
         concurrent_entries.MODEL,
-        size,
+        SIZE,
         random_source=random.Random(1),
         **arguments,
     )
@@ -101,3 +107,44 @@
     found = select(placed, prefix=prefix)
     assert found[0] == prefix[0]
     assert concurrent_entries.count_crossings(found) == 1
+
+
+def make_equal_candidates(free_fractions: tuple) -> list:
+    """Returns instances that differ only in their free memory."""
+    capacity = FAST_MODEL.count_context_tokens("fast", 80) * 80
+    return [
+        paths.make_candidate(
+            fleets.make_instance(f"i-{index}", layers=(0, 80)),
+            FAST_MODEL,
+            SIZE,
+            loads.Load(
+                context=capacity * paths.CONTEXT_FRACTION * (1 - free_fraction)
+            ),
+            1.0,
+        )
+        for index, free_fraction in enumerate(free_fractions)
+    ]
+
+
+def count_choices(candidates: list, unreported_requests: float) -> list[int]:
+    source = random.Random(1)
+    chosen = [
+        path_selection.select_path(
+            candidates, FAST_MODEL, SIZE, "a", unreported_requests, source
+        )[0].upstream
+        for _ in range(2000)
+    ]
+    return [chosen.count(candidate.upstream) for candidate in candidates]
+
+
+def test_least_loaded_instance_is_chosen_if_reports_are_fresh():
+    candidates = make_equal_candidates((0.2, 0.8))
+    assert count_choices(candidates, 0.0) == [0, 2000]
+
+
+def test_choices_are_shared_by_cost_if_reports_are_late():
+    candidates = make_equal_candidates((0.25, 0.75))
+    slow, fast = (candidate.layer_cost_ms for candidate in candidates)
+    counts = count_choices(candidates, 1000.0)
+    assert counts[0] / 2000 == pytest.approx(fast / (slow + fast), abs=0.03)
+    assert counts[0] / 2000 <= 0.25
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -13,9 +13,9 @@
 
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.catalogs import documents
-from fuchsiabarrow.fleet import candidate_sampling
 from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet import loads
+from fuchsiabarrow.fleet import request_rates
 from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.forwarding import connections
 from fuchsiabarrow.forwarding import generations
@@ -128,7 +128,7 @@
         self._get_catalog = get_catalog
         self._count_entries = count_entries
         self._get_report_delay_s = get_report_delay_s
-        self._rate_meters: dict[str, candidate_sampling.RateMeter] = {}
+        self._rate_meters: dict[str, request_rates.RateMeter] = {}
         self.crash_counts = crash_counts.CrashCounts(
             asyncio.get_running_loop().time
         )
@@ -228,12 +228,10 @@
         budget.set_entry_count(self._count_entries())
         return budget
 
-    def _get_rate_meter(self, service: str) -> candidate_sampling.RateMeter:
+    def _get_rate_meter(self, service: str) -> request_rates.RateMeter:
         meter = self._rate_meters.get(service)
         if meter is None:
-            meter = candidate_sampling.RateMeter(
-                asyncio.get_running_loop().time
-            )
+            meter = request_rates.RateMeter(asyncio.get_running_loop().time)
             self._rate_meters[service] = meter
         return meter
 
