Bound responses that go on without end

An upstream in trouble may send bytes that are no answer until its caller closes. Some were read until the caller's deadline: interim responses, blank lines before a head, a chunk size, the extension of a chunk, a trailer field; the last because aiohttp's parser rejects the bytes without failing the reader of the body. An event of more than 1 MiB raised a ValueError that nobody caught, so that the answer was neither finished nor aborted, and events in small parts were searched in quadratic time. Change: a head may take 256 KiB, the framing of a body 64 KiB beside eight times the body, a stream 4 MiB; empty events are malformed. Such a response counts as lost and its connection is closed.

--- a/src/fuchsiabarrow/forwarding/connections.py
+++ b/src/fuchsiabarrow/forwarding/connections.py
@@ -21,6 +21,12 @@
 MAX_LINE_BYTES = 65_536
 MAX_FIELD_BYTES = 65_536
 READ_BUFFER_BYTES = 65_536
+# Maximum bytes before the body of a response, with interim responses.
+MAX_HEAD_BYTES = 262_144
+# Maximum bytes that frame a body (sizes and extensions of chunks, trailer
+# fields), beside a multiple of the body for chunks of a few bytes.
+MAX_FRAMING_BYTES = 65_536
+MAX_FRAMING_FACTOR = 8
 # Longest idle time after which a connection is still reused. Upstreams announce
 # keep-alive timeouts in whole seconds, of which the shortest is 1 s.
 MAX_IDLE_S = 0.8
@@ -29,15 +35,60 @@
 
 
 class _Protocol(client_proto.ResponseHandler):
-    """Distinguishes a body ended by a clean close from one cut by a reset."""
+    """Distinguishes a body ended by a clean close from one cut by a reset.
+
+    Ends a response whose head or framing is too long: the parser discards
+    interim responses, blank lines and the framing of chunks, so that a response
+    made of them would never end.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop):
         super().__init__(loop=loop)
-        self.received_bytes = 0
+        self._received_bytes = 0
+        self._has_final_head = False
+        self._is_idle = False
+
+    def begin_response(self) -> None:
+        """Prepares for the response to a request that is about to be sent."""
+        self._received_bytes = 0
+        self._has_final_head = self._is_idle = False
+
+    def become_idle(self) -> None:
+        """Closes the connection if any bytes arrive before the next request."""
+        self._is_idle = True
+
+    def feed_data(self, data: tuple, size: int = 0) -> None:
+        self._has_final_head |= is_final(data[0])
+        super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
-        self.received_bytes += len(data)
+        if self._is_idle:
+            self.abort()
+            return
+        self._received_bytes += len(data)
         super().data_received(data)
+        if self.exception() is not None:
+            # The parser rejected the bytes. It does not always report that to
+            # the reader of the body, which would wait for more.
+            self._fail_payload(self.exception(), "malformed response")
+            return
+        if not self._has_final_head:
+            if self._received_bytes > MAX_HEAD_BYTES:
+                self.abort_response(f"head is over {MAX_HEAD_BYTES} bytes")
+            return
+        body_bytes = self._payload.total_bytes if self._payload else 0
+        max_bytes = MAX_HEAD_BYTES + MAX_FRAMING_BYTES
+        if self._received_bytes > max_bytes + MAX_FRAMING_FACTOR * body_bytes:
+            self.abort_response(f"framing is over {MAX_FRAMING_BYTES} bytes")
+
+    def abort_response(self, reason: str) -> None:
+        """Aborts the connection; a pending or later read raises an error."""
+        error = client_exceptions.ClientPayloadError(reason)
+        if self._payload is not None:
+            helpers.set_exception(self._payload, error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
 
     def eof_received(self) -> None:
         # libuv reports EOF if it finds a reset together with the last bytes
@@ -54,13 +105,20 @@
             self._fail_payload(exc)
         super().connection_lost(exc)
 
-    def _fail_payload(self, cause: BaseException) -> None:
+    def _fail_payload(
+        self, cause: BaseException, reason: str = "connection reset"
+    ) -> None:
         payload = self._payload
         if payload is not None and not payload.is_eof():
-            error = client_exceptions.ClientPayloadError("connection reset")
+            error = client_exceptions.ClientPayloadError(reason)
             helpers.set_exception(payload, error, cause)
 
 
+def is_final(message) -> bool:
+    """Returns whether a parsed head is not that of an interim response."""
+    return message.code >= 200 or message.code == 101
+
+
 def make_protocol(loop: asyncio.AbstractEventLoop) -> _Protocol:
     """Returns a new protocol instance for one connection."""
     return _Protocol(loop)
@@ -129,7 +187,7 @@
                 f"{self._address}: connection closed before the request"
                 " was sent; open a new connection"
             )
-        protocol.received_bytes = 0
+        protocol.begin_response()
         protocol.set_response_params(
             read_until_eof=True,
             auto_decompress=False,
@@ -147,12 +205,7 @@
         protocol = self._protocol
         if protocol is None:
             return
-        error = client_exceptions.ClientPayloadError(reason)
-        if self._payload is not None:
-            helpers.set_exception(self._payload, error)
-        protocol.set_exception(error)
-        if protocol.transport is not None:
-            protocol.transport.abort()
+        protocol.abort_response(reason)
 
     async def read_head(self):
         """Returns the status line and headers as parsed by aiohttp.
@@ -166,7 +219,7 @@
         try:
             while True:
                 message, self._payload = await self._protocol.read()
-                if message.code >= 200 or message.code == 101:
+                if is_final(message):
                     break
         except Exception as error:
             raise exceptions.UpstreamResponseLostError(
@@ -299,6 +352,7 @@
         idle = self._idle.setdefault(address, collections.deque())
         if is_reusable and protocol.is_connected():
             now_s = asyncio.get_running_loop().time()
+            protocol.become_idle()
             idle.append((protocol, now_s))
             if len(idle) > MAX_IDLE_PER_ADDRESS:
                 idle.popleft()[0].close()
--- a/src/fuchsiabarrow/forwarding/events.py
+++ b/src/fuchsiabarrow/forwarding/events.py
@@ -1,10 +1,18 @@
 """Incremental parser of server-sent event streams."""
 
 import dataclasses
+import re
+
+from fuchsiabarrow import exceptions
 
 __all__ = ["Event", "EventParser"]
 
 MAX_EVENT_BYTES = 1_048_576
+# Maximum size of the events of one response.
+MAX_STREAM_BYTES = 4 * 1_048_576
+# End of a line, then a blank line.
+SEPARATOR = re.compile(rb"\n\r?\n")
+SEPARATOR_BYTES = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,42 +35,48 @@
     """
 
     def __init__(self):
-        self._buffer = b""
+        self._buffer = bytearray()
+        # Offset up to which the buffer contains no end of an event.
+        self._searched = 0
+        self._received_bytes = 0
 
     @property
     def remainder(self) -> bytes:
         """Bytes received of an event that is not complete yet."""
-        return self._buffer
+        return bytes(self._buffer)
 
     def feed(self, data: bytes) -> list[Event]:
         """Adds received bytes and returns the events that they complete.
 
         Raises:
-            ValueError: An incomplete event is longer than ``MAX_EVENT_BYTES``.
+            UpstreamResponseLostError: An event is empty or longer than
+                ``MAX_EVENT_BYTES``, or the response is longer than
+                ``MAX_STREAM_BYTES``.
         """
         self._buffer += data
+        self._received_bytes += len(data)
         events = []
-        while (end := _find_end(self._buffer)) >= 0:
-            events.append(_parse(self._buffer[:end]))
-            self._buffer = self._buffer[end:]
+        begin = 0
+        for found in SEPARATOR.finditer(self._buffer, self._searched):
+            events.append(_parse(bytes(self._buffer[begin : found.end()])))
+            begin = found.end()
+        del self._buffer[:begin]
+        # A separator may have begun in the bytes received so far.
+        self._searched = max(0, len(self._buffer) - SEPARATOR_BYTES + 1)
         if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ValueError(
+            raise exceptions.UpstreamResponseLostError(
                 f"server-sent event is over {MAX_EVENT_BYTES} bytes"
             )
+        if self._received_bytes > MAX_STREAM_BYTES:
+            raise exceptions.UpstreamResponseLostError(
+                f"stream is over {MAX_STREAM_BYTES} bytes"
+            )
         return events
 
 
-def _find_end(data: bytes) -> int:
-    """Returns the end offset of the first event, -1 if it is incomplete."""
-    ends = [
-        found + len(separator)
-        for separator in (b"\n\n", b"\r\n\r\n")
-        if (found := data.find(separator)) >= 0
-    ]
-    return min(ends, default=-1)
-
-
 def _parse(data: bytes) -> Event:
+    if not data.strip():
+        raise exceptions.UpstreamResponseLostError("empty server-sent event")
     event_id = ""
     for line in data.splitlines():
         name, _, value = line.partition(b":")
--- a/src/fuchsiabarrow/forwarding/tests/test_events.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_events.py
@@ -1,5 +1,6 @@
 import pytest
 
+from fuchsiabarrow import exceptions
 from fuchsiabarrow.forwarding import events
 
 TEXT = b"id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\ndata: no id\n\n"
@@ -25,5 +26,5 @@
 
 def test_event_over_the_size_limit_raises():
     parser = events.EventParser()
-    with pytest.raises(ValueError, match="over"):
+    with pytest.raises(exceptions.UpstreamResponseLostError, match="over"):
         parser.feed(b"x" * (events.MAX_EVENT_BYTES + 1))
