Give no share of the retry limit to entries that do not know their number

Each assumed 16 entries for its first 1.5 s, and a new budget begins with a quarter of the share: 4.5 retries each, 340 together, beside those that the processes before had used in the same window. After 1.5 s an entry divided the limit by the entries that it had heard of, 1 of 70 for some until 3 s after a common start (simulation of test_aggregation). Class: a safe default for small fleets that is unsafe for large ones. Change: an entry has no share for its first 4 s, only what its own requests add, and path selection spreads its choices as if all reports were missing. The expected value of ASSUMED_ENTRIES in test_load_reports is now None: stricter.

--- a/src/fuchsiabarrow/fleet/path_selection.py
+++ b/src/fuchsiabarrow/fleet/path_selection.py
@@ -52,7 +52,7 @@
         prefix: Segments that the path must begin with.
     """
     candidates = list(candidates)
-    spread = unreported_requests / (1.0 + unreported_requests)
+    spread = 1.0 - 1.0 / (1.0 + unreported_requests)
 
     def draw_factor() -> float:
         tie_break = 1.0 + TIE_BREAK_SPREAD * random_source.random()
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import math
 import random
 
 import logbook
@@ -94,7 +95,8 @@
         control: Reads status reports of upstreams and changes the paths of
             running streams.
         get_catalog: Returns the configuration in force.
-        count_entries: Returns how many entries share the retry budget.
+        count_entries: Returns how many entries share the retry budget; None
+            while that is unknown.
         get_report_delay_s: Returns the mean delay with which other entries'
             load reports arrive.
         settings: Timeouts and retry limits.
@@ -110,7 +112,7 @@
         pool: connections.ConnectionPool,
         control: pipelines.EngineControl,
         get_catalog: Callable[[], documents.Catalog | None],
-        count_entries: Callable[[], int],
+        count_entries: Callable[[], int | None],
         get_report_delay_s: Callable[[], float],
         settings: Settings,
         random_source: random.Random,
@@ -239,15 +241,15 @@
         """Estimates the requests of other entries not reported to this one yet.
 
         Assumes that callers are spread evenly over the entries, so that each
-        entry receives requests at about the same rate.
+        entry receives requests at about the same rate. Unlimited while this
+        entry does not know the others: all may have started together.
         """
+        entries = self._count_entries()
+        if entries is None:
+            return math.inf
         report_delay_s = self._get_report_delay_s()
-        if not report_delay_s:
-            return 0.0
-        others = self._count_entries() - 1
-        return (
-            self._get_rate_meter(service).get_per_s() * others * report_delay_s
-        )
+        rate_per_s = self._get_rate_meter(service).get_per_s()
+        return rate_per_s * (entries - 1) * report_delay_s
 
     def choose_service(self, request: messages.Request) -> str:
         """Draws the service of a request by the weights in its route."""
--- a/src/fuchsiabarrow/limits/budgets.py
+++ b/src/fuchsiabarrow/limits/budgets.py
@@ -52,7 +52,9 @@
     each request plus its share of `extra`. Up to half of the share can be
     accumulated, and the other half is refilled over one window. A new budget
     starts with a quarter of the share, as a previous process of this entry may
-    have used a part of it within the same window.
+    have used a part of it within the same window, and has no share at all while
+    the number of entries is unknown: entries that start together and assume too
+    small a number would exceed the limit together.
 
     Args:
         ratio: Retries added to the budget by each admitted request.
@@ -73,7 +75,7 @@
         self._window_s = window_s
         self._read_time_s = read_time_s
         self._share = 0.0
-        self._balance: float | None = None
+        self._balance = 0.0
         self._refilled_s = read_time_s()
 
     def set_limits(self, ratio: float, extra: float) -> None:
@@ -81,12 +83,19 @@
         self._ratio = ratio
         self._extra = extra
 
-    def set_entry_count(self, entries: int) -> None:
-        """Sets the number of entries that share the additional retries."""
+    def set_entry_count(self, entries: int | None) -> None:
+        """Sets the number of entries that share the additional retries.
+
+        Args:
+            entries: Their number; None while it is unknown.
+        """
+        if entries is None:
+            return
+        is_first = self._share == 0.0
         usable = self._extra * (1 - SAFETY_FRACTION)
         self._share = usable / max(1, entries)
-        if self._balance is None:
-            self._balance = self._share / 4
+        if is_first:
+            self._balance += self._share / 4
         self._balance = min(self._balance, self._get_max_balance())
 
     def deposit(self) -> None:
@@ -110,5 +119,4 @@
         now_s = self._read_time_s()
         refill = (now_s - self._refilled_s) / self._window_s * self._share / 2
         self._refilled_s = now_s
-        balance = self._balance or 0.0
-        self._balance = min(self._get_max_balance(), balance + refill)
+        self._balance = min(self._get_max_balance(), self._balance + refill)
--- a/src/fuchsiabarrow/limits/tests/test_budgets.py
+++ b/src/fuchsiabarrow/limits/tests/test_budgets.py
@@ -55,6 +55,31 @@
         assert len(retried) <= ratio * len(admitted) + extra
 
 
+# Guards against the broken retry limit of the incident SHORT: entries that all
+# restart assumed that they were 16, and each began with its share of that.
+@pytest.mark.parametrize("count", [9, 76, 400])
+def test_entries_that_restart_together_stay_within_the_limit(count):
+    now_s = 0.0
+    ratio, extra, window_s, restart_s, discovery_s = 0.2, 336.0, 10.0, 9.0, 1.5
+
+    def make_budget():
+        return budgets.SharedRetryBudget(ratio, extra, window_s, lambda: now_s)
+
+    entries = [make_budget() for _ in range(count)]
+    requests = retries = 0
+    for step in range(int(window_s * 100)):
+        if step == int(restart_s * 100):
+            entries = [make_budget() for _ in range(count)]
+        now_s = step / 100
+        is_known = not restart_s <= now_s < restart_s + discovery_s
+        for budget in entries:
+            budget.set_entry_count(count if is_known else None)
+        entries[step % count].deposit()
+        requests += 1
+        retries += sum(budget.try_withdraw() for budget in entries)
+    assert retries <= ratio * requests + extra
+
+
 def test_used_retries_are_refilled_over_time():
     now_s = [0.0]
     budget = budgets.SharedRetryBudget(0.0, 100.0, 10.0, lambda: now_s[0])
--- a/src/fuchsiabarrow/peers/load_reports.py
+++ b/src/fuchsiabarrow/peers/load_reports.py
@@ -33,10 +33,9 @@
 MAX_CRASHES_SENT = 8
 # An entry with an older list of upstreams is not eligible as leader.
 MAX_LIST_AGE_S = 3.2
-# Time that a new process needs to discover all entries, and the least number of
-# entries that it assumes until then.
-DISCOVERY_S = 1.5
-ASSUMED_ENTRIES = 16
+# Time that a new process needs to discover all entries, also if all start
+# together and the first report to a seed is lost.
+DISCOVERY_S = 4.0
 # Mean delay, in periods, of a report that goes through aggregators: half a
 # period at each of three hops.
 AGGREGATION_LAG_PERIODS = 1.5
@@ -175,14 +174,15 @@
         """Returns the number of live entries, including this one."""
         return self._aggregation.count_live(self._read_time_s())
 
-    def count_quota_shares(self) -> int:
+    def count_quota_shares(self) -> int | None:
         """Returns the number of entries among which to divide a shared quota.
 
-        A process that has just started may not have discovered all others. It
-        assumes at least `ASSUMED_ENTRIES`, so as not to exceed its share.
+        Returns:
+            Their number; None while this process, which has just started, may
+            not have discovered all others.
         """
         if self._read_time_s() - self._started_s < DISCOVERY_S:
-            return max(ASSUMED_ENTRIES, self.count_live())
+            return None
         return self.count_live()
 
     def is_leader(self) -> bool:
--- a/src/fuchsiabarrow/peers/tests/test_aggregation.py
+++ b/src/fuchsiabarrow/peers/tests/test_aggregation.py
@@ -9,6 +9,7 @@
 
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.peers import aggregation
+from fuchsiabarrow.peers import load_reports
 from fuchsiabarrow.peers import report_codec
 from fuchsiabarrow.peers import summaries
 
@@ -108,9 +109,9 @@
 class Network:
     """Simulated network of entries; the first three are seeds."""
 
-    def __init__(self, count: int, domain_count: int):
+    def __init__(self, count: int, domain_count: int, seed: int = 5):
         self.now_s = 100.0
-        self.random_source = random.Random(5)
+        self.random_source = random.Random(seed)
         self.sent: dict[str, int] = {}
         self.received: dict[str, int] = {}
         self.cut_links: set[tuple[str, str]] = set()
@@ -252,6 +253,19 @@
     restarted.check_consistency()
 
 
+# Guards against the broken retry limit of the incident SHORT: entries that all
+# restart must not divide the limit by the few entries that they know at first.
+@pytest.mark.parametrize(("count", "domains"), [(9, 3), (70, 4), (76, 3)])
+@pytest.mark.parametrize("seed", range(3))
+def test_entries_that_start_together_know_their_number_in_time(
+    count, domains, seed
+):
+    network = Network(count, domains, seed)
+    network.run(load_reports.DISCOVERY_S)
+    counts = {e.aggregation.count_live(network.now_s) for e in network.up}
+    assert counts == {count}
+
+
 def test_failed_domain_is_no_longer_counted():
     network = Network(70, 4)
     network.run(8.0)
--- a/src/fuchsiabarrow/peers/tests/test_load_reports.py
+++ b/src/fuchsiabarrow/peers/tests/test_load_reports.py
@@ -196,7 +196,7 @@
     async def run():
         async with run_entries(1) as entries:
             reports = entries[0].reports
-            assert reports.count_quota_shares() == load_reports.ASSUMED_ENTRIES
+            assert reports.count_quota_shares() is None
             await asyncio.sleep(load_reports.DISCOVERY_S)
             assert reports.count_quota_shares() == 1
 
