Charge the wait at each instance of a path

Paths with up to 14 segments were chosen for a few layers of a faster or less loaded instance each. Change: a segment costs half of the layers that its instance holds, beside its own.

--- a/src/fuchsiabarrow/fleet/paths.py
+++ b/src/fuchsiabarrow/fleet/paths.py
@@ -41,6 +41,9 @@
 MIN_FREE_FRACTION = 0.01
 # Maximum number of equivalent instances with enough room that are considered.
 MAX_EQUIVALENT = 2
+# Part of the step in progress at an instance, which runs all its layers, for
+# which a step of a request waits there.
+WAIT_FRACTION = 0.5
 BITS_PER_BYTE = 8.0
 MS_PER_S = 1000.0
 
@@ -222,7 +225,8 @@
             for end in ordered[position + 1 :]:
                 if end > last:
                     break
-                total_ms = start_ms + cost_ms * (end - edge)
+                wait_layers = WAIT_FRACTION * len(upstream.layers)
+                total_ms = start_ms + cost_ms * (end - edge + wait_layers)
                 current = best[end].get(domain)
                 if current is None or total_ms < current.cost_ms:
                     segment = PathSegment(upstream, edge, end)
--- a/src/fuchsiabarrow/fleet/tests/test_paths.py
+++ b/src/fuchsiabarrow/fleet/tests/test_paths.py
@@ -250,3 +250,16 @@
         make_candidates(instances, size=size), MODEL, size, "a"
     )
     assert [p.upstream.instance_id for p in found] == ["near"]
+
+
+def test_instance_is_not_added_for_a_small_part_of_its_layers():
+    # The step in progress there delays each token by more than it gains.
+    instances = [
+        fleets.make_instance("first", "a", "fast", (0, 40)),
+        fleets.make_instance("part", "a", "fast", (10, 44)),
+        fleets.make_instance("last", "a", "middle", (40, 80)),
+    ]
+    assert list_layers(choose(instances)) == [
+        ("first", 0, 40),
+        ("last", 40, 80),
+    ]
