Ignore SIGHUP until an entry has installed its handler

A SIGHUP that arrived while an entry started ended the process (status -1), as the default action applied until the imports were done.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -2,11 +2,15 @@
 
 import os
 import pathlib
+import signal
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 if __name__ == "__main__":
+    # SIGHUP would end the process before it installs its handler, and the
+    # imports take most of the start. The settings are read after them.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Replaces the directory of this script, which Python puts first.
     sys.path[0] = str(ROOT / "target" / "app")
     # aiohttp loads all root certificates when it is imported, which takes a
