--- a/src/fuchsiabarrow/fleet/path_selection.py
+++ b/src/fuchsiabarrow/fleet/path_selection.py
@@ -82,7 +82,7 @@
 ) -> bool:
     """Returns whether the instances of a failure domain hold all layers.
 
-    Whether they have free capacity does not matter: crossing would not relieve
+    Whether they have free memory does not matter: crossing would not relieve
     them for long, as requests on overloaded links hold their memory longer.
     """
     held: dict[str, set[int]] = collections.defaultdict(set)
--- a/src/fuchsiabarrow/forwarding/tests/test_endless_answers.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_endless_answers.py
@@ -90,6 +90,26 @@
     return loops.run(run())
 
 
+def test_idle_connection_with_endless_bytes_is_closed():
+    async def run():
+        upstream = EndlessUpstream(OK + b"Content-Length: 4\r\n\r\nbody", b"")
+        server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        async with connections.ConnectionPool(1.0) as pool:
+            async with asyncio.timeout(MAX_TIME_S):
+                connection = await pool.open(f"{host}:{port}")
+                async with connection:
+                    connection.send(REQUEST)
+                    await connection.read_head()
+                    await connection.read_body(BODY_LIMIT_BYTES)
+                upstream.repeated = b"HTTP/1.1 200 OK\r\n\r\n"
+                await upstream.closed.wait()
+        server.close()
+        return upstream.sent_bytes
+
+    assert loops.run(run()) <= MAX_SENT_BYTES
+
+
 @pytest.mark.parametrize("kind", ENDLESS_HEADS)
 def test_endless_head_is_given_up(kind):
     sent_bytes, _ = exchange(*ENDLESS_HEADS[kind])
