Trace a flaky test; name the error of a failed connection in the log

Trace: with the event loop blocked for 0.6 s or more (the route's timeout) while the connection is opened, nothing is sent and the refusal says truly that the request has not run; blocked for up to 0.45 s it is 504. The test now repeats the request after such a refusal, at most twice, and checks that no upstream ran it; 504 is still required.

The log lines now have the error's text.

--- a/src/fuchsiabarrow/peers/relays.py
+++ b/src/fuchsiabarrow/peers/relays.py
@@ -160,7 +160,7 @@
                     "relay_failed",
                     kind=collection.kind,
                     address=address,
-                    why=type(error).__name__,
+                    why=f"{type(error).__name__} {error}",
                 )
             )
             return
--- a/src/fuchsiabarrow/platform/store.py
+++ b/src/fuchsiabarrow/platform/store.py
@@ -136,7 +136,7 @@
                 # The store may have applied the write.
                 error_type = exceptions.StoreOutcomeUnknownError
             raise error_type(
-                f"{method} {path}: no response ({type(error).__name__})"
+                f"{method} {path}: no response ({type(error).__name__} {error})"
             ) from error
         expected = (HTTP_OK, HTTP_NOT_FOUND, HTTP_CONFLICT, HTTP_GONE)
         if response.status not in expected and response.status >= 300:
--- a/src/fuchsiabarrow/platform/tests/test_frontend.py
+++ b/src/fuchsiabarrow/platform/tests/test_frontend.py
@@ -211,8 +211,14 @@
         for name in ("desk-1", "desk-2"):
             harness.upstreams[name].delay_s = 5.0
         loop = asyncio.get_running_loop()
-        began_s = loop.time()
-        status, _, _ = await harness.fetch("/book/x", "POST", data=b"x")
+        for _ in range(3):
+            began_s = loop.time()
+            status, _, _ = await harness.fetch("/book/x", "POST", data=b"x")
+            if status != 503:
+                break
+            # A busy machine can stop the event loop past the route's timeout
+            # before anything is sent. The request must not have run then.
+            assert not any(u.runs for u in harness.upstreams.values())
         assert status == 504
         assert loop.time() - began_s < 1.0
 
