Log the shared parts of a prompt with each lost attempt

The adapter decodes the parts of a prompt but the last, which belongs to the request itself; attempt_lost names them. No decision uses them yet.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -252,7 +252,11 @@
                 return _AttemptResult.NOT_RUN
             except exceptions.UpstreamResponseLostError as error:
                 self._failure_detail = str(error)
-                self._log("attempt_lost", why=self._failure_detail)
+                self._log(
+                    "attempt_lost",
+                    why=self._failure_detail,
+                    prompt_parts=",".join(request.generation.shared_parts),
+                )
                 return _AttemptResult.LOST
             finally:
                 self._connection = None
--- a/src/fuchsiabarrow/forwarding/messages.py
+++ b/src/fuchsiabarrow/forwarding/messages.py
@@ -35,11 +35,15 @@
         max_answer_tokens: Maximum length of the answer.
         expected_answer_tokens: Length of the answer that the caller expects;
             None if the caller gave no estimate.
+        shared_parts: Ids of the parts of the prompt that other requests may
+            contain as well, in order; without the part that only this request
+            or its session has.
     """
 
     prompt_tokens: int
     max_answer_tokens: int
     expected_answer_tokens: int | None = None
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/fuchsiabarrow/platform/requests.py
+++ b/src/fuchsiabarrow/platform/requests.py
@@ -22,6 +22,7 @@
 HTTP_TOO_LARGE = 413
 HTTP_HEADERS_TOO_LARGE = 431
 MS_PER_S = 1000.0
+MAX_SHARED_PARTS = 16
 
 
 class BadRequestError(exceptions.FuchsiabarrowError):
@@ -166,5 +167,18 @@
         )
     hint = headers.get(wire_names.LENGTH_HINT, "").strip()
     return messages.GenerationParameters(
-        int(prompt), int(answer), int(hint) if hint.isdecimal() else None
+        int(prompt),
+        int(answer),
+        int(hint) if hint.isdecimal() else None,
+        _parse_shared_parts(headers.get(wire_names.PROMPT_PARTS, "")),
     )
+
+
+def _parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Returns the ids of all parts of a prompt but the last.
+
+    A repeated id is listed once, and more than `MAX_SHARED_PARTS` are left out.
+    """
+    ids = [part.partition(":")[0].strip() for part in text.split(",")[:-1]]
+    distinct = dict.fromkeys(part_id for part_id in ids if part_id)
+    return tuple(distinct)[:MAX_SHARED_PARTS]
--- a/src/fuchsiabarrow/platform/tests/test_frontend.py
+++ b/src/fuchsiabarrow/platform/tests/test_frontend.py
@@ -76,6 +76,37 @@
     run(test)
 
 
+@pytest.mark.parametrize(
+    ("header", "expected"),
+    [
+        ("a1:800,b2:410,c3:250", ("a1", "b2")),
+        ("a1:800", ()),
+        ("", ()),
+        (" a1 : 800 , a1:1,,b2,c3:250", ("a1", "b2")),
+        (",".join(f"{n:x}:1" for n in range(40)), tuple("0123456789abcdef")),
+    ],
+)
+def test_shared_parts_of_a_prompt_are_all_but_the_last(header, expected):
+    async def test(harness):
+        parsed = []
+        forwarding = harness.entry.kernel.get("forwarding")
+        serve = forwarding.serve
+
+        async def observe(request, writer):
+            parsed.append(request.generation.shared_parts)
+            return await serve(request, writer)
+
+        forwarding.serve = observe
+        headers = {**GENERATION, wire_names.PROMPT_PARTS: header}
+        status, _, _ = await harness.fetch(
+            "/draft/x", "POST", data=b"p", headers=headers
+        )
+        assert status == 200
+        assert parsed == [expected]
+
+    run(test)
+
+
 def test_disconnect_of_caller_ends_its_request():
     async def test(harness):
         harness.upstreams["left"].event_count = 1000
--- a/src/fuchsiabarrow/platform/wire_names.py
+++ b/src/fuchsiabarrow/platform/wire_names.py
@@ -14,6 +14,7 @@
     "ORGANISATION",
     "PATH",
     "PRIORITY",
+    "PROMPT_PARTS",
     "READY_PATH",
     "REPORT_PATH",
     "RETRY_AFTER",
@@ -42,6 +43,9 @@
 # passes through in turn, each with its layers.
 PATH = "Hop-Count"
 PRIORITY = "Request-Priority"
+# Parts of the prompt in order, as comma-separated ID:TOKENS. The last one
+# belongs to the request itself or to its session.
+PROMPT_PARTS = "Prompt-Prefix"
 RETRY_AFTER = "Retry-After"
 # Shows that a response was produced by the upstream.
 SEAL = "Response-Seal"
