--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -202,7 +202,8 @@
             load_reports.LoadReports(
                 kernel.get("directory"),
                 kernel.get("load_table"),
-                kernel.get("forwarding").crash_counts,
+                forwarding.crash_counts,
+                forwarding.part_crashes,
                 record_suspect,
                 kernel.get("current_catalog").get_age_s,
                 load_reports.Settings(
--- a/src/fuchsiabarrow/forwarding/connections.py
+++ b/src/fuchsiabarrow/forwarding/connections.py
@@ -197,15 +197,20 @@
         )
         protocol.transport.write(data)
 
-    def disconnect(self, reason: str) -> None:
+    def disconnect(self, reason: str) -> bool:
         """Aborts the connection.
 
         A pending or later read raises ``UpstreamResponseLostError``.
+
+        Returns:
+            Whether the upstream had not closed it before.
         """
         protocol = self._protocol
         if protocol is None:
-            return
+            return False
+        was_open = protocol.is_connected()
         protocol.abort_response(reason)
+        return was_open
 
     async def read_head(self):
         """Returns the status line and headers as parsed by aiohttp.
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -21,9 +21,11 @@
 from fuchsiabarrow.forwarding import connections
 from fuchsiabarrow.forwarding import events
 from fuchsiabarrow.forwarding import messages
+from fuchsiabarrow.forwarding import part_checks
 from fuchsiabarrow.forwarding import stream_monitors
 from fuchsiabarrow.forwarding import stream_paths
 from fuchsiabarrow.limits import crash_counts
+from fuchsiabarrow.limits import crashing_parts
 from fuchsiabarrow.telemetry import logs
 
 if TYPE_CHECKING:
@@ -77,6 +79,9 @@
         self._service = exchange.service
         self._fingerprint = exchange.fingerprint
         self._path = stream_paths.StreamPath(forwarding, exchange)
+        self._part_check = part_checks.PartCheck(forwarding, exchange.request)
+        # Whether this entry itself ended the connection of the attempt.
+        self._was_disconnected = False
         self._connection: connections.Connection | None = None
         self._may_have_run = False
         self._send_count = 0
@@ -102,7 +107,7 @@
             async with asyncio.timeout(
                 max(0.0, request.answer_deadline_s - loop.time())
             ):
-                with self._path:
+                with self._path, self._part_check:
                     refusal = await self._run()
         except TimeoutError:
             refusal = messages.Refusal(
@@ -133,6 +138,9 @@
         """Tries paths; returns a refusal, or None if an answer was sent."""
         forwarding = self._forwarding
         while True:
+            refusal = await self._check_parts()
+            if refusal is not None:
+                return refusal
             segments = self._choose_path()
             if segments is None:
                 if not self._writer.is_started:
@@ -164,6 +172,7 @@
             if self._event_count > events_before:
                 forwarding.crash_counts.clear(self._fingerprint)
             elif has_crashed:
+                self._record_part_crash()
                 count = forwarding.crash_counts.add(self._fingerprint)
                 if count >= crash_counts.CRASH_LIMIT:
                     return forwarding.make_crash_refusal(False)
@@ -175,11 +184,52 @@
                     messages.RefusalReason.UPSTREAM_FAILED, self._failure_detail
                 )
 
+    async def _check_parts(self) -> messages.Refusal | None:
+        """Waits while parts of the prompt are under suspicion.
+
+        Returns:
+            The refusal of a request that must not be sent, else None.
+        """
+        if self._event_count or self._last_event_id:
+            return None  # An answer has begun on this prompt before.
+        judgement = await self._part_check.wait_until_clear()
+        if (
+            judgement.verdict is crashing_parts.Verdict.CLEAR
+            or self._part_check.is_test
+        ):
+            return None
+        self._log("parts_blocked", verdict=judgement.verdict.name.lower())
+        return self._forwarding.make_crash_refusal(
+            not self._may_have_run,
+            judgement.remaining_s or self._forwarding.draw_retry_after_s(),
+            "a part of the prompt has crashed upstreams",
+        )
+
+    def _record_part_crash(self) -> None:
+        """Counts a crash of the first instance, which writes the answer.
+
+        An attempt that this entry ended itself, such as a slow one, shows no
+        crash.
+        """
+        first = self._path.segments[0].upstream
+        if not self._was_disconnected and self._forwarding.directory.is_avoided(
+            first
+        ):
+            self._part_check.record_crash(first)
+            self._log(
+                "crash_counted",
+                instance=first.instance_id,
+                prompt_parts=",".join(self._request.generation.shared_parts),
+            )
+
     async def _has_crashed(self) -> bool:
         """Returns whether an instance of the path is no longer usable."""
+        first = self._path.segments[0].upstream
         answers = await asyncio.gather(
             *(
-                self._forwarding.check_alive(segment.upstream)
+                self._forwarding.check_alive(
+                    segment.upstream, segment.upstream is first
+                )
                 for segment in self._path.segments
             )
         )
@@ -211,7 +261,7 @@
     def _choose_path(
         self, prefix: tuple[paths.PathSegment, ...] = ()
     ) -> tuple[paths.PathSegment, ...] | None:
-        segments = self._path.choose(prefix)
+        segments = self._path.choose(prefix, self._part_check.is_test)
         if segments is None:
             return None
         if not paths.is_complete_path(
@@ -234,6 +284,7 @@
         """Sends the request over a path and relays the response."""
         forwarding, request = self._forwarding, self._request
         self._reserve_path(segments)
+        self._was_disconnected = False
         first = segments[0].upstream
         try:
             connection = await forwarding.pool.open(
@@ -368,6 +419,7 @@
         metrics = self._forwarding.metrics
         if self._event_count == 0:
             self._path.finish_prefill()
+            self._part_check.record_begin()
             first_event_s = now_s - self._request.arrived_s
             self._first_event_s = round(first_event_s, 4)
             metrics.first_event_s.observe(first_event_s)
@@ -434,7 +486,7 @@
 
     def _disconnect(self, why: str) -> None:
         if self._connection is not None:
-            self._connection.disconnect(why)
+            self._was_disconnected |= self._connection.disconnect(why)
 
     async def _replace_suspects(
         self, connection: connections.Connection
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -24,6 +24,7 @@
 from fuchsiabarrow.forwarding import plain_requests
 from fuchsiabarrow.limits import budgets
 from fuchsiabarrow.limits import crash_counts
+from fuchsiabarrow.limits import crashing_parts
 from fuchsiabarrow.ports import pipelines
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.telemetry import metrics as metrics_module
@@ -86,6 +87,7 @@
     Attributes:
         running: Number of requests being served.
         crash_counts: Number of upstreams that each request has crashed.
+        part_crashes: Evidence for and against parts of prompts.
 
     Args:
         directory: Registered upstreams and recent evidence of their failures.
@@ -134,6 +136,9 @@
         self.crash_counts = crash_counts.CrashCounts(
             asyncio.get_running_loop().time
         )
+        self.part_crashes = crashing_parts.PartCrashes(
+            asyncio.get_running_loop().time, random_source
+        )
         self._budgets: dict[str, budgets.SharedRetryBudget] = {}
         self._streams: set[generations.GenerationHandler] = set()
         self._probe_results: dict[tuple[str, int], _ProbeResult] = {}
@@ -155,21 +160,33 @@
         for budget in self._budgets.values():
             budget.set_limits(ratio, extra)
 
-    def make_crash_refusal(self, is_not_run: bool) -> messages.Refusal:
-        """Returns the refusal of a request that crashed too many upstreams."""
+    def make_crash_refusal(
+        self,
+        is_not_run: bool,
+        retry_after_s: float = CRASH_RETRY_S,
+        detail: str = "request crashed its upstreams repeatedly",
+    ) -> messages.Refusal:
+        """Returns the refusal of a request that may crash upstreams."""
         return messages.Refusal(
             messages.RefusalReason.CRASHES_UPSTREAMS,
             is_not_run,
-            CRASH_RETRY_S,
-            "request crashed its upstreams repeatedly",
+            retry_after_s,
+            detail,
         )
 
-    async def check_alive(self, upstream: upstreams.Upstream) -> bool:
+    async def check_alive(
+        self, upstream: upstreams.Upstream, is_urgent: bool = False
+    ) -> bool:
         """Returns whether an upstream that lost an answer is still usable.
 
-        Probes it first, unless it is avoided or the next probe is not due yet.
+        Probes it first, unless it is avoided.
+
+        Args:
+            upstream: The upstream.
+            is_urgent: Whether it is probed even if the next probe is not due
+                yet; its last answer does not show whether it has crashed since.
         """
-        await self._wait_for_probe(upstream, "lost")
+        await self._wait_for_probe(upstream, "lost", is_urgent)
         return not self.directory.is_avoided(upstream)
 
     # Used by the handlers of both kinds of requests.
@@ -311,11 +328,21 @@
             )
         )
 
-    def start_probe(self, upstream: upstreams.Upstream, cause: str) -> None:
+    def start_probe(
+        self,
+        upstream: upstreams.Upstream,
+        cause: str,
+        is_urgent: bool = False,
+    ) -> None:
         """Starts a probe; an upstream that does not answer it is avoided.
 
         A broken connection alone is weak evidence: a single answer can be lost
         at an upstream that serves all other requests.
+
+        Args:
+            upstream: The upstream.
+            cause: Reason of the probe, for the log.
+            is_urgent: Whether it does not wait until the next probe is due.
         """
         now_s = asyncio.get_running_loop().time()
         result = self._probe_results.get(upstream.key)
@@ -323,7 +350,8 @@
             upstream.key in self._probes
             or self.directory.is_avoided(upstream)
             or (
-                result is not None
+                not is_urgent
+                and result is not None
                 and now_s - result.received_s < result.min_interval_s
             )
         ):
@@ -353,9 +381,12 @@
         return result.report
 
     async def _wait_for_probe(
-        self, upstream: upstreams.Upstream, cause: str
+        self,
+        upstream: upstreams.Upstream,
+        cause: str,
+        is_urgent: bool = False,
     ) -> None:
-        self.start_probe(upstream, cause)
+        self.start_probe(upstream, cause, is_urgent)
         task = self._probes.get(upstream.key)
         if task is not None:
             await asyncio.wait({task})
--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -1,6 +1,7 @@
 """Path of one language model request and the capacity reserved on it."""
 
 import itertools
+import math
 from typing import TYPE_CHECKING
 
 from fuchsiabarrow.catalogs import documents
@@ -20,6 +21,10 @@
 # more memory.
 MAX_ANSWER_WEIGHT = 0.3
 
+# Limits on the requests in progress at the first instance of a path that is to
+# share it with few of them, in the order in which they are tried.
+QUIET_REQUESTS = (0, 2, 8)
+
 # Instance id and incarnation.
 UpstreamKey = tuple[str, int]
 
@@ -63,9 +68,32 @@
             self._reservation = None
 
     def choose(
-        self, prefix: tuple[paths.PathSegment, ...] = ()
+        self,
+        prefix: tuple[paths.PathSegment, ...] = (),
+        is_isolated: bool = False,
     ) -> tuple[paths.PathSegment, ...] | None:
-        """Returns the cheapest complete path with a given prefix, if any."""
+        """Returns the cheapest complete path, if any.
+
+        Args:
+            prefix: Segments that the path must begin with.
+            is_isolated: Whether the path should begin at an instance with as
+                few requests in progress as possible.
+        """
+        for limit in QUIET_REQUESTS if is_isolated and not prefix else ():
+            segments = self._choose(prefix, limit)
+            if segments is not None:
+                return segments
+        return self._choose(prefix, math.inf)
+
+    def _choose(
+        self, prefix: tuple[paths.PathSegment, ...], max_requests: float
+    ) -> tuple[paths.PathSegment, ...] | None:
+        """Returns the cheapest path that begins at an instance with less load.
+
+        Args:
+            prefix: Segments that the path must begin with.
+            max_requests: Maximum number of requests at the first instance.
+        """
         forwarding, model = self._forwarding, self._service.engine
         directory, load_table = forwarding.directory, forwarding.load_table
         first_instances = self._get_allowed_first_instances()
@@ -74,9 +102,10 @@
                 upstream,
                 model,
                 self._size,
-                load_table.get(upstream.key),
+                load := load_table.get(upstream.key),
                 directory.get_slowdown(upstream),
-                first_instances is None or upstream.key in first_instances,
+                (first_instances is None or upstream.key in first_instances)
+                and load.requests <= max_requests,
             )
             for upstream in directory.get_usable_upstreams(self._service.name)
             if upstream.layers is not None
--- a/src/fuchsiabarrow/forwarding/tests/fakes.py
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -81,9 +81,11 @@
     def send(self, data) -> None:
         self._sent.append((self._address, *data))
 
-    def disconnect(self, why: str) -> None:
-        if not self._broken.done():
+    def disconnect(self, why: str) -> bool:
+        was_open = not self._broken.done()
+        if was_open:
             self._broken.set_result(why)
+        return was_open
 
     async def _next(self):
         while self._script:
--- a/src/fuchsiabarrow/peers/aggregation.py
+++ b/src/fuchsiabarrow/peers/aggregation.py
@@ -401,6 +401,23 @@
             OutgoingReport(Scope.ALL, members),
         ]
 
+    def plan_evidence(self, now_s: float) -> OutgoingReport:
+        """Returns the recipients of a change of evidence.
+
+        Aggregators pass it on, so that each entry receives it after at most
+        three hops.
+        """
+        if not self._uses_aggregators:
+            return OutgoingReport(Scope.EVIDENCE, tuple(self._peers))
+        domains = {peer.contact.domain for peer in self._peers.values()}
+        recipients = set(self._find_aggregators(self.own.domain, now_s))
+        if self.own.address in recipients:
+            for domain in domains:
+                recipients.update(self._find_aggregators(domain, now_s))
+            recipients.update(self._find_members(now_s))
+        recipients.discard(self.own.address)
+        return OutgoingReport(Scope.EVIDENCE, tuple(sorted(recipients)))
+
     def _find_members(self, now_s: float) -> list[str]:
         """Returns the entries of this entry's domain that report to it."""
         return [
--- a/src/fuchsiabarrow/peers/load_report.capnp
+++ b/src/fuchsiabarrow/peers/load_report.capnp
@@ -12,6 +12,8 @@
   # Contacts only: redirects the sender of a report that went to the wrong
   # entry.
   contacts @3;
+  # Evidence about parts of prompts only, sent as soon as it changes.
+  evidence @4;
 }
 
 struct Contact {
@@ -64,4 +66,18 @@
   configurationInformed @17 :List(Informed);
 
   contacts @18 :List(Contact);
+
+  # Crashes of upstreams under parts of prompts: hashes of the part, of the
+  # organisation that sent the request and of the upstream; time since the crash;
+  # whether an entry has blocked the part because of it.
+  partCrashParts @19 :List(UInt64);
+  partCrashOrganisations @20 :List(UInt64);
+  partCrashUpstreams @21 :List(UInt64);
+  partCrashAgeMs @22 :List(UInt32);
+  partCrashBlocking @23 :List(Bool);
+
+  # Parts of prompts that others suspect, and the time since an answer last began
+  # on them.
+  begunParts @24 :List(UInt64);
+  begunAgeMs @25 :List(UInt32);
 }
--- a/src/fuchsiabarrow/peers/load_reports.py
+++ b/src/fuchsiabarrow/peers/load_reports.py
@@ -18,6 +18,7 @@
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.limits import crash_counts
+from fuchsiabarrow.limits import crashing_parts
 from fuchsiabarrow.peers import aggregation
 from fuchsiabarrow.peers import report_codec
 from fuchsiabarrow.peers import summaries
@@ -31,6 +32,10 @@
 
 MILLISECONDS_PER_S = 1000.0
 MAX_CRASHES_SENT = 8
+# Delay in which changes of evidence are collected, and least time between two
+# reports of it.
+EVIDENCE_DELAY_S = 0.02
+MIN_EVIDENCE_INTERVAL_S = 0.1
 # An entry with an older list of upstreams is not eligible as leader.
 MAX_LIST_AGE_S = 3.2
 # Time that a new process needs to discover all entries, also if all start
@@ -93,6 +98,7 @@
             other entries is received.
         crashes: Upstream crashes; this entry's counts are reported, and those
             of other entries are received.
+        part_crashes: Evidence about parts of prompts, which all entries share.
         on_suspect: Called with an upstream that other entries avoid and the
             source of the report.
         get_configuration_age_s: Returns the time since the configuration was
@@ -106,6 +112,7 @@
         directory: directory_module.Directory,
         load_table: loads.LoadTable,
         crashes: crash_counts.CrashCounts,
+        part_crashes: crashing_parts.PartCrashes,
         on_suspect: Callable[[upstreams.Upstream, str], None],
         get_configuration_age_s: Callable[[], float],
         settings: Settings,
@@ -115,6 +122,7 @@
         self._directory = directory
         self._load_table = load_table
         self._crashes = crashes
+        self._part_crashes = part_crashes
         self._on_suspect = on_suspect
         self._get_configuration_age_s = get_configuration_age_s
         self._settings = settings
@@ -143,6 +151,8 @@
             if seed != settings.address
         }
         self._upstreams_by_hash: dict[int, upstreams.Upstream] = {}
+        self._evidence_timer: asyncio.TimerHandle | None = None
+        self._evidence_sent_s = float("-inf")
         self._transport: asyncio.DatagramTransport | None = None
         self._task: asyncio.Task | None = None
 
@@ -154,6 +164,7 @@
         )
         self._directory.add_listener(self._index_upstreams)
         self._index_upstreams()
+        self._part_crashes.add_listener(self._schedule_evidence)
         self._task = asyncio.create_task(
             tasks.run_periodically(
                 "load_reports", self._send_reports, self._get_period_s
@@ -162,6 +173,8 @@
         return self
 
     async def __aexit__(self, *details) -> None:
+        if self._evidence_timer is not None:
+            self._evidence_timer.cancel()
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
@@ -355,8 +368,52 @@
                     now_s - configuration_age_s, settings.address
                 ),
             ),
+            self._part_crashes.get_crashes(report_codec.MAX_PART_CRASHES_SENT),
+            self._part_crashes.get_acquittals(
+                report_codec.MAX_PART_BEGINS_SENT
+            ),
+        )
+
+    def _schedule_evidence(self) -> None:
+        """Sends the evidence about parts of prompts soon after a change."""
+        if self._evidence_timer is not None:
+            return
+        due_s = max(
+            self._read_time_s() + EVIDENCE_DELAY_S,
+            self._evidence_sent_s + MIN_EVIDENCE_INTERVAL_S,
+        )
+        self._evidence_timer = asyncio.get_running_loop().call_at(
+            due_s, self._send_evidence
         )
 
+    def _send_evidence(self) -> None:
+        self._evidence_timer = None
+        if self._transport is None or self._transport.is_closing():
+            return
+        now_s = self._evidence_sent_s = self._read_time_s()
+        summary = summaries.Summary(
+            0,
+            part_crashes=self._part_crashes.get_crashes(
+                report_codec.MAX_PART_CRASHES_SENT
+            ),
+            part_begins=self._part_crashes.get_acquittals(
+                report_codec.MAX_PART_BEGINS_SENT
+            ),
+        )
+        report = report_codec.Report(
+            self._settings.name,
+            self._settings.failure_domain,
+            self._incarnation,
+            self._sequence,
+            report_codec.Scope.EVIDENCE,
+            summary,
+        )
+        data = report_codec.encode(report, now_s)
+        for address in self._aggregation.plan_evidence(now_s).addresses:
+            self._transport.sendto(
+                data, addresses_module.parse_address(address)
+            )
+
     # Receiving.
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
@@ -382,6 +439,11 @@
                 )
             )
             return
+        if report.scope is report_codec.Scope.EVIDENCE:
+            self._part_crashes.merge_report(
+                report.summary.part_crashes, report.summary.part_begins
+            )
+            return
         if report.scope is report_codec.Scope.ALL:
             self._aggregate_bytes = len(data)
         address = f"{addr[0]}:{addr[1]}"
@@ -400,6 +462,9 @@
             if self._applied.get(reporter) is not summary:
                 self._applied[reporter] = summary
                 self._apply_summary(reporter, summary, now_s)
+                self._part_crashes.merge_report(
+                    summary.part_crashes, summary.part_begins
+                )
         # Counts of all sources are merged under one name, as the same crash may
         # be reported by several sources while aggregators change.
         crashed: collections.Counter[int] = collections.Counter()
--- a/src/fuchsiabarrow/peers/report_codec.py
+++ b/src/fuchsiabarrow/peers/report_codec.py
@@ -8,6 +8,7 @@
 
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.fleet import loads as loads_module
+from fuchsiabarrow.limits import crashing_parts
 from fuchsiabarrow.peers import summaries
 
 __all__ = ["Contact", "Report", "Scope", "decode", "encode"]
@@ -22,6 +23,8 @@
 MAX_LOADS_SENT = 1000
 MAX_SUSPECTS_SENT = 32
 MAX_CRASHES_SENT = 32
+MAX_PART_CRASHES_SENT = 32
+MAX_PART_BEGINS_SENT = 32
 
 _schema = capnp.load(str(pathlib.Path(__file__).with_name("load_report.capnp")))
 
@@ -33,6 +36,7 @@
     DOMAIN = "domain"
     ALL = "all"
     CONTACTS = "contacts"
+    EVIDENCE = "evidence"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,6 +122,7 @@
     message.configurationInformed = _encode_holders(
         summary.configuration_holders, now_s
     )
+    _encode_part_evidence(message, summary, now_s)
     message.contacts = [
         {
             "name": contact.name,
@@ -130,6 +135,25 @@
     return message.to_bytes_packed()
 
 
+def _encode_part_evidence(
+    message, summary: summaries.Summary, now_s: float
+) -> None:
+    crashes = list(summary.part_crashes.items())[:MAX_PART_CRASHES_SENT]
+    message.partCrashParts = [key[0] for key, _ in crashes]
+    message.partCrashOrganisations = [key[1] for key, _ in crashes]
+    message.partCrashUpstreams = [key[2] for key, _ in crashes]
+    message.partCrashAgeMs = [
+        _clip((now_s - report.at_s) * MILLISECONDS_PER_S)
+        for _, report in crashes
+    ]
+    message.partCrashBlocking = [report.is_blocking for _, report in crashes]
+    begins = list(summary.part_begins.items())[:MAX_PART_BEGINS_SENT]
+    message.begunParts = [part for part, _ in begins]
+    message.begunAgeMs = [
+        _clip((now_s - at_s) * MILLISECONDS_PER_S) for _, at_s in begins
+    ]
+
+
 def _clip(value: float) -> int:
     return min(MAX_UINT32, max(0, int(value)))
 
@@ -208,9 +232,35 @@
         dict(zip(message.crashed, message.crashes, strict=True)),
         _decode_holders(message.listInformed, now_s),
         _decode_holders(message.configurationInformed, now_s),
+        _decode_part_crashes(message, now_s),
+        {
+            part: now_s - age_ms / MILLISECONDS_PER_S
+            for part, age_ms in zip(
+                message.begunParts, message.begunAgeMs, strict=True
+            )
+        },
     )
 
 
+def _decode_part_crashes(
+    message, now_s: float
+) -> dict[crashing_parts.CrashKey, crashing_parts.CrashReport]:
+    rows = zip(
+        list(message.partCrashParts),
+        list(message.partCrashOrganisations),
+        list(message.partCrashUpstreams),
+        list(message.partCrashAgeMs),
+        list(message.partCrashBlocking),
+        strict=True,
+    )
+    return {
+        (part, organisation, upstream): crashing_parts.CrashReport(
+            now_s - age_ms / MILLISECONDS_PER_S, is_blocking
+        )
+        for part, organisation, upstream, age_ms, is_blocking in rows
+    }
+
+
 def _decode_holders(encoded, now_s: float) -> tuple[summaries.CopyHolder, ...]:
     return tuple(
         summaries.CopyHolder(
--- a/src/fuchsiabarrow/peers/summaries.py
+++ b/src/fuchsiabarrow/peers/summaries.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from fuchsiabarrow.fleet import loads as loads_module
+from fuchsiabarrow.limits import crashing_parts
 
 __all__ = ["CopyHolder", "Summary", "merge", "subtract"]
 
@@ -39,6 +40,8 @@
         crashes: Number of upstream crashes by the fingerprint of the request.
         upstream_list_holders: Entries with the most recent list of upstreams.
         configuration_holders: Entries with the most recent configuration.
+        part_crashes: Known crashes of upstreams under parts of prompts.
+        part_begins: When answers began on parts that others suspect.
     """
 
     entry_count: int
@@ -50,6 +53,10 @@
     crashes: Mapping[int, int] = dataclasses.field(default_factory=dict)
     upstream_list_holders: tuple[CopyHolder, ...] = ()
     configuration_holders: tuple[CopyHolder, ...] = ()
+    part_crashes: Mapping[
+        crashing_parts.CrashKey, crashing_parts.CrashReport
+    ] = dataclasses.field(default_factory=dict)
+    part_begins: Mapping[int, float] = dataclasses.field(default_factory=dict)
 
 
 def merge(summaries: Iterable[Summary]) -> Summary:
@@ -80,6 +87,8 @@
         crashes,
         _select_freshest(part.upstream_list_holders for part in parts),
         _select_freshest(part.configuration_holders for part in parts),
+        crashing_parts.merge_crashes(part.part_crashes for part in parts),
+        crashing_parts.merge_begins(part.part_begins for part in parts),
     )
 
 
--- a/src/fuchsiabarrow/peers/tests/test_load_reports.py
+++ b/src/fuchsiabarrow/peers/tests/test_load_reports.py
@@ -10,6 +10,7 @@
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet.tests import fleets
 from fuchsiabarrow.limits import crash_counts
+from fuchsiabarrow.limits import crashing_parts
 from fuchsiabarrow.peers import load_reports
 from fuchsiabarrow.utils.tests import free_ports
 
@@ -26,11 +27,15 @@
         self.directory.confirm(loop.time())
         self.load_table = loads.LoadTable()
         self.crashes = crash_counts.CrashCounts(loop.time)
+        self.part_crashes = crashing_parts.PartCrashes(
+            loop.time, random.Random(1)
+        )
         self.suspects = []
         self.reports = load_reports.LoadReports(
             self.directory,
             self.load_table,
             self.crashes,
+            self.part_crashes,
             lambda upstream, sender: self.suspects.append((upstream, sender)),
             lambda: 0.1,
             load_reports.Settings(
--- a/src/fuchsiabarrow/platform/tests/entry_simulation.py
+++ b/src/fuchsiabarrow/platform/tests/entry_simulation.py
@@ -88,7 +88,9 @@
             if self._endpoints.get(local_addr) is protocol:
                 del self._endpoints[local_addr]
 
-        transport = types.SimpleNamespace(sendto=send, close=close)
+        transport = types.SimpleNamespace(
+            sendto=send, close=close, is_closing=lambda: False
+        )
         protocol.connection_made(transport)
         return transport, protocol
 
@@ -187,9 +189,11 @@
         if not self._lost.done():
             self._lost.set_result("connection closed by the engine")
 
-    def disconnect(self, why: str) -> None:
-        if not self._lost.done():
+    def disconnect(self, why: str) -> bool:
+        was_open = not self._lost.done()
+        if was_open:
             self._lost.set_result(why)
+        return was_open
 
     def send(self, data: bytes) -> None:
         for line in data.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]:
