Block crashing prompt parts in the mode that drives engines step by step too

The messages of a chat but the last are the parts of its prompt; the evidence of limits/crashing_parts.py is shared as replicated items, and a test of a suspected part is isolated like a suspected request.

--- a/src/fuchsiabarrow/entry/chats.py
+++ b/src/fuchsiabarrow/entry/chats.py
@@ -15,6 +15,7 @@
 from fuchsiabarrow.entry import requests
 from fuchsiabarrow.entry import sse
 from fuchsiabarrow.kernel import registry
+from fuchsiabarrow.limits import crashing_parts
 from fuchsiabarrow.limits import suspects
 from fuchsiabarrow.streams import events
 from fuchsiabarrow.streams import streams
@@ -31,6 +32,7 @@
     content: str
 
 
+MAX_SHARED_PARTS = 16
 # Accepted roles of messages, as documented in docs/api.md.
 ROLES = frozenset(("system", "user", "assistant"))
 
@@ -242,6 +244,7 @@
             max_tokens,
             tuple(organisation.regions),
             suspects.compute_prompt_fingerprint(name, pipeline.model, prompt),
+            _compute_shared_parts(pipeline.model, body.messages),
         )
 
     def _make_action_request(
@@ -279,6 +282,19 @@
         )
 
 
+def _compute_shared_parts(
+    model: str, messages: list[Message]
+) -> tuple[int, ...]:
+    """Returns hashes of all messages but the last, which is the request's own.
+
+    Only the latest of a long conversation are included.
+    """
+    return tuple(
+        crashing_parts.compute_hash(f"{model}/{m.role}: {m.content}")
+        for m in messages[:-1][-MAX_SHARED_PARTS:]
+    )
+
+
 def _check_lengths(body, prompt_tokens, max_tokens, limit, model) -> None:
     problem = None
     if not body.messages:
--- a/src/fuchsiabarrow/limits/suspects.py
+++ b/src/fuchsiabarrow/limits/suspects.py
@@ -110,16 +110,26 @@
         return crashes if now_s < until_s else 0
 
     def start_attempt(
-        self, fingerprint: str, instance_ids: list[str], now_s: float
+        self,
+        fingerprint: str,
+        instance_ids: list[str],
+        now_s: float,
+        must_isolate: bool = False,
     ) -> PendingAttempt | None:
         """Registers an attempt that starts on instances.
 
+        Args:
+            fingerprint: Fingerprint of the request.
+            instance_ids: Instances that it runs on.
+            now_s: Loop time.
+            must_isolate: Whether it is isolated in any case.
+
         Returns:
             The registered attempt, or None if it has to wait because another
             attempt without a token runs on one of these instances and one of
             the two is isolated.
         """
-        is_isolated = self.is_isolated(fingerprint, now_s)
+        is_isolated = must_isolate or self.is_isolated(fingerprint, now_s)
         targets = frozenset(instance_ids)
         for other in self._pending_attempts:
             is_shared = not targets.isdisjoint(other.instance_ids)
--- a/src/fuchsiabarrow/streams/drivers.py
+++ b/src/fuchsiabarrow/streams/drivers.py
@@ -11,6 +11,7 @@
 
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.limits import budgets
+from fuchsiabarrow.limits import crashing_parts
 from fuchsiabarrow.limits import suspects as suspects_module
 from fuchsiabarrow.routing import chains
 from fuchsiabarrow.routing import service as routing_service
@@ -20,6 +21,7 @@
 from fuchsiabarrow.streams import streams
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.telemetry import metrics as metrics_module
+from fuchsiabarrow.utils import clocks
 
 __all__ = [
     "DriverContext",
@@ -73,6 +75,7 @@
         routing: Chooses chains and tracks the health of instances.
         engine_connections: Connections to engines.
         suspects: Requests that may crash their upstreams.
+        part_crashes: Evidence for and against parts of prompts.
         budget: Retry budget of the entry.
         tracer: Creates trace spans.
         metrics: Metrics of the entry.
@@ -85,6 +88,7 @@
     routing: routing_service.RoutingService
     engine_connections: connections.EngineConnections
     suspects: suspects_module.CrashSuspects
+    part_crashes: crashing_parts.PartCrashes
     budget: budgets.RetryBudget
     tracer: trace.Tracer
     metrics: metrics_module.PipelineMetrics
@@ -119,6 +123,11 @@
         self._failed_at_s: float | None = None
         self._checked_at_s = 0.0
         self._pending_attempt: suspects_module.PendingAttempt | None = None
+        self._organisation_hash = crashing_parts.compute_hash(
+            stream.request.organisation
+        )
+        # Suspected parts of the prompt that the current attempt tests.
+        self._tested: frozenset[int] = frozenset()
 
     async def run(self) -> None:
         """Makes attempts until the answer is complete.
@@ -130,6 +139,7 @@
             await self._run_attempts()
         finally:
             self._context.suspects.end_attempt(self._pending_attempt)
+            self._end_test()
 
     async def _run_attempts(self) -> None:
         number = 0
@@ -190,6 +200,9 @@
     def _record_progress(self) -> None:
         self._context.suspects.end_attempt(self._pending_attempt)
         self._context.suspects.clear_crashes(self._request.fingerprint)
+        if not self._stream.tokens:
+            self._context.part_crashes.record_begin(self._request.shared_parts)
+        self._end_test()
         if self._failed_at_s is not None:
             now_s = asyncio.get_running_loop().time()
             self._context.metrics.recovery_s.observe(now_s - self._failed_at_s)
@@ -208,7 +221,7 @@
         self._failures += 1
         routing, name = self._context.routing, error.instance_id
         if cause is recovery.Cause.DIED:
-            self._record_crash(now_s)
+            self._record_crash(name, now_s)
         if cause in recovery.INSTANCE_FAILURES:
             routing.health.record_failure(name, now_s)
         elif cause is recovery.Cause.DRAINING:
@@ -224,7 +237,15 @@
             )
         )
 
-    def _record_crash(self, now_s: float) -> None:
+    def _record_crash(self, instance_id: str, now_s: float) -> None:
+        if not self._stream.tokens:
+            # The second of the crash distinguishes the starts of an instance.
+            upstream = f"{instance_id}/{int(clocks.read_wall_time_s())}"
+            self._context.part_crashes.record_crash(
+                self._organisation_hash,
+                self._request.shared_parts,
+                crashing_parts.compute_hash(upstream),
+            )
         is_blocked = self._context.suspects.record_crash(
             self._pending_attempt, now_s
         )
@@ -279,6 +300,8 @@
             self._request.fingerprint,
         )
         suspects.end_attempt(self._pending_attempt)
+        if not self._try_clear_parts():
+            return None
         try:
             chain = self._choose_chain(
                 self._avoid | suspects.find_isolated_instances()
@@ -289,10 +312,35 @@
         if any(self._is_still_unavailable(name, now_s) for name in names):
             return None
         self._pending_attempt = suspects.start_attempt(
-            fingerprint, names, now_s
+            fingerprint, names, now_s, bool(self._tested)
         )
         return None if self._pending_attempt is None else chain
 
+    def _try_clear_parts(self) -> bool:
+        """Returns whether the request may be sent, by the parts of its prompt.
+
+        Raises:
+            StreamFailedError: A part is blocked because it crashed upstreams.
+        """
+        self._end_test()
+        if self._stream.tokens:
+            return True
+        part_crashes = self._context.part_crashes
+        judgement = part_crashes.judge(
+            self._organisation_hash, self._request.shared_parts
+        )
+        if judgement.verdict is crashing_parts.Verdict.BLOCKED:
+            raise make_crashing_request_error()
+        if judgement.verdict is crashing_parts.Verdict.SUSPECT:
+            if part_crashes.try_start_test(judgement.suspects):
+                self._tested = judgement.suspects
+            return bool(self._tested)
+        return judgement.verdict is crashing_parts.Verdict.CLEAR
+
+    def _end_test(self) -> None:
+        self._context.part_crashes.end_test(self._tested)
+        self._tested = frozenset()
+
     def _is_still_unavailable(self, instance_id: str, now_s: float) -> bool:
         """Returns whether an instance ended an attempt and is unavailable.
 
--- a/src/fuchsiabarrow/streams/service.py
+++ b/src/fuchsiabarrow/streams/service.py
@@ -9,12 +9,14 @@
 
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.limits import budgets
+from fuchsiabarrow.limits import crashing_parts
 from fuchsiabarrow.limits import suspects as suspects_module
 from fuchsiabarrow.peers import items
 from fuchsiabarrow.peers import service as peers_service
 from fuchsiabarrow.routing import service as routing_service
 from fuchsiabarrow.streams import connections
 from fuchsiabarrow.streams import drivers
+from fuchsiabarrow.streams import part_items
 from fuchsiabarrow.streams import streams
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.telemetry import metrics as metrics_module
@@ -35,6 +37,7 @@
 
     Attributes:
         suspects: Requests that may crash their upstreams.
+        part_crashes: Evidence for and against parts of prompts.
         budget: Retry budget of the entry.
 
     Args:
@@ -58,6 +61,9 @@
         source: random.Random,
     ):
         self.suspects = suspects_module.CrashSuspects(settings.suspects)
+        self.part_crashes = crashing_parts.PartCrashes(
+            asyncio.get_running_loop().time, source
+        )
         self.budget = budgets.RetryBudget(ratio=0.2, reserve=1024)
         self._peers = peers
         self._metrics = metrics
@@ -66,6 +72,7 @@
             routing,
             engine_connections,
             self.suspects,
+            self.part_crashes,
             self.budget,
             tracer,
             metrics,
@@ -79,6 +86,9 @@
 
     async def __aenter__(self) -> "StreamsService":
         self._peers.add_listener(BLOCKED_KIND, self._handle_blocked_item)
+        part_items.share_part_crashes(
+            self.part_crashes, self._peers, asyncio.get_running_loop().time
+        )
         period_s = self._settings.linger_s / 4
         self._cleanup_task = asyncio.create_task(
             tasks_module.run_periodically(
@@ -110,6 +120,12 @@
         now_s = asyncio.get_running_loop().time()
         if self.suspects.is_blocked(request.fingerprint, now_s):
             raise drivers.make_crashing_request_error()
+        judgement = self.part_crashes.judge(
+            crashing_parts.compute_hash(request.organisation),
+            request.shared_parts,
+        )
+        if judgement.verdict is crashing_parts.Verdict.BLOCKED:
+            raise drivers.make_crashing_request_error()
         stream = streams.Stream(request)
         self._streams[request.request_id] = stream
         self.budget.deposit()
--- a/src/fuchsiabarrow/streams/streams.py
+++ b/src/fuchsiabarrow/streams/streams.py
@@ -25,6 +25,8 @@
         regions: Regions whose instances may serve it; empty for all.
         fingerprint: Digest of the request's content; the same on every entry
             (router process) and when the request is sent again.
+        shared_parts: Hashes of the parts of the prompt that other requests may
+            contain as well.
     """
 
     request_id: str
@@ -36,6 +38,7 @@
     max_tokens: int
     regions: tuple[str, ...]
     fingerprint: str
+    shared_parts: tuple[int, ...] = ()
 
 
 class Stream:
--- a/src/fuchsiabarrow/streams/tests/test_crashing_requests.py
+++ b/src/fuchsiabarrow/streams/tests/test_crashing_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from fuchsiabarrow.standins import callers
 from fuchsiabarrow.standins import clusters
 from fuchsiabarrow.standins import engines
 from fuchsiabarrow.streams.tests import entries as entries_module
@@ -51,6 +52,48 @@
     loops.run(check())
 
 
+def test_message_that_crashes_upstreams_is_blocked_in_other_requests_too():
+    # No two requests are equal; they share only a message, with sound ones the
+    # caller and the first message.
+    async def check():
+        async with entries_module.start(PROFILES, entries=2) as (
+            cluster,
+            entries,
+            caller,
+        ):
+
+            async def chat(*texts: str):
+                body = {
+                    "model": clusters.PIPELINE,
+                    "messages": [
+                        {"role": "user", "content": text}
+                        for text in ("be brief", *texts)
+                    ],
+                    "max_tokens": 8,
+                    "stream": True,
+                }
+                answer = callers.Answer()
+                entry = caller.entries[len(texts[-1]) % 2]
+                await caller.read_stream(entry, body, answer)
+                return answer
+
+            for number in range(8):
+                assert (await chat(f"rack {number}")).is_complete
+            crashing = [
+                await chat("crash-the-engine", "no" * number)
+                for number in range(1, 7)
+            ]
+            assert not any(answer.is_complete for answer in crashing)
+            crashes = sum(e.crashes for e in cluster.engines.values())
+            assert 1 <= crashes <= CRASH_LIMIT
+            # Refused before any step is run, at both entries.
+            for answer in crashing[-2:]:
+                assert answer.errors[-1]["type"].endswith("request-blocked")
+            assert (await chat("rack 9")).is_complete
+
+    loops.run(check())
+
+
 def test_crashing_request_sent_to_another_entry_causes_no_more_crashes():
     async def check():
         async with entries_module.start(PROFILES, entries=2) as (
