Do not take a stream that ends before its first event for complete

A stream may come without a length and end with its connection. An instance that crashed before the first event closes its connections in the same way: the caller got a complete answer without a word, and the crash was not counted. Such a response is lost; it is sent again if it may be.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -408,6 +408,12 @@
             raise exceptions.UpstreamResponseLostError(
                 "response ended inside an event"
             )
+        has_begun = bool(self._event_count or self._last_event_id)
+        if head.ends_with_connection and not has_begun:
+            # An instance that crashes closes its connections as well.
+            raise exceptions.UpstreamResponseLostError(
+                "connection closed before the first event"
+            )
         if not self._writer.is_started:
             await self._writer.start(head)
         await self._writer.finish()
--- a/src/fuchsiabarrow/forwarding/messages.py
+++ b/src/fuchsiabarrow/forwarding/messages.py
@@ -115,6 +115,8 @@
         has_seal: Whether the response has the seal header that upstreams add
             to mark it as their own.
         content_length: Length of the body; None if not stated.
+        ends_with_connection: Whether only the end of the connection shows that
+            the body is complete.
     """
 
     status: int
@@ -125,6 +127,7 @@
     at_fault: str
     has_seal: bool
     content_length: int | None
+    ends_with_connection: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/src/fuchsiabarrow/forwarding/tests/fakes.py
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -33,6 +33,7 @@
     request_id: str = "r1"
     has_seal: bool = True
     at_fault: str = ""
+    ends_with_connection: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -147,6 +148,7 @@
             head.at_fault,
             head.has_seal,
             None,
+            head.ends_with_connection,
         )
 
 
--- a/src/fuchsiabarrow/forwarding/tests/test_generations.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_generations.py
@@ -74,6 +74,56 @@
     assert writer.body == ALL_EVENTS
 
 
+@pytest.mark.parametrize("cut", [b"", b"id: 1", b"id: 1\ndata: token\n"])
+def test_stream_cut_before_its_first_event_is_not_complete(cut):
+    # A stream without a length ends with its connection, which an instance that
+    # crashes closes as well.
+    def prepare(harness):
+        head = fakes.Head(ends_with_connection=True)
+        harness.script(FIRST.address, [head, cut], fakes.stream(1, 11))
+
+    writer, harness = serve(prepare, FIRST, LAST)
+    assert writer.body == ALL_EVENTS
+    assert writer.is_finished
+    assert len(harness.pool.sent) == 2
+
+
+def test_stream_without_length_that_is_not_resumable_is_not_sent_twice():
+    def prepare(harness):
+        harness.script(
+            FIRST.address, [fakes.Head(ends_with_connection=True), b""]
+        )
+
+    writer, harness = serve(prepare, FIRST, LAST, is_resumable=False)
+    assert not writer.is_finished
+    assert not writer.refusal.is_not_run
+    assert len(harness.pool.sent) == 1
+
+
+def test_stream_without_length_is_complete_at_the_end_of_its_connection():
+    def prepare(harness):
+        script = fakes.stream(1, 11)
+        script[0] = fakes.Head(ends_with_connection=True)
+        harness.script(FIRST.address, script)
+
+    writer, harness = serve(prepare, FIRST, LAST)
+    assert writer.body == ALL_EVENTS
+    assert writer.is_finished
+
+
+def test_resumed_stream_of_which_nothing_was_left_is_complete():
+    def prepare(harness):
+        harness.script(
+            FIRST.address,
+            [*fakes.stream(1, 11), b"id: 11\nda"],
+            [fakes.Head(ends_with_connection=True), b""],
+        )
+
+    writer, harness = serve(prepare, FIRST, LAST)
+    assert writer.body == ALL_EVENTS
+    assert writer.is_finished
+
+
 def test_lost_stream_that_is_not_resumable_is_aborted_and_not_resent():
     def prepare(harness):
         harness.script(
--- a/src/fuchsiabarrow/platform/tests/entry_simulation.py
+++ b/src/fuchsiabarrow/platform/tests/entry_simulation.py
@@ -230,7 +230,9 @@
         )
         if self._engine.limit_per_s is not None:
             headers["Server-Limit"] = f"{self._engine.limit_per_s}"
-        return types.SimpleNamespace(code=200, reason="OK", headers=headers)
+        return types.SimpleNamespace(
+            code=200, reason="OK", headers=headers, chunked=True
+        )
 
     async def read_chunk(self) -> bytes:
         if self._events == EVENTS:
--- a/src/fuchsiabarrow/platform/upstream_codec.py
+++ b/src/fuchsiabarrow/platform/upstream_codec.py
@@ -107,4 +107,5 @@
             content_length=(
                 int(length) if length and length.isdecimal() else None
             ),
+            ends_with_connection=length is None and not message.chunked,
         )
