--- a/src/fuchsiabarrow/platform/tests/entry_simulation.py
+++ b/src/fuchsiabarrow/platform/tests/entry_simulation.py
@@ -228,8 +228,15 @@
                 wire_names.SEAL: "seal",
             }
         )
-        if self._engine.limit_per_s is not None:
-            headers["Server-Limit"] = f"{self._engine.limit_per_s}"
+        limit_per_s = self._engine.limit_per_s
+        if limit_per_s is not None:
+            headers[wire_names.RATE_LIMIT] = f"{limit_per_s:.1f}"
+            name = self._incarnation.instance_id
+            cluster = self._engine.cluster
+            cluster.limits[name] = limit_per_s
+            cluster.announced[name].setdefault(
+                self._entry, asyncio.get_running_loop().time()
+            )
         return types.SimpleNamespace(
             code=200, reason="OK", headers=headers, chunked=True
         )
@@ -332,6 +339,8 @@
         arrivals: Requests that reached engines, in order.
         crashes: Loop times and upstreams of the crashes by `crashing_part`.
         crashing_part: Part of a prompt under which engines crash.
+        limits: Limits that engines announced, in requests per second.
+        announced: When entries first knew of them, by engine and entry.
 
     Args:
         entries: Number of entries.
@@ -344,6 +353,10 @@
         self.arrivals: list[Arrival] = []
         self.crashes: list[tuple] = []
         self.crashing_part = ""
+        self.limits: dict[str, float] = {}
+        self.announced: dict[str, dict[str, float]] = collections.defaultdict(
+            dict
+        )
         self.engines: dict[str, Engine] = {}
         for index in range(engines):
             engine = Engine(
@@ -499,16 +512,27 @@
         return answer
 
     async def send_at_rate(
-        self, per_s: float, for_s: float, draw_parts, **options
+        self, per_s: float, for_s: float, draw_parts, weights=None
     ) -> list[Answer]:
-        """Sends requests at random times; returns what became of them."""
+        """Sends requests at random times; returns what became of them.
+
+        Args:
+            per_s: Mean number of requests per second.
+            for_s: How long.
+            draw_parts: Returns the parts of the next prompt.
+            weights: Relative numbers of requests of the entries; None if equal.
+        """
         answers = []
         end_s = asyncio.get_running_loop().time() + for_s
         while True:
             await asyncio.sleep(self.random.expovariate(per_s))
             if asyncio.get_running_loop().time() >= end_s:
                 return answers
-            answers.append(self.send(draw_parts(), **options))
+            entry = None
+            if weights is not None:
+                names = sorted(self.entries)
+                entry = self.random.choices(names, weights)[0]
+            answers.append(self.send(draw_parts(), entry=entry))
 
     def count_arrivals(self) -> collections.Counter:
         """Returns the number of arrivals at each engine."""
--- a/src/fuchsiabarrow/platform/tests/test_boundary.py
+++ b/src/fuchsiabarrow/platform/tests/test_boundary.py
@@ -17,6 +17,8 @@
     "Prompt-Prefix",
     "Request-Priority",
     "Response-Seal",
+    "Server-Limit",
+    "Store-Era",
     "Token-Count",
     "Weight-Versions",
     "act_bytes",
--- a/src/fuchsiabarrow/platform/wire_names.py
+++ b/src/fuchsiabarrow/platform/wire_names.py
@@ -15,6 +15,7 @@
     "PATH",
     "PRIORITY",
     "PROMPT_PARTS",
+    "RATE_LIMIT",
     "READY_PATH",
     "REPORT_PATH",
     "RETRY_AFTER",
@@ -54,6 +55,9 @@
 # Address of the upstream that caused a 421 or 503.
 UPSTREAM_AT_FAULT = "At-Server"
 
+# Requests per second that the upstream takes from all entries together.
+RATE_LIMIT = "Server-Limit"
+
 READY_PATH = "/ready"
 # Kinds of objects in the store: the list of upstreams, and the configuration.
 UPSTREAMS_KIND = "servers"
