--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -204,6 +204,7 @@
                 kernel.get("load_table"),
                 forwarding.crash_counts,
                 forwarding.part_crashes,
+                forwarding.upstream_limits,
                 record_suspect,
                 kernel.get("current_catalog").get_age_s,
                 load_reports.Settings(
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -147,6 +147,7 @@
                     return self._make_refusal(
                         messages.RefusalReason.OVERLOADED,
                         self._path.describe_missing_path(),
+                        self._path.get_permit_wait_s(),
                     )
                 await asyncio.sleep(PATH_RETRY_S)
                 self._path.excluded.clear()
@@ -236,12 +237,15 @@
         return not all(answers)
 
     def _make_refusal(
-        self, reason: messages.RefusalReason, detail: str
+        self,
+        reason: messages.RefusalReason,
+        detail: str,
+        min_retry_s: float = 0.0,
     ) -> messages.Refusal:
         return messages.Refusal(
             reason,
             not self._may_have_run,
-            self._forwarding.draw_retry_after_s(),
+            max(min_retry_s, self._forwarding.draw_retry_after_s()),
             detail,
         )
 
@@ -286,6 +290,7 @@
         self._reserve_path(segments)
         self._was_disconnected = False
         first = segments[0].upstream
+        forwarding.upstream_limits.take(first.key)
         try:
             connection = await forwarding.pool.open(
                 first.address, request.route.may_repeat
--- a/src/fuchsiabarrow/forwarding/messages.py
+++ b/src/fuchsiabarrow/forwarding/messages.py
@@ -117,6 +117,8 @@
         content_length: Length of the body; None if not stated.
         ends_with_connection: Whether only the end of the connection shows that
             the body is complete.
+        rate_limit_per_s: Requests per second that the upstream takes from all
+            entries together; None if it announces no limit.
     """
 
     status: int
@@ -128,6 +130,7 @@
     has_seal: bool
     content_length: int | None
     ends_with_connection: bool = False
+    rate_limit_per_s: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -95,6 +95,7 @@
                 detail = "retry budget exhausted"
                 break
             self._tried.add(upstream.key)
+            forwarding.upstream_limits.take(upstream.key)
             load = {upstream.key: loads.Load(1, 1)}
             with loads.Reservation(forwarding.load_table, load):
                 detail = await self._attempt(upstream)
@@ -114,9 +115,18 @@
         reason = messages.RefusalReason.UPSTREAM_FAILED
         if is_not_run:
             reason = messages.RefusalReason.NO_UPSTREAM
-        return messages.Refusal(
-            reason, is_not_run, forwarding.draw_retry_after_s(), detail
-        )
+        retry_after_s = forwarding.draw_retry_after_s()
+        limited = [u for u in self._find_usable() if not self._has_permit(u)]
+        if limited and not self._tried:
+            detail = "all upstreams are at the limits that they announced"
+            retry_after_s = max(
+                retry_after_s,
+                min(
+                    forwarding.upstream_limits.get_wait_s(upstream.key)
+                    for upstream in limited
+                ),
+            )
+        return messages.Refusal(reason, is_not_run, retry_after_s, detail)
 
     def _log_failure(self, upstream: upstreams.Upstream, why: str) -> None:
         _log.info(
@@ -141,8 +151,11 @@
         connection.close()
         return False
 
-    def _choose_upstream(self) -> upstreams.Upstream | None:
-        """Returns the least loaded upstream that was not tried yet."""
+    def _has_permit(self, upstream: upstreams.Upstream) -> bool:
+        return self._forwarding.upstream_limits.has_permit(upstream.key)
+
+    def _find_usable(self) -> list[upstreams.Upstream]:
+        """Returns the upstreams that were not tried yet."""
         forwarding = self._forwarding
         usable = [
             u
@@ -159,6 +172,11 @@
                 for u in forwarding.directory.get_upstreams(self._service.name)
                 if not u.is_leaving
             ]
+        return usable
+
+    def _choose_upstream(self) -> upstreams.Upstream | None:
+        """Returns the least loaded of the usable upstreams with a permit."""
+        forwarding = self._forwarding
         own_domain = forwarding.settings.failure_domain
 
         def compute_cost(upstream: upstreams.Upstream) -> tuple:
@@ -167,7 +185,8 @@
             utilisation = requests / max(1, upstream.slots)
             return (utilisation, is_remote, forwarding.random_source.random())
 
-        return min(usable, key=compute_cost, default=None)
+        permitted = [u for u in self._find_usable() if self._has_permit(u)]
+        return min(permitted, key=compute_cost, default=None)
 
     async def _attempt(self, upstream: upstreams.Upstream) -> str | None:
         """Sends the request once; returns the error, or None on success."""
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -25,6 +25,7 @@
 from fuchsiabarrow.limits import budgets
 from fuchsiabarrow.limits import crash_counts
 from fuchsiabarrow.limits import crashing_parts
+from fuchsiabarrow.limits import upstream_limits
 from fuchsiabarrow.ports import pipelines
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.telemetry import metrics as metrics_module
@@ -88,6 +89,7 @@
         running: Number of requests being served.
         crash_counts: Number of upstreams that each request has crashed.
         part_crashes: Evidence for and against parts of prompts.
+        upstream_limits: Rate limits that upstreams announced.
 
     Args:
         directory: Registered upstreams and recent evidence of their failures.
@@ -139,6 +141,9 @@
         self.part_crashes = crashing_parts.PartCrashes(
             asyncio.get_running_loop().time, random_source
         )
+        self.upstream_limits = upstream_limits.UpstreamLimits(
+            asyncio.get_running_loop().time, count_entries, random_source
+        )
         self._budgets: dict[str, budgets.SharedRetryBudget] = {}
         self._streams: set[generations.GenerationHandler] = set()
         self._probe_results: dict[tuple[str, int], _ProbeResult] = {}
@@ -227,6 +232,8 @@
         """
         head = self.codec.decode_head(await connection.read_head())
         messages.verify_response(head, request, upstream.address)
+        if head.is_success or head.rate_limit_per_s is not None:
+            self.upstream_limits.record(upstream.key, head.rate_limit_per_s)
         return head
 
     def try_take_retry(self, service: str) -> bool:
--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -105,7 +105,8 @@
                 load := load_table.get(upstream.key),
                 directory.get_slowdown(upstream),
                 (first_instances is None or upstream.key in first_instances)
-                and load.requests <= max_requests,
+                and load.requests <= max_requests
+                and forwarding.upstream_limits.has_permit(upstream.key),
             )
             for upstream in directory.get_usable_upstreams(self._service.name)
             if upstream.layers is not None
@@ -175,6 +176,25 @@
             return None
         return registered
 
+    def get_permit_wait_s(self) -> float:
+        """Returns the time until a limited instance may be sent a request.
+
+        Returns:
+            The time in seconds; 0 if no usable instance is limited.
+        """
+        forwarding = self._forwarding
+        limits = forwarding.upstream_limits
+        return min(
+            (
+                limits.get_wait_s(upstream.key)
+                for upstream in forwarding.directory.get_usable_upstreams(
+                    self._service.name
+                )
+                if limits.is_limited(upstream.key)
+            ),
+            default=0.0,
+        )
+
     def describe_missing_path(self) -> str:
         """Describes why no path was found."""
         directory = self._forwarding.directory
@@ -188,9 +208,12 @@
             for layer in range(upstream.layers.first, upstream.layers.end):
                 holder_counts[layer] += 1
         full = sum(directory.is_full(upstream) for upstream in usable)
+        limits = self._forwarding.upstream_limits
+        limited = sum(not limits.has_permit(u.key) for u in usable)
         return (
             f"no path has free capacity: {len(usable)} usable instances,"
-            f" {full} full, {len(self.excluded)} excluded,"
+            f" {full} full, {limited} at their announced limits,"
+            f" {len(self.excluded)} excluded,"
             f" {holder_counts.count(0)} layers on no instance,"
             f" {self._size.context_tokens:.0f} tokens needed,"
             f" instance list {directory.get_age_s():.2f} s old"
--- a/src/fuchsiabarrow/forwarding/tests/test_plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_plain_requests.py
@@ -201,3 +201,23 @@
 def test_requests_that_fail_on_all_upstreams_avoid_none():
     harness = serve_in_turn(10, 500)
     assert not any(harness.directory.is_avoided(u) for u in (NEAR, FAR))
+
+
+@pytest.mark.parametrize("kind", [ONCE, IDEMPOTENT])
+def test_upstream_at_its_announced_limit_gets_no_request(kind):
+    async def run():
+        harness = fakes.Harness(NEAR, FAR)
+        harness.script(NEAR.address, fakes.answer(b"near"))
+        harness.script(FAR.address, fakes.answer(b"far"))
+        limits = harness.forwarding.upstream_limits
+        limits.record(NEAR.key, 0.0)
+        request = fakes.make_request(fakes.make_route(kind))
+        first = await harness.serve(request)
+        limits.record(FAR.key, 0.0)
+        return first, await harness.serve(request), harness
+
+    first, second, harness = virtual_time.run(run())
+    assert first.body == b"far"
+    assert second.refusal.is_not_run
+    assert second.refusal.retry_after_s > 1.0
+    assert harness.sent_addresses == [FAR.address]
--- a/src/fuchsiabarrow/peers/load_report.capnp
+++ b/src/fuchsiabarrow/peers/load_report.capnp
@@ -80,4 +80,11 @@
   # on them.
   begunParts @24 :List(UInt64);
   begunAgeMs @25 :List(UInt32);
+
+  # Upstreams that announced a limit on their requests: their hashes, the limit
+  # in thousandths of a request per second (the maximum for a limit that has
+  # ended), and the time since they said so.
+  limitUpstreams @26 :List(UInt64);
+  limitMilli @27 :List(UInt32);
+  limitAgeMs @28 :List(UInt32);
 }
--- a/src/fuchsiabarrow/peers/load_reports.py
+++ b/src/fuchsiabarrow/peers/load_reports.py
@@ -19,6 +19,7 @@
 from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.limits import crash_counts
 from fuchsiabarrow.limits import crashing_parts
+from fuchsiabarrow.limits import upstream_limits
 from fuchsiabarrow.peers import aggregation
 from fuchsiabarrow.peers import report_codec
 from fuchsiabarrow.peers import summaries
@@ -99,6 +100,7 @@
         crashes: Upstream crashes; this entry's counts are reported, and those
             of other entries are received.
         part_crashes: Evidence about parts of prompts, which all entries share.
+        announced_limits: Rate limits that upstreams announced.
         on_suspect: Called with an upstream that other entries avoid and the
             source of the report.
         get_configuration_age_s: Returns the time since the configuration was
@@ -113,6 +115,7 @@
         load_table: loads.LoadTable,
         crashes: crash_counts.CrashCounts,
         part_crashes: crashing_parts.PartCrashes,
+        announced_limits: upstream_limits.UpstreamLimits,
         on_suspect: Callable[[upstreams.Upstream, str], None],
         get_configuration_age_s: Callable[[], float],
         settings: Settings,
@@ -123,6 +126,7 @@
         self._load_table = load_table
         self._crashes = crashes
         self._part_crashes = part_crashes
+        self._announced_limits = announced_limits
         self._on_suspect = on_suspect
         self._get_configuration_age_s = get_configuration_age_s
         self._settings = settings
@@ -372,6 +376,12 @@
             self._part_crashes.get_acquittals(
                 report_codec.MAX_PART_BEGINS_SENT
             ),
+            {
+                hash_upstream_key(key): announcement
+                for key, announcement in (
+                    self._announced_limits.get_reported().items()
+                )
+            },
         )
 
     def _schedule_evidence(self) -> None:
@@ -465,6 +475,15 @@
                 self._part_crashes.merge_report(
                     summary.part_crashes, summary.part_begins
                 )
+                self._announced_limits.merge_report(
+                    {
+                        self._upstreams_by_hash[upstream_hash].key: limit
+                        for upstream_hash, limit in (
+                            summary.announcements.items()
+                        )
+                        if upstream_hash in self._upstreams_by_hash
+                    }
+                )
         # Counts of all sources are merged under one name, as the same crash may
         # be reported by several sources while aggregators change.
         crashed: collections.Counter[int] = collections.Counter()
--- a/src/fuchsiabarrow/peers/report_codec.py
+++ b/src/fuchsiabarrow/peers/report_codec.py
@@ -9,11 +9,13 @@
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.fleet import loads as loads_module
 from fuchsiabarrow.limits import crashing_parts
+from fuchsiabarrow.limits import upstream_limits
 from fuchsiabarrow.peers import summaries
 
 __all__ = ["Contact", "Report", "Scope", "decode", "encode"]
 
 MILLISECONDS_PER_S = 1000.0
+MILLI = 1000.0
 MAX_UINT16 = 2**16 - 1
 MAX_UINT32 = 2**32 - 1
 # Ages are capped at this, as that of a copy that was never current is infinite.
@@ -23,6 +25,7 @@
 MAX_LOADS_SENT = 1000
 MAX_SUSPECTS_SENT = 32
 MAX_CRASHES_SENT = 32
+MAX_ANNOUNCEMENTS_SENT = 400
 MAX_PART_CRASHES_SENT = 32
 MAX_PART_BEGINS_SENT = 32
 
@@ -123,6 +126,7 @@
         summary.configuration_holders, now_s
     )
     _encode_part_evidence(message, summary, now_s)
+    _encode_announcements(message, summary, now_s)
     message.contacts = [
         {
             "name": contact.name,
@@ -154,6 +158,25 @@
     ]
 
 
+def _encode_announcements(
+    message, summary: summaries.Summary, now_s: float
+) -> None:
+    latest = sorted(
+        summary.announcements.items(), key=lambda item: -item[1].at_s
+    )[:MAX_ANNOUNCEMENTS_SENT]
+    message.limitUpstreams = [upstream_hash for upstream_hash, _ in latest]
+    message.limitMilli = [
+        MAX_UINT32
+        if announcement.limit_per_s is None
+        else min(MAX_UINT32 - 1, _clip(announcement.limit_per_s * MILLI))
+        for _, announcement in latest
+    ]
+    message.limitAgeMs = [
+        _clip((now_s - announcement.at_s) * MILLISECONDS_PER_S)
+        for _, announcement in latest
+    ]
+
+
 def _clip(value: float) -> int:
     return min(MAX_UINT32, max(0, int(value)))
 
@@ -239,9 +262,28 @@
                 message.begunParts, message.begunAgeMs, strict=True
             )
         },
+        _decode_announcements(message, now_s),
     )
 
 
+def _decode_announcements(
+    message, now_s: float
+) -> dict[int, upstream_limits.Announcement]:
+    rows = zip(
+        list(message.limitUpstreams),
+        list(message.limitMilli),
+        list(message.limitAgeMs),
+        strict=True,
+    )
+    return {
+        upstream_hash: upstream_limits.Announcement(
+            now_s - age_ms / MILLISECONDS_PER_S,
+            None if limit_milli == MAX_UINT32 else limit_milli / MILLI,
+        )
+        for upstream_hash, limit_milli, age_ms in rows
+    }
+
+
 def _decode_part_crashes(
     message, now_s: float
 ) -> dict[crashing_parts.CrashKey, crashing_parts.CrashReport]:
--- a/src/fuchsiabarrow/peers/summaries.py
+++ b/src/fuchsiabarrow/peers/summaries.py
@@ -6,6 +6,7 @@
 
 from fuchsiabarrow.fleet import loads as loads_module
 from fuchsiabarrow.limits import crashing_parts
+from fuchsiabarrow.limits import upstream_limits
 
 __all__ = ["CopyHolder", "Summary", "merge", "subtract"]
 
@@ -42,6 +43,7 @@
         configuration_holders: Entries with the most recent configuration.
         part_crashes: Known crashes of upstreams under parts of prompts.
         part_begins: When answers began on parts that others suspect.
+        announcements: Rate limits that upstreams announced, by their hash.
     """
 
     entry_count: int
@@ -57,6 +59,9 @@
         crashing_parts.CrashKey, crashing_parts.CrashReport
     ] = dataclasses.field(default_factory=dict)
     part_begins: Mapping[int, float] = dataclasses.field(default_factory=dict)
+    announcements: Mapping[int, upstream_limits.Announcement] = (
+        dataclasses.field(default_factory=dict)
+    )
 
 
 def merge(summaries: Iterable[Summary]) -> Summary:
@@ -89,6 +94,9 @@
         _select_freshest(part.configuration_holders for part in parts),
         crashing_parts.merge_crashes(part.part_crashes for part in parts),
         crashing_parts.merge_begins(part.part_begins for part in parts),
+        upstream_limits.merge_announcements(
+            part.announcements for part in parts
+        ),
     )
 
 
--- a/src/fuchsiabarrow/peers/tests/test_load_reports.py
+++ b/src/fuchsiabarrow/peers/tests/test_load_reports.py
@@ -11,6 +11,7 @@
 from fuchsiabarrow.fleet.tests import fleets
 from fuchsiabarrow.limits import crash_counts
 from fuchsiabarrow.limits import crashing_parts
+from fuchsiabarrow.limits import upstream_limits
 from fuchsiabarrow.peers import load_reports
 from fuchsiabarrow.utils.tests import free_ports
 
@@ -27,6 +28,9 @@
         self.directory.confirm(loop.time())
         self.load_table = loads.LoadTable()
         self.crashes = crash_counts.CrashCounts(loop.time)
+        self.limits = upstream_limits.UpstreamLimits(
+            loop.time, lambda: 1, random.Random(1)
+        )
         self.part_crashes = crashing_parts.PartCrashes(
             loop.time, random.Random(1)
         )
@@ -36,6 +40,7 @@
             self.load_table,
             self.crashes,
             self.part_crashes,
+            self.limits,
             lambda upstream, sender: self.suspects.append((upstream, sender)),
             lambda: 0.1,
             load_reports.Settings(
--- a/src/fuchsiabarrow/platform/tests/test_announced_limits.py
+++ b/src/fuchsiabarrow/platform/tests/test_announced_limits.py
@@ -18,8 +18,14 @@
 BEFORE_S = 6.0
 LIMITED_S = 14.0
 SIZES = pytest.mark.parametrize(
-    ("entries", "engines", "per_s", "seed"),
-    [(9, 24, 40, 1), (9, 24, 40, 2), (76, 60, 120, 1), (400, 90, 200, 1)],
+    ("entries", "engines", "per_s", "seed", "share", "factor"),
+    [
+        (9, 24, 40, 1, 0.7, 0.5),
+        (9, 24, 40, 2, 0.5, 0.2),
+        (76, 60, 120, 1, 0.7, 0.5),
+        (76, 60, 120, 1, 0.5, 0.2),
+        (400, 90, 200, 1, 0.5, 0.2),
+    ],
 )
 
 
@@ -75,7 +81,6 @@
 
 
 @SIZES
-@pytest.mark.parametrize(("share", "factor"), [(0.7, 0.5), (0.5, 0.2)])
 def test_engine_gets_no_more_than_the_limit_that_it_announced(
     entries, engines, per_s, seed, share, factor
 ):
--- a/src/fuchsiabarrow/platform/upstream_codec.py
+++ b/src/fuchsiabarrow/platform/upstream_codec.py
@@ -1,5 +1,7 @@
 """HTTP/1.1 encoding of requests to upstreams, and their response heads."""
 
+import math
+
 from aiohttp import http_parser
 
 from fuchsiabarrow.fleet import paths
@@ -108,4 +110,16 @@
                 int(length) if length and length.isdecimal() else None
             ),
             ends_with_connection=length is None and not message.chunked,
+            rate_limit_per_s=_parse_rate(
+                headers.get(wire_names.RATE_LIMIT, "")
+            ),
         )
+
+
+def _parse_rate(text: str) -> float | None:
+    """Returns a rate; None if there is none or it is malformed."""
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
