Do not compare revisions of the store across its eras (Store-Era)

A store that returns to a copy gives out revisions again with other contents. A watch from a revision that it has passed again missed what was written in between, confirmed the old state as current, and the restored list brought back upstreams that had left.

Revisions carry the era in their upper bits, in the adapter only, so that every comparison holds. A watch whose era has ended raises StoreRestoredError, which leads to a new list. Removals by such a list are delayed as after an outage; leaving upstreams stay leaving, and removed ones need to register again. The configuration in force did not revert before (by its version), which is tested now.

--- a/src/fuchsiabarrow/exceptions.py
+++ b/src/fuchsiabarrow/exceptions.py
@@ -26,6 +26,7 @@
     "StoreError",
     "StoreHistoryExpiredError",
     "StoreOutcomeUnknownError",
+    "StoreRestoredError",
     "StoreUnavailableError",
     "StreamFailedError",
     "UpstreamError",
@@ -77,6 +78,13 @@
     """The store no longer has the changes since a revision; list again."""
 
 
+class StoreRestoredError(StoreHistoryExpiredError):
+    """The store returned to an earlier state; list the objects again.
+
+    Revisions from before cannot be compared with those that it gives out now.
+    """
+
+
 class StoreUnavailableError(StoreError):
     """The call had no effect on the store; retry it after a delay."""
 
--- a/src/fuchsiabarrow/fleet/lists.py
+++ b/src/fuchsiabarrow/fleet/lists.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 
 import logbook
 
@@ -24,6 +25,7 @@
 # Removals received this soon after an outage may be such expired registrations;
 # later ones are of upstreams that leave at that time.
 OUTAGE_EFFECT_S = 0.5
+MAX_REMOVED_KEYS = 4096
 
 _log = logbook.Logger(__name__)
 
@@ -45,6 +47,8 @@
         self._decode = decode
         self._delayed_removals: dict[str, upstreams.Upstream] = {}
         self._stored: dict[str, objects.VersionedObject] = {}
+        # Keys of upstreams removed from the list, oldest first.
+        self._removed_keys: dict[tuple[str, int], None] = {}
 
     def make_sink(self) -> watchers.Sink:
         """Returns the sink for a watcher of the list."""
@@ -62,7 +66,9 @@
         """Replaces the list by a snapshot.
 
         A known object that is newer than in the snapshot is kept. Removals are
-        delayed after an outage of the store.
+        delayed after an outage of the store and after it was restored, as
+        upstreams register again then. Upstreams that were removed before may be
+        in a restored store again; they are used only if they register again.
         """
         newest = [
             known
@@ -71,6 +77,13 @@
             else stored
             for stored in snapshot.objects
         ]
+        if snapshot.is_restored:
+            newest = [
+                stored
+                for stored in newest
+                if (upstream := self._try_decode(stored)) is None
+                or upstream.key not in self._removed_keys
+            ]
         decoded = [self._try_decode(stored) for stored in newest]
         listed = [upstream for upstream in decoded if upstream is not None]
         names = {upstream.instance_id for upstream in listed}
@@ -81,7 +94,7 @@
         ]
         for name in names:
             self._delayed_removals.pop(name, None)
-        if is_after_outage:
+        if is_after_outage or snapshot.is_restored:
             self._delay_removal(removed)
         kept = [u for u in removed if u.instance_id in self._delayed_removals]
         listed.extend(kept)
@@ -91,6 +104,9 @@
             if u.instance_id in self._stored
         }
         self._stored = {stored.name: stored for stored in newest} | kept_stored
+        for upstream in removed:
+            if upstream not in kept:
+                self._remember_removed(upstream)
         self._directory.replace(listed)
         _log.info(
             logs.format_event(
@@ -119,8 +135,14 @@
         elif known is not None:
             _log_removed(known, "removed from the list")
             self._stored.pop(name, None)
+            self._remember_removed(known)
             self._directory.remove(name)
 
+    def _remember_removed(self, upstream: upstreams.Upstream) -> None:
+        self._removed_keys[upstream.key] = None
+        while len(self._removed_keys) > MAX_REMOVED_KEYS:
+            del self._removed_keys[next(iter(self._removed_keys))]
+
     def _put(
         self, stored: objects.VersionedObject, known: upstreams.Upstream | None
     ) -> None:
@@ -137,10 +159,16 @@
         self, stored: objects.VersionedObject
     ) -> upstreams.Upstream | None:
         try:
-            return self._decode(stored)
+            upstream = self._decode(stored)
         except exceptions.InvalidObjectError as error:
             _log.warning(logs.format_event("upstream_invalid", why=error))
             return None
+        known = self._directory.get(upstream.instance_id)
+        if known is not None and known.key == upstream.key and known.is_leaving:
+            # One that leaves does not return; the store may have been restored
+            # from a copy in which it was not leaving yet.
+            return dataclasses.replace(upstream, is_leaving=True)
+        return upstream
 
     def _delay_removal(self, removed: list[upstreams.Upstream]) -> None:
         """Removes upstreams later, unless they are listed again by then."""
@@ -162,6 +190,7 @@
                     upstream, "not listed again after an outage of the store"
                 )
                 self._stored.pop(name, None)
+                self._remember_removed(upstream)
                 self._directory.remove(name)
 
 
--- a/src/fuchsiabarrow/platform/store.py
+++ b/src/fuchsiabarrow/platform/store.py
@@ -7,6 +7,7 @@
 
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.platform import wire
+from fuchsiabarrow.platform import wire_names
 from fuchsiabarrow.ports import collections
 
 __all__ = ["StoreClient"]
@@ -16,6 +17,7 @@
 HTTP_CONFLICT = 409
 HTTP_GONE = 410
 MS_PER_S = 1000
+MAX_ERA_DIGITS = 5
 # Time beyond the wait time of a watch within which its response must arrive.
 WATCH_RESPONSE_SLACK_S = 0.4
 
@@ -35,6 +37,9 @@
         self._session = session
         self._base = f"http://{address}/objects"
         self._timeout_s = timeout_s
+        # Era of the latest answer, and of the latest list by kind.
+        self._era = 0
+        self._listed_eras: dict[str, int] = {}
 
     async def list(
         self, kind: str, allow_stale: bool = False
@@ -42,18 +47,28 @@
         """Implements `fuchsiabarrow.ports.collections.Collections.list`."""
         entries: list[wire.StoredObject] = []
         query = {"serializable": "1"} if allow_stale else {}
-        revision = None
+        revision = first_era = None
         while True:
-            listing = await self._read(kind, query, wire.Listing)
+            listing, era = await self._read(kind, query, wire.Listing)
+            if first_era is None:
+                first_era = era
+            elif era != first_era:
+                raise exceptions.StoreUnavailableError(
+                    f"{kind}: the store was restored while it was listed;"
+                    " list again"
+                )
             entries.extend(listing.entries)
             if revision is None:
                 # The watch starts from the revision of the first page, so that
                 # it reports changes made while later pages were read.
                 revision = listing.store_revision
             if not listing.more or not listing.entries:
+                listed_era = self._listed_eras.get(kind, era)
+                self._listed_eras[kind] = era
                 return collections.Snapshot(
-                    tuple(wire.convert_object(entry) for entry in entries),
-                    revision,
+                    tuple(wire.convert_object(entry, era) for entry in entries),
+                    wire.join_revision(era, revision),
+                    listed_era != era,
                 )
             query = {**query, "after": listing.entries[-1].metadata.name}
 
@@ -61,20 +76,27 @@
         self, kind: str, revision: int, wait_s: float
     ) -> collections.Changes:
         """Implements `fuchsiabarrow.ports.collections.Collections.watch`."""
+        known_era, own_revision = wire.split_revision(revision)
+        if known_era < self._era:
+            raise _make_restored_error(kind, known_era, self._era)
         query = {
-            "watch": str(revision),
+            "watch": str(own_revision),
             "wait_ms": str(int(wait_s * MS_PER_S)),
         }
-        answer = await self._read(
+        answer, era = await self._read(
             kind, query, wire.WatchAnswer, wait_s + WATCH_RESPONSE_SLACK_S
         )
+        if era != known_era:
+            raise _make_restored_error(kind, known_era, era)
         changes = tuple(
             collections.Change(
-                wire.convert_object(event.object), event.tombstone
+                wire.convert_object(event.object, era), event.tombstone
             )
             for event in answer.events
         )
-        return collections.Changes(changes, answer.store_revision)
+        return collections.Changes(
+            changes, wire.join_revision(era, answer.store_revision)
+        )
 
     async def create(self, kind: str, name: str, spec: object) -> bool:
         """Creates an object; returns False if it already exists."""
@@ -95,30 +117,41 @@
         await self._call("DELETE", path, {}, None, self._timeout_s)
 
     async def _read(self, kind, query, answer_type, timeout_s=None):
-        status, body = await self._call(
+        status, body, era = await self._call_with_era(
             "GET", kind, query, None, timeout_s or self._timeout_s
         )
+        if era < self._era:
+            raise exceptions.StoreUnavailableError(
+                f"{kind}: response from before the store was restored;"
+                " retry after a delay"
+            )
+        self._era = era
         if status == HTTP_GONE:
             raise exceptions.StoreHistoryExpiredError(
                 f"{kind}: the store no longer has the changes since revision"
                 f" {query.get('watch')}; list again"
             )
         try:
-            return msgspec.json.decode(body, type=answer_type)
+            return msgspec.json.decode(body, type=answer_type), era
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             raise exceptions.StoreUnavailableError(
                 f"{kind}: malformed response from the store ({error});"
                 " retry after a delay"
             ) from error
 
-    async def _call(
+    async def _call(self, *arguments) -> tuple[int, bytes]:
+        status, body, _ = await self._call_with_era(*arguments)
+        return status, body
+
+    async def _call_with_era(
         self,
         method: str,
         path: str,
         query: dict[str, str],
         body: bytes | None,
         timeout_s: float,
-    ) -> tuple[int, bytes]:
+    ) -> tuple[int, bytes, int]:
+        """Returns the status and the body of the response, and the era."""
         headers = {"Content-Type": "application/json"} if body else None
         try:
             async with self._session.request(
@@ -144,4 +177,20 @@
                 f"{method} {path}: HTTP status {response.status};"
                 " retry after a delay"
             )
-        return response.status, content
+        return response.status, content, _parse_era(response.headers)
+
+
+def _parse_era(headers) -> int:
+    """Returns the era of the store in an answer; 0 if it does not send one."""
+    text = headers.get(wire_names.STORE_ERA, "")
+    is_valid = text.isdecimal() and len(text) <= MAX_ERA_DIGITS
+    return int(text) if is_valid else 0
+
+
+def _make_restored_error(
+    kind: str, known_era: int, era: int
+) -> exceptions.StoreRestoredError:
+    return exceptions.StoreRestoredError(
+        f"{kind}: the store was restored (era {known_era}, now {era}) and has"
+        " given out revisions again; list again"
+    )
--- a/src/fuchsiabarrow/platform/tests/fake_stores.py
+++ b/src/fuchsiabarrow/platform/tests/fake_stores.py
@@ -19,6 +19,7 @@
         has_lost_history: Whether watches get the error that the changes since
             their revision are no longer available.
         revision: Revision of the last change.
+        era: Number of times that it was restored; 0 is not sent.
     """
 
     def __init__(self):
@@ -27,11 +28,13 @@
         self.is_silent = False
         self.has_lost_history = False
         self.revision = 1
+        self.era = 0
         self._objects: dict[str, dict[str, dict]] = {}
         self._events: list[tuple[int, str, dict]] = []
         self._changed = asyncio.Condition()
         self._stop_counts: dict[str, int] = {}
         app = aiohttp.web.Application()
+        app.on_response_prepare.append(self._add_era)
         app.router.add_get("/objects/{kind}", self._read)
         app.router.add_post("/objects/{kind}", self._create)
         app.router.add_put("/objects/{kind}/{name}", self._replace)
@@ -74,6 +77,23 @@
         stored["metadata"]["revision"] = self.revision
         await self._notify(kind, {"tombstone": True, "object": stored})
 
+    async def _add_era(self, request, response) -> None:
+        del request
+        if self.era:
+            response.headers["Store-Era"] = str(self.era)
+
+    def copy(self) -> tuple:
+        """Returns a copy of its state, to restore it later."""
+        objects = msgspec.json.decode(msgspec.json.encode(self._objects))
+        return objects, self.revision, list(self._events)
+
+    def restore(self, copied: tuple) -> None:
+        """Returns to a copied state; revisions are given out again."""
+        objects, self.revision, self._events = copied
+        self._objects = msgspec.json.decode(msgspec.json.encode(objects))
+        self._events = list(self._events)
+        self.era += 1
+
     def stop_watches(self, kind: str) -> None:
         """Stops events to the watches of a kind that are currently waiting."""
         self._stop_counts[kind] = self._stop_counts.get(kind, 0) + 1
--- a/src/fuchsiabarrow/platform/tests/test_store.py
+++ b/src/fuchsiabarrow/platform/tests/test_store.py
@@ -301,3 +301,96 @@
             await mirror.wait(lambda: get_names(mirror) == {"back"})
 
     asyncio.run(run())
+
+
+def test_changes_after_a_restore_are_not_taken_for_old():
+    # The store gives out the revisions again that the watchers have seen.
+    async def run():
+        async with run_watchers() as (store, mirror):
+            await store.put("config", "main", sample_objects.make_config(3))
+            await store.put("servers", "x", sample_objects.make_server())
+            await mirror.wait(lambda: get_names(mirror) == {"x"})
+            copied = store.copy()
+            await store.put("servers", "lost", sample_objects.make_server())
+            await mirror.wait(lambda: get_names(mirror) == {"x", "lost"})
+            store.restore(copied)
+            await store.put("servers", "new", sample_objects.make_server())
+            await mirror.wait(lambda: "new" in get_names(mirror))
+            # What has not been written again by then is gone.
+            await mirror.wait(lambda: get_names(mirror) == {"x", "new"})
+
+    asyncio.run(run())
+
+
+def test_configuration_does_not_revert_when_the_store_is_restored():
+    async def run():
+        async with run_watchers() as (store, mirror):
+            await store.put("config", "main", sample_objects.make_config(3))
+            await mirror.wait(
+                lambda: mirror.current_catalog.catalog is not None
+            )
+            copied = store.copy()
+            await store.put("config", "main", sample_objects.make_config(9))
+            await mirror.wait(
+                lambda: mirror.current_catalog.catalog.version == 9
+            )
+            store.restore(copied)
+            versions = set()
+            mirror.current_catalog.add_listener(
+                lambda catalog: versions.add(catalog.version)
+            )
+            await asyncio.sleep(3.0)
+            assert mirror.current_catalog.catalog.version == 9
+            await store.put("config", "main", sample_objects.make_config(9))
+            await store.put("config", "main", sample_objects.make_config(12))
+            await mirror.wait(
+                lambda: mirror.current_catalog.catalog.version == 12
+            )
+            assert versions == {12}
+
+    asyncio.run(run())
+
+
+def test_restored_store_does_not_bring_back_leaving_or_removed_upstreams():
+    async def run():
+        async with run_watchers() as (store, mirror):
+            server = sample_objects.make_server()
+            for name in ("leaving", "removed", "stays"):
+                await store.put("servers", name, server)
+            await mirror.wait(lambda: len(get_names(mirror)) == 3)
+            copied = store.copy()
+            await store.put(
+                "servers",
+                "leaving",
+                sample_objects.make_server(state="draining"),
+            )
+            await store.remove("servers", "removed")
+            await mirror.wait(
+                lambda: (
+                    get_names(mirror) == {"leaving", "stays"}
+                    and mirror.directory.get("leaving").is_leaving
+                )
+            )
+            store.restore(copied)
+            await store.put("servers", "other", server)
+            await mirror.wait(lambda: "other" in get_names(mirror))
+            assert mirror.directory.get("leaving").is_leaving
+            assert "removed" not in get_names(mirror)
+            # It has not gone, but had been removed by mistake.
+            await store.put("servers", "removed", server)
+            await mirror.wait(lambda: "removed" in get_names(mirror))
+
+    asyncio.run(run())
+
+
+def test_revision_of_an_earlier_era_cannot_be_watched():
+    async def run():
+        async with open_client() as (store, client):
+            snapshot = await client.list("servers")
+            store.restore(store.copy())
+            with pytest.raises(exceptions.StoreRestoredError):
+                await client.watch("servers", snapshot.revision, 0.1)
+            assert (await client.list("servers")).is_restored
+            assert not (await client.list("servers")).is_restored
+
+    asyncio.run(run())
--- a/src/fuchsiabarrow/platform/wire.py
+++ b/src/fuchsiabarrow/platform/wire.py
@@ -19,9 +19,13 @@
     "convert_object",
     "decode_catalog",
     "decode_upstream",
+    "join_revision",
+    "split_revision",
 ]
 
 MS_PER_S = 1000.0
+# Bits of a joined revision that hold the store's own revision.
+ERA_SHIFT = 44
 KINDS = {
     "idempotent": documents.RequestKind.IDEMPOTENT,
     "non_idempotent": documents.RequestKind.ONCE,
@@ -79,14 +83,31 @@
     store_revision: int
 
 
-def convert_object(stored: StoredObject) -> objects.VersionedObject:
+def convert_object(
+    stored: StoredObject, era: int = 0
+) -> objects.VersionedObject:
     """Converts an object of the store into the type of the port."""
     metadata = stored.metadata
     return objects.VersionedObject(
-        metadata.name, bytes(stored.spec), metadata.revision
+        metadata.name,
+        bytes(stored.spec),
+        join_revision(era, metadata.revision),
     )
 
 
+def join_revision(era: int, revision: int) -> int:
+    """Returns a revision that grows when the store returns to an older state.
+
+    The store gives out revisions again then, with other contents.
+    """
+    return era << ERA_SHIFT | revision
+
+
+def split_revision(joined: int) -> tuple[int, int]:
+    """Returns the era and the store's own revision of a joined one."""
+    return joined >> ERA_SHIFT, joined & ((1 << ERA_SHIFT) - 1)
+
+
 class _LayerRange(msgspec.Struct, frozen=True):
     # "start_key" is the first layer, "to" is one past the last.
     start_key: int
--- a/src/fuchsiabarrow/platform/wire_names.py
+++ b/src/fuchsiabarrow/platform/wire_names.py
@@ -20,6 +20,7 @@
     "REPORT_PATH",
     "RETRY_AFTER",
     "SEAL",
+    "STORE_ERA",
     "SYSTEM_HEADERS",
     "TOKEN_COUNTS",
     "TOKEN_SCHEME",
@@ -50,6 +51,8 @@
 RETRY_AFTER = "Retry-After"
 # Shows that a response was produced by the upstream.
 SEAL = "Response-Seal"
+# Number in the store's answers that rises when it returns to an earlier state.
+STORE_ERA = "Store-Era"
 # Prompt tokens and maximum output tokens, separated by a comma.
 TOKEN_COUNTS = "Token-Count"
 # Address of the upstream that caused a 421 or 503.
--- a/src/fuchsiabarrow/ports/collections.py
+++ b/src/fuchsiabarrow/ports/collections.py
@@ -15,10 +15,13 @@
     Attributes:
         objects: The objects.
         revision: Revision of the store from which to watch for changes.
+        is_restored: Whether the store has returned to an earlier state since
+            the last snapshot, so that it may lack acknowledged changes.
     """
 
     objects: tuple[objects.VersionedObject, ...]
     revision: int
+    is_restored: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
