Check the prompt parts of requests that resume; exempt begun answers from blame

A caller could evade the check of prompt parts with a Last-Event-ID of its own, and a resumed stream that was lost again counted as a crash before the first event although its answer had begun.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -191,8 +191,8 @@
         Returns:
             The refusal of a request that must not be sent, else None.
         """
-        if self._event_count or self._last_event_id:
-            return None  # An answer has begun on this prompt before.
+        if self._event_count:
+            return None  # An answer has begun on this prompt.
         judgement = await self._part_check.wait_until_clear()
         if (
             judgement.verdict is crashing_parts.Verdict.CLEAR
@@ -210,8 +210,10 @@
         """Counts a crash of the first instance, which writes the answer.
 
         An attempt that this entry ended itself, such as a slow one, shows no
-        crash.
+        crash, and parts on which the answer has begun before are not its cause.
         """
+        if self._event_count:
+            return
         first = self._path.segments[0].upstream
         if not self._was_disconnected and self._forwarding.directory.is_avoided(
             first
--- a/src/fuchsiabarrow/forwarding/part_checks.py
+++ b/src/fuchsiabarrow/forwarding/part_checks.py
@@ -22,10 +22,6 @@
 
     A context manager; leaving it ends a test that the request performs.
 
-    Attributes:
-        is_test: Whether the request tests a suspected part and should share its
-            first instance with as few others as possible.
-
     Args:
         forwarding: Forwarding service that serves the request.
         request: The request.
@@ -57,7 +53,10 @@
 
     @property
     def is_test(self) -> bool:
-        """Whether the request tests a suspected part."""
+        """Whether the request tests a suspected part.
+
+        It should share its first instance with as few others as possible then.
+        """
         return bool(self._tested)
 
     async def wait_until_clear(self) -> crashing_parts.Judgement:
--- a/src/fuchsiabarrow/forwarding/tests/fakes.py
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -299,12 +299,16 @@
     return messages.Request(**fields)
 
 
-def make_stream_request(is_resumable: bool = True, **changes):
+def make_stream_request(
+    is_resumable: bool = True, shared_parts: tuple[str, ...] = (), **changes
+):
     route = make_route(
         documents.RequestKind.STREAM,
         fleets.SERVICE,
         20.0,
         is_resumable=is_resumable,
     )
-    generation = messages.GenerationParameters(800, 200)
+    generation = messages.GenerationParameters(
+        800, 200, shared_parts=shared_parts
+    )
     return make_request(route, generation=generation, **changes)
--- a/src/fuchsiabarrow/limits/__init__.py
+++ b/src/fuchsiabarrow/limits/__init__.py
@@ -1,3 +1,11 @@
 """Admission control, retry budgets and blocking of crashing requests."""
 
-__all__ = ["admission", "budgets", "crash_counts", "service", "suspects"]
+__all__ = [
+    "admission",
+    "budgets",
+    "crash_counts",
+    "crashing_parts",
+    "service",
+    "suspects",
+    "upstream_limits",
+]
--- a/src/fuchsiabarrow/streams/drivers.py
+++ b/src/fuchsiabarrow/streams/drivers.py
@@ -202,7 +202,8 @@
         self._context.suspects.clear_crashes(self._request.fingerprint)
         if not self._stream.tokens:
             self._context.part_crashes.record_begin(self._request.shared_parts)
-        self._end_test()
+        if self._tested:
+            self._end_test()
         if self._failed_at_s is not None:
             now_s = asyncio.get_running_loop().time()
             self._context.metrics.recovery_s.observe(now_s - self._failed_at_s)
