Let upstreams that register again return after a restored list

An upstream that was removed and had registered again was dropped by the list of a store restored later, until its entry changed. Found while reading the change; the extended test failed before.

--- a/src/fuchsiabarrow/fleet/lists.py
+++ b/src/fuchsiabarrow/fleet/lists.py
@@ -47,7 +47,8 @@
         self._decode = decode
         self._delayed_removals: dict[str, upstreams.Upstream] = {}
         self._stored: dict[str, objects.VersionedObject] = {}
-        # Keys of upstreams removed from the list, oldest first.
+        # Keys of upstreams that left the list while the store was available,
+        # oldest first.
         self._removed_keys: dict[tuple[str, int], None] = {}
 
     def make_sink(self) -> watchers.Sink:
@@ -92,8 +93,9 @@
             for upstream in self._directory.get_all()
             if upstream.instance_id not in names
         ]
-        for name in names:
-            self._delayed_removals.pop(name, None)
+        for upstream in listed:
+            self._delayed_removals.pop(upstream.instance_id, None)
+            self._removed_keys.pop(upstream.key, None)
         if is_after_outage or snapshot.is_restored:
             self._delay_removal(removed)
         kept = [u for u in removed if u.instance_id in self._delayed_removals]
@@ -150,6 +152,7 @@
         if upstream is None:
             return
         self._delayed_removals.pop(stored.name, None)
+        self._removed_keys.pop(upstream.key, None)
         self._stored[stored.name] = stored
         if known is None or known != upstream:
             _log_changed(upstream, stored.version)
@@ -190,7 +193,6 @@
                     upstream, "not listed again after an outage of the store"
                 )
                 self._stored.pop(name, None)
-                self._remember_removed(upstream)
                 self._directory.remove(name)
 
 
--- a/src/fuchsiabarrow/limits/crashing_parts.py
+++ b/src/fuchsiabarrow/limits/crashing_parts.py
@@ -168,8 +168,9 @@
     """Evidence against one part.
 
     Attributes:
-        known_s: Loop time at which this entry first knew of any.
-        rounds: Multiple of `OBJECTION_S` for which this entry does not test it.
+        known_s: Loop time at which this entry first knew of a crash.
+        rounds: Multiple of `OBJECTION_S` after each crash for which this entry
+            does not test the part.
         crashes: Crashes by organisation and upstream.
     """
 
--- a/src/fuchsiabarrow/platform/tests/test_store.py
+++ b/src/fuchsiabarrow/platform/tests/test_store.py
@@ -379,6 +379,11 @@
             # It has not gone, but had been removed by mistake.
             await store.put("servers", "removed", server)
             await mirror.wait(lambda: "removed" in get_names(mirror))
+            # Having returned, it is in the list of a store restored later.
+            store.restore(store.copy())
+            await store.put("servers", "later", server)
+            await mirror.wait(lambda: "later" in get_names(mirror))
+            assert "removed" in get_names(mirror)
 
     asyncio.run(run())
 
