Log each failed connect of streams, and what broke connections to upstreams

A streamed request whose connection cannot be opened now logs attempt_not_run, the reason of upstream_avoided has the error, and errors of connections name the cause (ECONNREFUSED, ECONNRESET). The gauge fuchsiabarrow_avoided_upstreams says how many upstreams an entry avoids at present; it is computed when the metrics are read. The details of error answers to callers contain the same names; nothing else changes for callers.

--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -316,7 +316,11 @@
             metrics.configuration_version.set(current_catalog.catalog.version)
         metrics.configuration_age_s.set(current_catalog.get_age_s())
         metrics.list_age_s.set(directory.get_age_s())
-        metrics.upstreams.set(len(directory.get_all()))
+        upstream_list = directory.get_all()
+        metrics.upstreams.set(len(upstream_list))
+        metrics.avoided_upstreams.set(
+            sum(map(directory.is_avoided, upstream_list))
+        )
         metrics.entries.set(kernel.get("load_reports").count_live())
         return aiohttp.web.Response(
             body=metrics.encode(), content_type="text/plain"
--- a/src/fuchsiabarrow/forwarding/connections.py
+++ b/src/fuchsiabarrow/forwarding/connections.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import errno
 import os
 import socket
 
@@ -228,7 +229,7 @@
                     break
         except Exception as error:
             raise exceptions.UpstreamResponseLostError(
-                f"{self._address}: no response ({type(error).__name__})"
+                f"{self._address}: no response ({_describe_error(error)})"
             ) from error
         self._is_keep_alive = not message.should_close
         return message
@@ -245,7 +246,7 @@
         except Exception as error:
             raise exceptions.UpstreamResponseLostError(
                 f"{self._address}: response body ended early"
-                f" ({type(error).__name__})"
+                f" ({_describe_error(error)})"
             ) from error
         if not data:
             self._is_complete = True
@@ -325,7 +326,7 @@
                 )
         except (OSError, TimeoutError) as error:
             raise exceptions.UpstreamUnreachableError(
-                f"{address}: cannot connect ({type(error).__name__});"
+                f"{address}: cannot connect ({_describe_error(error)});"
                 " use another upstream"
             ) from error
         _configure_socket(protocol.transport)
@@ -367,6 +368,19 @@
             del self._idle[address]
 
 
+def _describe_error(error: BaseException) -> str:
+    """Returns the type of an error and the system's name of its cause."""
+    cause: BaseException | None = error
+    while cause is not None:
+        if isinstance(cause, OSError) and cause.errno:
+            number = cause.errno
+            return (
+                f"{type(error).__name__} {errno.errorcode.get(number, number)}"
+            )
+        cause = cause.__cause__
+    return type(error).__name__
+
+
 def _configure_socket(transport: asyncio.Transport) -> None:
     """Sets the socket options of an upstream connection.
 
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -298,15 +298,15 @@
                 first.address, request.route.may_repeat
             )
         except exceptions.UpstreamUnreachableError as error:
-            self._failure_detail = str(error)
-            forwarding.record_failure(first, "connect")
+            self._log_not_sent(first, error)
+            forwarding.record_failure(first, f"connect: {error}")
             return _AttemptResult.NOT_RUN
         async with connection:
             self._connection = connection
             try:
                 return await self._send_and_receive(connection, first)
             except exceptions.UpstreamUnreachableError as error:
-                self._failure_detail = str(error)
+                self._log_not_sent(first, error)
                 return _AttemptResult.NOT_RUN
             except exceptions.UpstreamResponseLostError as error:
                 self._failure_detail = str(error)
@@ -320,6 +320,17 @@
                 self._connection = None
                 self._stop_monitoring()
 
+    def _log_not_sent(
+        self, first: upstreams.Upstream, error: Exception
+    ) -> None:
+        self._failure_detail = str(error)
+        self._log(
+            "attempt_not_run",
+            at_fault=first.instance_id,
+            why=self._failure_detail,
+            list_age_s=round(self._forwarding.directory.get_age_s(), 3),
+        )
+
     async def _send_and_receive(
         self, connection: connections.Connection, first: upstreams.Upstream
     ) -> _AttemptResult:
--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -196,7 +196,7 @@
         try:
             connection = await forwarding.pool.open(upstream.address, may_reuse)
         except exceptions.UpstreamUnreachableError as error:
-            forwarding.record_failure(upstream, "connect")
+            forwarding.record_failure(upstream, f"connect: {error}")
             return str(error)
         self._lost_upstream = None
         async with connection:
--- a/src/fuchsiabarrow/forwarding/tests/test_connections.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_connections.py
@@ -212,6 +212,43 @@
         loops.run(run())
 
 
+# Guards against failures of different kinds that read the same in the log.
+def test_refusal_reset_and_hang_are_told_apart():
+    async def fail(pool, address):
+        with pytest.raises(exceptions.UpstreamError) as failure:
+            await exchange(pool, address)
+        return str(failure.value)
+
+    async def run():
+        async with connections.ConnectionPool(0.5) as pool:
+            refused = await fail(pool, "127.0.0.1:1")
+        async with open_pool("request", "reset") as (pool, address, _):
+            reset_before_head = await fail(pool, address)
+        script = ("request", UNFRAMED, 0.05, "reset")
+        async with open_pool(*script) as (pool, address, _):
+            reset_in_body = await fail(pool, address)
+        async with open_pool("request") as (pool, address, _):
+            closed = await fail(pool, address)
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as full:
+            # Connections beyond the backlog hang.
+            port = full.getsockname()[1]
+            with contextlib.ExitStack() as stack:
+                for _ in range(4):
+                    client = stack.enter_context(socket.socket())
+                    client.setblocking(False)
+                    client.connect_ex(("127.0.0.1", port))
+                async with connections.ConnectionPool(0.1) as pool:
+                    hung = await fail(pool, f"127.0.0.1:{port}")
+        return refused, reset_before_head, reset_in_body, closed, hung
+
+    refused, reset_before_head, reset_in_body, closed, hung = loops.run(run())
+    assert "cannot connect (ConnectionRefusedError ECONNREFUSED)" in refused
+    assert "no response (ClientOSError ECONNRESET)" in reset_before_head
+    assert "early (ClientPayloadError ECONNRESET)" in reset_in_body
+    assert "no response (ServerDisconnectedError)" in closed
+    assert "cannot connect (TimeoutError)" in hung
+
+
 def test_connection_is_reused_after_a_complete_response():
     script = ("request", FRAMED, "request", FRAMED, 1.0)
 
--- a/src/fuchsiabarrow/forwarding/tests/test_generations.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_generations.py
@@ -1,5 +1,6 @@
 import asyncio
 
+import logbook
 import pytest
 
 from fuchsiabarrow.fleet import loads
@@ -481,3 +482,28 @@
     writer, _ = serve(prepare, FIRST, LAST)
     assert writer.refusal.reason is messages.RefusalReason.TIMEOUT
     assert "first=0-40,last=40-80" in writer.refusal.detail
+
+
+def serve_logged(prepare, *instances, **changes):
+    """Serves one stream; returns the logged lines and the harness."""
+    with logbook.TestHandler() as handler:
+        _, harness = serve(prepare, *instances, **changes)
+    return [record.message for record in handler.records], harness
+
+
+def find_lines(lines: list[str], event: str) -> list[str]:
+    return [line for line in lines if line.startswith(f"event={event} ")]
+
+
+# Guards against a connect that fails without a line of its request.
+def test_attempt_whose_connection_cannot_be_opened_is_logged():
+    def prepare(harness):
+        harness.script(FIRST.address, fakes.Unreachable)
+        harness.script(SPARE_FIRST.address, fakes.stream(1, 11))
+
+    lines, _ = serve_logged(prepare, FIRST, LAST, SPARE_FIRST)
+    (line,) = find_lines(lines, "attempt_not_run")
+    assert "at_fault=first" in line
+    assert "refused" in line
+    (avoided,) = find_lines(lines, "upstream_avoided")
+    assert "refused" in avoided
--- a/src/fuchsiabarrow/platform/tests/test_frontend.py
+++ b/src/fuchsiabarrow/platform/tests/test_frontend.py
@@ -326,6 +326,21 @@
     assert "is_started=True" in line
 
 
+def test_metrics_count_upstreams_that_are_avoided():
+    async def test(harness):
+        forwarding = harness.entry.kernel.get("forwarding")
+        forwarding.record_failure(
+            forwarding.directory.get("desk-1"), "connect: refused"
+        )
+        url = f"http://127.0.0.1:{harness.ports[2]}/metrics"
+        async with harness.session.get(url) as response:
+            text = await response.text()
+        assert "fuchsiabarrow_avoided_upstreams 1.0" in text
+        assert "fuchsiabarrow_upstreams 4.0" in text
+
+    run(test)
+
+
 def test_metrics_count_served_requests():
     async def test(harness):
         await harness.fetch("/read/x")
--- a/src/fuchsiabarrow/telemetry/metrics.py
+++ b/src/fuchsiabarrow/telemetry/metrics.py
@@ -119,6 +119,10 @@
         self.upstreams = self._make_gauge(
             "upstreams", "Upstreams in the list of upstreams."
         )
+        self.avoided_upstreams = self._make_gauge(
+            "avoided_upstreams",
+            "Upstreams that are excluded from selection at present.",
+        )
         self.entries = self._make_gauge("entries", "Entries known to be alive.")
 
 
