Log every way in which a caller's connection ends without an answer

With the log of an entry, the hypotheses on LOST can't be told apart: an error that nothing handles had no request id; a connection that the shutdown closed at its limit was logged as caller_left; one closed by the shutdown or the idle limit in the middle of a request's head left no line; stream_aborted did not say whether the configuration had changed, how long the stream was silent and whether the request may be repeated; and an attempt that the entry ended itself read like one that the upstream lost.

New events: request_error, connection_closed (cause) and attempt_disconnected (suspects, silence, whether the upstream had closed first). caller_left has the error of the connection, stream_aborted the versions, silence, time and limit. fuchsiabarrow_incomplete_answers_total counts answers that were not complete, by cause. Successful answers cost no further line; the behaviour is unchanged.

Not logged: a caller that leaves before its request's head has arrived, and one that leaves before the handler has started.

--- a/src/fuchsiabarrow/commands/explanations.py
+++ b/src/fuchsiabarrow/commands/explanations.py
@@ -185,6 +185,10 @@
             )
         if line.event in ("denied", "stream_aborted"):
             return f"{line.event}: {line.fields.get('why')}"
+        if line.event == "connection_closed":
+            return f"this entry closed the connection: {line.fields['cause']}"
+        if line.event == "request_error":
+            return f"not handled: {line.fields.get('error')}"
         if line.event == "caller_left":
             is_started = line.fields.get("is_started") == "True"
             state = "during" if is_started else "before"
--- a/src/fuchsiabarrow/commands/tests/test_explanations.py
+++ b/src/fuchsiabarrow/commands/tests/test_explanations.py
@@ -91,6 +91,26 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("event", "pairs", "expected"),
+    [
+        (
+            "connection_closed",
+            "cause=shutdown_limit",
+            "this entry closed the connection: shutdown_limit",
+        ),
+        ("request_error", "error=ValueError()", "not handled: ValueError()"),
+    ],
+)
+def test_summary_of_a_request_that_this_entry_cut_names_the_cause(
+    tmp_path, event, pairs, expected
+):
+    history = explain(
+        tmp_path, (1.0, f"event={event} request_id=r1 route=quote {pairs}")
+    )
+    assert history[-1] == expected
+
+
 def test_failed_attempts_are_included(tmp_path):
     history = explain(
         tmp_path,
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -95,6 +95,7 @@
         self._failure_detail = ""
         self._first_event_s: float | None = None
         self._longest_gap_s = 0.0
+        self._last_event_s = exchange.request.arrived_s
 
     # Attempts until the final answer.
 
@@ -122,7 +123,7 @@
             forwarding.remove_stream(self)
             self._stop_monitoring()
         if refusal is not None and self._writer.is_started:
-            self._log("stream_aborted", why=refusal.detail)
+            self._record_abort(refusal)
             self._writer.abort()
         elif refusal is not None:
             await self._writer.refuse(refusal)
@@ -134,6 +135,24 @@
             round(self._longest_gap_s, 4),
         )
 
+    def _record_abort(self, refusal: messages.Refusal) -> None:
+        """Logs and counts an answer that has begun and cannot continue."""
+        request, forwarding = self._request, self._forwarding
+        now_s = asyncio.get_running_loop().time()
+        forwarding.metrics.incomplete_answers.labels(refusal.reason.value).inc()
+        self._log(
+            "stream_aborted",
+            reason=refusal.reason.value,
+            why=refusal.detail,
+            version=request.catalog_version,
+            current_version=forwarding.get_catalog_version(),
+            silent_s=round(now_s - self._last_event_s, 4),
+            took_s=round(now_s - request.arrived_s, 4),
+            limit_s=round(request.answer_deadline_s - request.arrived_s, 4),
+            sends=self._send_count,
+            may_repeat=request.route.may_repeat,
+        )
+
     async def _run(self) -> messages.Refusal | None:
         """Tries paths; returns a refusal, or None if an answer was sent."""
         forwarding = self._forwarding
@@ -441,6 +460,7 @@
 
     def _record_progress(self, now_s: float, count: int) -> None:
         metrics = self._forwarding.metrics
+        self._last_event_s = now_s
         if self._event_count == 0:
             self._path.finish_prefill()
             self._part_check.record_begin()
@@ -502,15 +522,37 @@
         if upstream.key not in keys or self._connection is None:
             return
         if keys[0] == upstream.key or self._event_count == 0:
-            self._disconnect("an instance of the path is suspected")
+            self._disconnect(
+                "an instance of the path is suspected", upstream.instance_id
+            )
         elif self._path_change_task is None or self._path_change_task.done():
             self._path_change_task = asyncio.create_task(
                 self._replace_suspects(self._connection)
             )
 
-    def _disconnect(self, why: str) -> None:
+    def _disconnect(self, why: str, suspects: str) -> None:
         if self._connection is not None:
-            self._was_disconnected |= self._connection.disconnect(why)
+            was_open = self._connection.disconnect(why)
+            self._log_disconnect(why, suspects, was_open)
+            self._was_disconnected |= was_open
+
+    def _log_disconnect(self, why: str, suspects: str, was_open: bool) -> None:
+        """Logs that this entry itself has ended the connection of an attempt.
+
+        Args:
+            why: The reason.
+            suspects: Instances that are suspected, separated by commas.
+            was_open: Whether the upstream had not closed it before.
+        """
+        self._log(
+            "attempt_disconnected",
+            instance=self._path.segments[0].upstream.instance_id,
+            why=why,
+            suspects=suspects,
+            was_open=was_open,
+            silent_s=round(self._monitor.get_silence_s(), 4),
+            may_repeat=self._request.route.may_repeat,
+        )
 
     async def _replace_suspects(
         self, connection: connections.Connection
@@ -534,7 +576,9 @@
         """Tells the first instance to continue over other instances."""
         segments = self._choose_path(self._path.segments[:1])
         if segments is None:
-            connection.disconnect("no other path begins at the first instance")
+            why = "no other path begins at the first instance"
+            was_open = connection.disconnect(why)
+            self._log_disconnect(why, ",".join(suspects), was_open)
             self._connection = None
             return
         outcome = await self._forwarding.control.change_path(
@@ -560,5 +604,7 @@
             self._path.finish_prefill()
             self._monitor.reset_silence()
         else:
-            connection.disconnect("path change failed")
+            why = "path change failed"
+            was_open = connection.disconnect(why)
+            self._log_disconnect(why, ",".join(suspects), was_open)
             self._connection = None
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -194,6 +194,10 @@
         await self._wait_for_probe(upstream, "lost", is_urgent)
         return not self.directory.is_avoided(upstream)
 
+    def get_catalog_version(self) -> int:
+        """Returns the version of the configuration in force."""
+        return self._get_catalog().version
+
     # Used by the handlers of both kinds of requests.
 
     def send(
--- a/src/fuchsiabarrow/forwarding/tests/test_generations.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_generations.py
@@ -495,6 +495,62 @@
     return [line for line in lines if line.startswith(f"event={event} ")]
 
 
+# Guards against an answer cut by the entry whose line does not tell why.
+def test_cut_answer_is_logged_with_configuration_silence_and_repeatability():
+    def prepare(harness):
+        script = [*fakes.stream(1, 5), fakes.Wait(0.1), fakes.ConnectionLost]
+        harness.script(FIRST.address, script)
+
+    lines, harness = serve_logged(
+        prepare, FIRST, LAST, is_resumable=False, catalog_version=3
+    )
+    (line,) = find_lines(lines, "stream_aborted")
+    for pair in (
+        "request_id=r1",
+        "reason=upstream_failed",
+        "why=reset",
+        "version=3",
+        "current_version=1",
+        "silent_s=0.1",
+        "limit_s=20.0",
+        "sends=1",
+        "may_repeat=False",
+    ):
+        assert f" {pair} " in f"{line} "
+    assert " took_s=0.1" in line
+    counter = harness.forwarding.metrics.incomplete_answers
+    assert counter.labels("upstream_failed")._value.get() == 1
+
+
+# Guards against an attempt ended by the entry that looks lost by its upstream.
+def test_attempt_ended_by_the_entry_is_told_from_one_that_the_upstream_lost():
+    def lose(harness):
+        harness.script(
+            FIRST.address,
+            [*fakes.stream(1, 5), fakes.ConnectionLost],
+            fakes.stream(5, 11),
+        )
+
+    lines, _ = serve_logged(lose, FIRST, LAST)
+    assert len(find_lines(lines, "attempt_lost")) == 1
+    assert not find_lines(lines, "attempt_disconnected")
+
+    def silence(harness):
+        script = [*fakes.stream(1, 5), fakes.Wait(5.0)]
+        harness.script(FIRST.address, script)
+        harness.script(SPARE_FIRST.address, fakes.stream(5, 11))
+        harness.control.silent.add(FIRST.address)
+
+    lines, _ = serve_logged(silence, FIRST, LAST, SPARE_FIRST, SPARE_LAST)
+    (line,) = find_lines(lines, "attempt_disconnected")
+    assert "request_id=r1" in line
+    assert "instance=first" in line
+    assert "suspects=first" in line
+    assert "was_open=True" in line
+    assert "silent_s=" in line
+    assert len(find_lines(lines, "attempt_lost")) == 1
+
+
 # Guards against a connect that fails without a line of its request.
 def test_attempt_whose_connection_cannot_be_opened_is_logged():
     def prepare(harness):
--- a/src/fuchsiabarrow/platform/frontend.py
+++ b/src/fuchsiabarrow/platform/frontend.py
@@ -92,6 +92,7 @@
             max_line_size=MAX_PARSED_HEADER_BYTES,
             max_field_size=MAX_PARSED_HEADER_BYTES,
             lingering_time=0.5,
+            on_cut=self._record_cut,
         )
 
     def stop(self) -> None:
@@ -113,12 +114,13 @@
         arrived_s = asyncio.get_running_loop().time()
         self.busy_connections.add(http_request.protocol)
         try:
-            await self._serve(http_request, writer, arrived_s)
-        except requests.BadRequestError as error:
-            await writer.deny(error.status, str(error))
-        except asyncio.CancelledError:
+            await self._serve_or_deny(http_request, writer, arrived_s)
+        except (asyncio.CancelledError, ConnectionError) as error:
             if not writer.is_aborted:
-                writer.log_disconnect(arrived_s)
+                writer.record_disconnect(arrived_s, error)
+            raise
+        except Exception as error:
+            writer.record_error(arrived_s, error)
             raise
         finally:
             self.busy_connections.discard(http_request.protocol)
@@ -127,6 +129,32 @@
             raise asyncio.CancelledError
         return writer.response
 
+    def _record_cut(self, connection: listeners.Connection) -> None:
+        """Logs a connection closed after a part of a request's head."""
+        cause = connection.close_cause.value
+        self._forwarding.metrics.incomplete_answers.labels(cause).inc()
+        now_s = asyncio.get_running_loop().time()
+        _log.info(
+            logs.format_event(
+                "connection_closed",
+                request_id="",
+                cause=cause,
+                is_started=False,
+                silent_s=round(now_s - connection.last_received_s, 4),
+            )
+        )
+
+    async def _serve_or_deny(
+        self,
+        http_request: aiohttp.web.BaseRequest,
+        writer: response_writers.HttpResponseWriter,
+        arrived_s: float,
+    ) -> None:
+        try:
+            await self._serve(http_request, writer, arrived_s)
+        except requests.BadRequestError as error:
+            await writer.deny(error.status, str(error))
+
     async def _serve(
         self,
         http_request: aiohttp.web.BaseRequest,
--- a/src/fuchsiabarrow/platform/response_writers.py
+++ b/src/fuchsiabarrow/platform/response_writers.py
@@ -10,6 +10,7 @@
 from fuchsiabarrow.platform import wire_names
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.telemetry import metrics as metrics_module
+from fuchsiabarrow.utils import listeners
 
 __all__ = ["HttpResponseWriter", "compute_elapsed_s"]
 
@@ -38,7 +39,7 @@
         http_request: Request as received.
         request_id: Id of the request, for logs.
         is_last: Returns whether the connection closes after this response.
-        metrics: Counters of refusals.
+        metrics: Counters of refusals and of incomplete answers.
     """
 
     def __init__(
@@ -141,18 +142,47 @@
         self.is_aborted = True
         self.outcome = "aborted"
 
-    def log_disconnect(self, arrived_s: float) -> None:
-        """Logs a caller that disconnected before its response was complete."""
+    def record_disconnect(self, arrived_s: float, error: BaseException) -> None:
+        """Logs and counts a connection that ended before its response.
+
+        Args:
+            arrived_s: Loop time at which the request arrived.
+            error: Error that ended the request.
+        """
+        connection = self._http_request.protocol
+        cause, error_name = connection.close_cause, connection.close_error
+        if cause is None and isinstance(error, ConnectionError):
+            # A write has failed before the connection was reported as lost.
+            cause, error_name = (
+                listeners.CloseCause.CALLER,
+                type(error).__name__,
+            )
+        if cause is listeners.CloseCause.CALLER:
+            self._metrics.incomplete_answers.labels("caller_left").inc()
+            self._log_end("caller_left", arrived_s, error=error_name)
+            return
+        cause_name = cause.value if cause else "cancelled"
+        self._metrics.incomplete_answers.labels(cause_name).inc()
+        self._log_end("connection_closed", arrived_s, cause=cause_name)
+
+    def record_error(self, arrived_s: float, error: Exception) -> None:
+        """Logs and counts an error that nothing has handled."""
+        self._metrics.incomplete_answers.labels("error").inc()
+        self._log_end("request_error", arrived_s, error=repr(error))
+
+    def _log_end(self, event: str, arrived_s: float, **fields: object) -> None:
         request = self.request
         organisation = request.organisation if request else None
         _log.info(
             logs.format_event(
-                "caller_left",
+                event,
                 request_id=self._request_id,
                 route=request.route.name if request else "",
                 organisation=organisation.name if organisation else "",
+                version=request.catalog_version if request else "",
                 is_started=self.is_started,
                 after_s=compute_elapsed_s(arrived_s),
+                **fields,
             )
         )
 
--- a/src/fuchsiabarrow/platform/tests/test_frontend.py
+++ b/src/fuchsiabarrow/platform/tests/test_frontend.py
@@ -1,9 +1,12 @@
 import asyncio
+import socket
+import struct
 
 import aiohttp
 import logbook
 import pytest
 
+from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.platform import wire_names
 from fuchsiabarrow.platform.tests import entry_harness
 from fuchsiabarrow.platform.tests import fake_upstreams
@@ -326,6 +329,141 @@
     assert "is_started=True" in line
 
 
+def run_logged(test, **options) -> list[str]:
+    """Runs a test; returns the lines that were logged."""
+    with logbook.TestHandler() as handler:
+        run(test, **options)
+    return [record.message for record in handler.records]
+
+
+def find_line(lines: list[str], event: str, request_id: str = "r1") -> str:
+    (line,) = [
+        line
+        for line in lines
+        if line.startswith(f"event={event} request_id={request_id} ")
+    ]
+    return line
+
+
+def count_incomplete(harness, cause: str) -> float:
+    metrics = harness.entry.kernel.get("metrics")
+    return metrics.incomplete_answers.labels(cause)._value.get()
+
+
+# Guards against a request whose error is logged without its id.
+@pytest.mark.parametrize("is_started", [False, True])
+def test_error_that_nothing_handles_is_logged_with_its_request(is_started):
+    counts = []
+
+    async def test(harness):
+        async def fail(request, writer):
+            if is_started:
+                await writer.start(
+                    messages.ResponseHead(
+                        200, "OK", (), "r1", False, "", True, None
+                    )
+                )
+            raise ValueError("not expected")
+
+        harness.entry.kernel.get("forwarding").serve = fail
+        if is_started:
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await harness.fetch("/read/x")
+        else:
+            status, _, _ = await harness.fetch("/read/x")
+            assert status == 500
+        counts.append(count_incomplete(harness, "error"))
+
+    line = find_line(run_logged(test), "request_error")
+    assert "route=read" in line
+    assert "version=7" in line
+    assert f"is_started={is_started}" in line
+    assert "ValueError" in line
+    assert counts == [1]
+
+
+# Guards against a reset by the caller's side that looks like a regular close.
+def test_reset_of_the_callers_connection_is_logged_with_its_error():
+    counts = []
+
+    async def test(harness):
+        harness.upstreams["left"].event_count = 1000
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", harness.ports[0]
+        )
+        writer.write(
+            b"POST /draft/x HTTP/1.1\r\nHost: shop.example\r\n"
+            b"Attempt-Id: r1\r\nAuthorization: Token key-1\r\n"
+            + b"".join(
+                f"{name}: {value}\r\n".encode()
+                for name, value in GENERATION.items()
+            )
+            + b"Deadline-Ms: 20000\r\nContent-Length: 0\r\n\r\n"
+        )
+        await reader.readline()
+        linger = struct.pack("ii", 1, 0)
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, linger
+        )
+        writer.transport.abort()
+        await harness.wait(lambda: count_incomplete(harness, "caller_left"))
+        counts.append(count_incomplete(harness, "caller_left"))
+
+    line = find_line(run_logged(test), "caller_left")
+    assert "error=ConnectionResetError" in line
+    assert "is_started=True" in line
+    assert counts == [1]
+
+
+# Guards against an answer cut by the shutdown that is put down to its caller.
+def test_answer_cut_at_the_limit_of_the_shutdown_is_logged_as_cut_by_it():
+    counts = []
+
+    async def test(harness):
+        harness.upstreams["left"].event_count = 1000
+        call = asyncio.create_task(
+            harness.fetch("/draft/x", "POST", data=b"p", headers=GENERATION)
+        )
+        forwarding = harness.entry.kernel.get("forwarding")
+        cut_counter = forwarding.metrics.incomplete_answers.labels(
+            "shutdown_limit"
+        )
+        await harness.wait(lambda: forwarding.running == 1)
+        await harness.entry.drain()
+        # Ends the connections that still have a request.
+        await harness.entry.__aexit__(None, None, None)
+        with pytest.raises(aiohttp.ClientError):
+            await call
+        counts.append(cut_counter._value.get())
+
+    lines = run_logged(test, grace_s=1.0)
+    line = find_line(lines, "connection_closed")
+    assert "cause=shutdown_limit" in line
+    assert "route=draft" in line
+    assert "is_started=True" in line
+    assert not any(line.startswith("event=caller_left") for line in lines)
+    assert counts == [1]
+
+
+# Guards against a shutdown that closes a connection in the middle of a head.
+def test_request_that_the_shutdown_leaves_unread_is_logged():
+    counts = []
+
+    async def test(harness):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", harness.ports[0]
+        )
+        writer.write(b"GET /read/x HTTP/1.1\r\nHost: shop.exa")
+        await harness.entry.drain()
+        assert await reader.read() == b""
+        writer.close()
+        counts.append(count_incomplete(harness, "shutdown"))
+
+    line = find_line(run_logged(test, grace_s=1.0), "connection_closed", '""')
+    assert "cause=shutdown" in line
+    assert counts == [1]
+
+
 def test_metrics_count_upstreams_that_are_avoided():
     async def test(harness):
         forwarding = harness.entry.kernel.get("forwarding")
--- a/src/fuchsiabarrow/telemetry/metrics.py
+++ b/src/fuchsiabarrow/telemetry/metrics.py
@@ -66,6 +66,11 @@
             "Requests refused by this entry itself, by reason.",
             ["reason"],
         )
+        self.incomplete_answers = self._make_counter(
+            "incomplete_answers",
+            "Requests whose caller got no complete answer, by cause.",
+            ["cause"],
+        )
         self.sends = self._make_counter(
             "sends",
             "Requests sent to upstreams, by cause: first or retry.",
--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -1,7 +1,9 @@
 """HTTP listening sockets as async context managers."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Collection
+import enum
 
 from aiohttp import web_protocol
 import aiohttp.web
@@ -9,7 +11,7 @@
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.utils import addresses
 
-__all__ = ["Listener", "Server", "ServerListener"]
+__all__ = ["CloseCause", "Connection", "Listener", "Server", "ServerListener"]
 
 SHUTDOWN_TIMEOUT_S = 2.0
 LISTEN_BACKLOG = 1024
@@ -56,27 +58,127 @@
         await self._runner.cleanup()
 
 
-class _Connection(web_protocol.RequestHandler):
-    """Server connection that records when data last arrived."""
+class CloseCause(enum.Enum):
+    """What ended a connection of a server.
 
-    __slots__ = ("last_received_s",)
+    Attributes:
+        CALLER: The caller closed or reset it, or it failed.
+        IDLE_LIMIT: No request was completed on it in time.
+        SHUTDOWN: The server was shut down while the connection was idle.
+        SHUTDOWN_LIMIT: The server was shut down and did not wait any longer for
+            the response to its request.
+        SERVER: The server closed it for another reason, such as an error.
+    """
+
+    CALLER = "caller"
+    IDLE_LIMIT = "idle_limit"
+    SHUTDOWN = "shutdown"
+    SHUTDOWN_LIMIT = "shutdown_limit"
+    SERVER = "server"
+
+
+class Connection(web_protocol.RequestHandler):
+    """Server connection that records its last data and what ended it.
+
+    Attributes:
+        last_received_s: Loop time at which data last arrived.
+        has_partial_request: Whether the last data was a part of the head of a
+            request, while none was being served.
+        close_cause: What ended the connection, None while it is open.
+        close_error: Name of the error with which it ended, if any.
+    """
+
+    __slots__ = (
+        "close_cause",
+        "close_error",
+        "has_partial_request",
+        "last_received_s",
+    )
 
     def __init__(self, manager, *, loop: asyncio.AbstractEventLoop, **options):
         super().__init__(manager, loop=loop, **options)
         self.last_received_s = loop.time()
+        self.has_partial_request = False
+        self.close_cause: CloseCause | None = None
+        self.close_error = ""
 
     def data_received(self, data: bytes) -> None:
         """Implements `asyncio.Protocol.data_received`."""
         self.last_received_s = self._loop.time()
         super().data_received(data)
+        self.has_partial_request = (
+            self._waiter is not None and not self._messages
+        )
+
+    def force_close(self) -> None:
+        """Closes the connection."""
+        if self.close_cause is None:
+            self.close_cause = CloseCause.SERVER
+        is_cut = (
+            self.transport is not None
+            and self.has_partial_request
+            and self.close_cause is not CloseCause.CALLER
+        )
+        if is_cut and self._manager is not None:
+            self._manager.report_cut(self)
+        super().force_close()
+
+    def close_as(self, cause: CloseCause) -> None:
+        """Closes the connection and records the cause."""
+        if self.close_cause is None:
+            self.close_cause = cause
+        self.force_close()
+
+    async def shutdown(self, timeout: float | None = 15.0) -> None:
+        """Closes the connection after its response or at the time limit."""
+        if self.close_cause is None:
+            self.close_cause = CloseCause.SHUTDOWN_LIMIT
+        await super().shutdown(timeout)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Implements `asyncio.Protocol.connection_lost`."""
+        if self.transport is not None:
+            self.close_cause = CloseCause.CALLER
+        if exc is not None:
+            self.close_error = type(exc).__name__
+        super().connection_lost(exc)
+
+    def _process_keepalive(self) -> None:
+        was_open = self.close_cause is None
+        if was_open:
+            self.close_cause = CloseCause.IDLE_LIMIT
+        super()._process_keepalive()
+        if was_open and not self._force_close:
+            self.close_cause = None
 
 
 class Server(aiohttp.web.Server):
-    """Low-level server whose connections record when data last arrived."""
+    """Low-level server whose connections record what ended them.
+
+    Args:
+        handler: Serves one request.
+        on_cut: Called with each connection that the server closes after only a
+            part of a request's head has arrived.
+        options: Options of `aiohttp.web.Server`.
+    """
 
-    def __call__(self) -> _Connection:
+    def __init__(
+        self,
+        handler: Callable,
+        on_cut: Callable[[Connection], None] | None = None,
+        **options,
+    ):
+        super().__init__(handler, **options)
+        self._on_cut = on_cut
+
+    def report_cut(self, connection: Connection) -> None:
+        """Reports a connection that is closed with a part of a request."""
+        if self._on_cut is not None:
+            self._on_cut(connection)
+
+    def __call__(self) -> Connection:
         """Returns the protocol of a new connection."""
-        return _Connection(self, loop=self._loop, **self._kwargs)
+        return Connection(self, loop=self._loop, **self._kwargs)
 
 
 class ServerListener:
@@ -128,7 +230,7 @@
         for connection in self._server.connections:
             is_idle = now_s - connection.last_received_s > IDLE_AFTER_S
             if connection not in busy and is_idle:
-                connection.force_close()
+                connection.close_as(CloseCause.SHUTDOWN)
 
     async def __aexit__(self, *exc_info) -> None:
         self.stop_accepting()
