Never set a monitor's timer to less than the clock can represent

Cause: the monitor of a stream set its timer to the difference of its limit and the silence so far, which rounds to 1e-17 s at times. With a clock that does not advance in between, as that of the tests on virtual time, the timer expired again and again: a test in which a stream waits out a silence of 20 s did not end. No effect with a real clock was seen.

Change: at least a millisecond.

--- a/src/fuchsiabarrow/forwarding/stream_monitors.py
+++ b/src/fuchsiabarrow/forwarding/stream_monitors.py
@@ -17,6 +17,9 @@
 # the minimum and the maximum.
 SILENCE_FACTOR = 4.0
 MAX_SILENCE_S = 1.0
+# Shortest timer: the difference of two times may round to less than the clock
+# can represent, and a timer would then expire at the same time again.
+MIN_TIMER_S = 0.001
 # Minimum time between two reports of silence of a stream.
 MIN_REPORT_INTERVAL_S = 0.4
 # Weight of the latest sample in the moving average of time between events.
@@ -106,7 +109,7 @@
     def _check(self) -> None:
         limit_s, silent_s = self._get_silence_limit_s(), self.get_silence_s()
         if silent_s < limit_s:
-            self._set_timer(limit_s - silent_s)
+            self._set_timer(max(MIN_TIMER_S, limit_s - silent_s))
             return
         self._on_silence(silent_s)
         self._set_timer(max(MIN_REPORT_INTERVAL_S, limit_s))
