Keep the retry of a stream whose next instance could not be connected

Cause: a retry was taken from the shared budget before each attempt, also for those that sent nothing. The budget limits what upstreams receive.

Change: the retry is used up by the send. Evidence: the test fails on the code before (the stream is cut after one connection that could not be opened) and passes after.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -82,6 +82,8 @@
         self._part_check = part_checks.PartCheck(forwarding, exchange.request)
         # Whether this entry itself ended the connection of the attempt.
         self._was_disconnected = False
+        # Whether a retry was taken for a send that has not happened yet.
+        self._has_retry = False
         self._connection: connections.Connection | None = None
         self._may_have_run = False
         self._send_count = 0
@@ -175,9 +177,7 @@
                 return self._make_refusal(
                     messages.RefusalReason.UPSTREAM_FAILED, self._failure_detail
                 )
-            if self._send_count and not forwarding.try_take_retry(
-                self._service.name
-            ):
+            if self._send_count and not self._try_take_retry():
                 return self._make_refusal(
                     messages.RefusalReason.UPSTREAM_FAILED,
                     f"retry budget exhausted; {self._failure_detail}",
@@ -296,6 +296,14 @@
             return None
         return segments
 
+    def _try_take_retry(self) -> bool:
+        """Takes a retry from the budget unless one was taken before."""
+        if not self._has_retry:
+            self._has_retry = self._forwarding.try_take_retry(
+                self._service.name
+            )
+        return self._has_retry
+
     def _reserve_path(self, segments: tuple[paths.PathSegment, ...]) -> None:
         self._path.reserve(segments)
         event_ms = self._path.estimate_event_ms()
@@ -362,6 +370,7 @@
             self._send_count > 0,
         )
         self._send_count += 1
+        self._has_retry = False
         forwarding.metrics.domain_crossings.inc(
             stream_paths.count_crossings(self._path.segments)
         )
--- a/src/fuchsiabarrow/forwarding/tests/test_generations.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_generations.py
@@ -22,6 +22,9 @@
 SPARE_LAST = fleets.make_instance(
     "spare-last", "b", "fast", (40, 80), address="10.0.0.4:80"
 )
+THIRD_FIRST = fleets.make_instance(
+    "third-first", "b", "fast", (0, 40), address="10.0.0.5:80"
+)
 ALL_EVENTS = b"".join(fakes.make_event(n) for n in range(1, 11))
 
 
@@ -563,3 +566,34 @@
     assert "refused" in line
     (avoided,) = find_lines(lines, "upstream_avoided")
     assert "refused" in avoided
+
+
+def serve_with_one_retry(prepare, *instances, **changes):
+    """Serves one stream while the budget has a single retry."""
+
+    async def run():
+        harness = fakes.Harness(*instances, budget_extra=0.0)
+        harness.forwarding.set_retry_budget(5.0, 0.0)
+        prepare(harness)
+        request = fakes.make_stream_request(**changes)
+        return await harness.serve(request), harness
+
+    return virtual_time.run(run())
+
+
+def test_retry_is_kept_if_the_request_was_not_sent():
+    # A retry was taken for each connection that could not be opened, so that
+    # streams were cut for lack of retries that no upstream had seen.
+    def prepare(harness):
+        harness.script(
+            FIRST.address, [*fakes.stream(1, 5), fakes.ConnectionLost]
+        )
+        harness.script(SPARE_FIRST.address, fakes.Unreachable)
+        harness.script(THIRD_FIRST.address, fakes.stream(5, 11))
+        harness.control.silent.add(FIRST.address)
+
+    writer, harness = serve_with_one_retry(
+        prepare, FIRST, LAST, SPARE_FIRST, THIRD_FIRST
+    )
+    assert writer.body == ALL_EVENTS
+    assert writer.is_finished
