--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -37,6 +37,8 @@
 PATH_CHANGE_TIMEOUT_S = 0.25
 # Pause between searches for a path, for a stream that has begun.
 PATH_RETRY_S = 0.1
+# Pause between attempts to replace suspected instances of a running stream.
+PATH_CHANGE_RETRY_S = 0.4
 MAX_ERROR_BYTES = 1_048_576
 # Maximum number of times that one request is sent, including sends that an
 # upstream refused.
@@ -82,7 +84,8 @@
         self._part_check = part_checks.PartCheck(forwarding, exchange.request)
         # Whether this entry itself ended the connection of the attempt.
         self._was_disconnected = False
-        # Whether a retry was taken for a send that has not happened yet.
+        # Path and retry that were secured before the connection was ended.
+        self._next_segments: tuple[paths.PathSegment, ...] | None = None
         self._has_retry = False
         self._connection: connections.Connection | None = None
         self._may_have_run = False
@@ -162,7 +165,7 @@
             refusal = await self._check_parts()
             if refusal is not None:
                 return refusal
-            segments = self._choose_path()
+            segments = self._take_next_path() or self._choose_path()
             if segments is None:
                 if not self._writer.is_started:
                     return self._make_refusal(
@@ -186,8 +189,12 @@
             result = await self._attempt(segments)
             if result is _AttemptResult.DONE:
                 return None
+            # A silent instance whose connection this entry ended itself may
+            # be sound.
             has_crashed = (
-                result is _AttemptResult.LOST and await self._has_crashed()
+                result is _AttemptResult.LOST
+                and not self._was_disconnected
+                and await self._has_crashed()
             )
             if self._event_count > events_before:
                 forwarding.crash_counts.clear(self._fingerprint)
@@ -296,6 +303,24 @@
             return None
         return segments
 
+    def _take_next_path(self) -> tuple[paths.PathSegment, ...] | None:
+        """Returns the path secured by `_try_move`, if it is still usable."""
+        segments, self._next_segments = self._next_segments, None
+        if segments is None or self._find_suspects(segments):
+            return None
+        return segments
+
+    def _find_suspects(
+        self, segments: tuple[paths.PathSegment, ...]
+    ) -> list[upstreams.Upstream]:
+        """Returns the instances of a path that are avoided."""
+        directory = self._forwarding.directory
+        return [
+            segment.upstream
+            for segment in segments
+            if directory.is_avoided(segment.upstream)
+        ]
+
     def _try_take_retry(self) -> bool:
         """Takes a retry from the budget unless one was taken before."""
         if not self._has_retry:
@@ -507,6 +532,10 @@
         it waits, but only after a delay.
         """
         forwarding = self._forwarding
+        for upstream in self._find_suspects(self._path.segments):
+            self.handle_suspect(upstream)
+        if self._connection is None:
+            return
         first = self._path.segments[0].upstream
         for segment in self._path.segments[1:]:
             forwarding.start_probe(segment.upstream, "silent")
@@ -526,38 +555,71 @@
                 forwarding.record_failure(upstream, "stalled", is_shared=True)
 
     def handle_suspect(self, upstream: upstreams.Upstream) -> None:
-        """Moves the stream off an instance that is suspected to have failed."""
-        keys = [segment.upstream.key for segment in self._path.segments]
-        if upstream.key not in keys or self._connection is None:
+        """Moves the stream off an instance that is suspected to have failed.
+
+        A sound instance may be silent for seconds and then go on. So the
+        connection is ended only if the request is sent elsewhere at once, or
+        if the first instance is certainly gone; else the stream waits.
+        """
+        segments, connection = self._path.segments, self._connection
+        keys = [segment.upstream.key for segment in segments]
+        if upstream.key not in keys or connection is None:
             return
-        if keys[0] == upstream.key or self._event_count == 0:
-            self._disconnect(
-                "an instance of the path is suspected", upstream.instance_id
-            )
-        elif self._path_change_task is None or self._path_change_task.done():
+        if keys[0] == upstream.key:
+            if self._is_replaced(upstream):
+                self._disconnect("the first instance was replaced", [upstream])
+            else:
+                self._try_move("the first instance is suspected", [upstream])
+            return
+        if self._path_change_task is None or self._path_change_task.done():
             self._path_change_task = asyncio.create_task(
-                self._replace_suspects(self._connection)
+                self._replace_suspects(connection)
             )
 
-    def _disconnect(self, why: str, suspects: str) -> None:
-        if self._connection is not None:
-            was_open = self._connection.disconnect(why)
-            self._log_disconnect(why, suspects, was_open)
-            self._was_disconnected |= was_open
+    def _is_replaced(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether a newer instance runs in the place of an instance."""
+        directory = self._forwarding.directory
+        return any(
+            known is not None and known.incarnation > upstream.incarnation
+            for known in (
+                directory.get(upstream.instance_id),
+                directory.find_by_address(upstream.address),
+            )
+        )
 
-    def _log_disconnect(self, why: str, suspects: str, was_open: bool) -> None:
-        """Logs that this entry itself has ended the connection of an attempt.
+    def _try_move(self, why: str, suspects: list[upstreams.Upstream]) -> bool:
+        """Ends the attempt if the request can be sent on another path at once.
 
         Args:
-            why: The reason.
-            suspects: Instances that are suspected, separated by commas.
-            was_open: Whether the upstream had not closed it before.
+            why: The reason, for the log.
+            suspects: Instances of the path that are suspected.
+
+        Returns:
+            Whether it can: it may be repeated, and sends, a retry and a path
+            are left for it.
         """
+        if not self._request.route.may_repeat or self._send_count >= MAX_SENDS:
+            return False
+        segments = self._choose_path()
+        if segments is None or not self._try_take_retry():
+            return False
+        self._next_segments = segments
+        self._disconnect(why, suspects)
+        return True
+
+    def _disconnect(self, why: str, suspects: list[upstreams.Upstream]) -> None:
+        """Ends the connection of the attempt, which is lost then."""
+        if self._connection is None:
+            return
+        was_open = self._connection.disconnect(why)
+        self._connection = None
+        self._was_disconnected |= was_open
         self._log(
             "attempt_disconnected",
             instance=self._path.segments[0].upstream.instance_id,
             why=why,
-            suspects=suspects,
+            suspects=_format_instances(suspects),
+            # Whether the upstream had not closed it before.
             was_open=was_open,
             silent_s=round(self._monitor.get_silence_s(), 4),
             may_repeat=self._request.route.may_repeat,
@@ -567,29 +629,30 @@
         self, connection: connections.Connection
     ) -> None:
         """Changes the path until no instance after the first is suspected."""
-        directory = self._forwarding.directory
         while self._connection is connection:
-            segments = self._path.segments[1:]
-            suspects = [
-                segment.upstream.instance_id
-                for segment in segments
-                if directory.is_avoided(segment.upstream)
-            ]
+            suspects = self._find_suspects(self._path.segments[1:])
             if not suspects:
                 return
-            await self._change_path(connection, suspects)
+            if not await self._change_path(connection, suspects):
+                await asyncio.sleep(PATH_CHANGE_RETRY_S)
 
     async def _change_path(
-        self, connection: connections.Connection, suspects: list[str]
-    ) -> None:
-        """Tells the first instance to continue over other instances."""
+        self,
+        connection: connections.Connection,
+        suspects: list[upstreams.Upstream],
+    ) -> bool:
+        """Tells the first instance to continue over other instances.
+
+        Returns:
+            Whether it does so. If not, the request is sent elsewhere if that
+            is possible.
+        """
         segments = self._choose_path(self._path.segments[:1])
         if segments is None:
-            why = "no other path begins at the first instance"
-            was_open = connection.disconnect(why)
-            self._log_disconnect(why, ",".join(suspects), was_open)
-            self._connection = None
-            return
+            self._try_move(
+                "no other path begins at the first instance", suspects
+            )
+            return False
         outcome = await self._forwarding.control.change_path(
             segments[0].upstream,
             self._request.request_id,
@@ -598,7 +661,7 @@
         )
         self._log(
             "path_changed",
-            suspects=",".join(suspects),
+            suspects=_format_instances(suspects),
             new_path=stream_paths.format_path(segments),
             is_accepted=outcome.is_accepted,
             detail=outcome.detail,
@@ -607,13 +670,15 @@
             "accepted" if outcome.is_accepted else "refused"
         ).inc()
         if self._connection is not connection:
-            return
-        if outcome.is_accepted:
-            self._reserve_path(segments)
-            self._path.finish_prefill()
-            self._monitor.reset_silence()
-        else:
-            why = "path change failed"
-            was_open = connection.disconnect(why)
-            self._log_disconnect(why, ",".join(suspects), was_open)
-            self._connection = None
+            return False
+        if not outcome.is_accepted:
+            self._try_move("path change failed", suspects)
+            return False
+        self._reserve_path(segments)
+        self._path.finish_prefill()
+        self._monitor.reset_silence()
+        return True
+
+
+def _format_instances(instances: list[upstreams.Upstream]) -> str:
+    return ",".join(instance.instance_id for instance in instances)
--- a/src/fuchsiabarrow/forwarding/tests/test_generations.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_generations.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 
 import logbook
 import pytest
@@ -597,3 +598,59 @@
     )
     assert writer.body == ALL_EVENTS
     assert writer.is_finished
+
+
+def test_stream_waits_for_a_silent_instance_if_no_retry_is_left():
+    # The connection was ended before it was known that the request could not
+    # be sent again, and the answer was cut.
+    def prepare(harness):
+        harness.forwarding.set_retry_budget(0.0, 0.0)
+        script = fakes.stream(1, 11)
+        script.insert(5, fakes.Wait(1.5))
+        harness.script(FIRST.address, script)
+        harness.script(SPARE_FIRST.address, fakes.stream(1, 11))
+        harness.control.silent.add(FIRST.address)
+
+    writer, harness = serve(prepare, FIRST, LAST, SPARE_FIRST)
+    assert writer.body == ALL_EVENTS
+    assert writer.is_finished
+    assert len(harness.pool.sent) == 1
+
+
+def test_stream_that_may_run_once_ends_if_its_instance_was_replaced():
+    # Its answer cannot come any more, so that waiting for it is in vain.
+    async def run():
+        harness = fakes.Harness(FIRST, LAST)
+        script = fakes.stream(1, 11)
+        script.insert(5, fakes.Wait(60.0))
+        harness.script(FIRST.address, script)
+        harness.control.silent.add(FIRST.address)
+        request = fakes.make_stream_request(is_resumable=False)
+        task = asyncio.create_task(harness.serve(request))
+        await asyncio.sleep(2.0)
+        assert not task.done()
+        reborn = dataclasses.replace(
+            FIRST, instance_id="reborn", incarnation=FIRST.incarnation + 1
+        )
+        harness.directory.put(reborn)
+        await asyncio.sleep(1.0)
+        return task.done(), await task
+
+    is_ended, writer = virtual_time.run(run())
+    assert is_ended
+    assert writer.is_aborted
+
+
+def test_request_without_an_event_changes_its_path_at_a_sound_instance():
+    # It was sent again although its first instance answered.
+    def prepare(harness):
+        harness.script(
+            FIRST.address,
+            [fakes.Head(), fakes.Wait(0.8), *fakes.stream(1, 11)[1:]],
+        )
+        harness.control.silent.add(LAST.address)
+
+    writer, harness = serve(prepare, FIRST, LAST, SPARE_LAST)
+    assert writer.body == ALL_EVENTS
+    assert len(harness.pool.sent) == 1
+    assert len(harness.control.path_changes) == 1
