--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -145,7 +145,7 @@
             asyncio.get_running_loop().time, count_entries, random_source
         )
         self._budgets: dict[str, budgets.SharedRetryBudget] = {}
-        self._streams: set[generations.GenerationHandler] = set()
+        self._streams: dict[generations.GenerationHandler, None] = {}
         self._probe_results: dict[tuple[str, int], _ProbeResult] = {}
         self._probes: dict[tuple[str, int], asyncio.Task] = {}
 
@@ -432,11 +432,11 @@
 
     def add_stream(self, stream: generations.GenerationHandler) -> None:
         """Notifies a stream of suspected upstreams from now on."""
-        self._streams.add(stream)
+        self._streams[stream] = None
 
     def remove_stream(self, stream: generations.GenerationHandler) -> None:
         """Stops notifying a stream of suspected upstreams."""
-        self._streams.discard(stream)
+        self._streams.pop(stream, None)
 
     async def serve(
         self, request: messages.Request, writer: messages.ResponseWriter
