Do not count a lost answer as a crash because a later instance is silent

Cause: after a lost answer all instances of the path are probed, and the request was counted as having crashed one if any of them did not answer, also a later one that was silent while a sound first instance had reset the connection.

Change: a later instance counts only if it refuses connections. A first instance that has lost the answer and does not answer a probe counts as before.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -252,17 +252,25 @@
             )
 
     async def _has_crashed(self) -> bool:
-        """Returns whether an instance of the path is no longer usable."""
-        first = self._path.segments[0].upstream
+        """Returns whether an instance of the path has ended.
+
+        The first one has lost the answer. A later one that is only silent may
+        be sound.
+        """
+        forwarding = self._forwarding
+        instances = [segment.upstream for segment in self._path.segments]
         answers = await asyncio.gather(
             *(
-                self._forwarding.check_alive(
-                    segment.upstream, segment.upstream is first
-                )
-                for segment in self._path.segments
+                forwarding.check_alive(instance, instance is instances[0])
+                for instance in instances
+            )
+        )
+        return not answers[0] or any(
+            not is_alive and not forwarding.is_silent(instance)
+            for instance, is_alive in zip(
+                instances[1:], answers[1:], strict=True
             )
         )
-        return not all(answers)
 
     def _make_refusal(
         self,
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -148,6 +148,8 @@
         self._streams: dict[generations.GenerationHandler, None] = {}
         self._probe_results: dict[tuple[str, int], _ProbeResult] = {}
         self._probes: dict[tuple[str, int], asyncio.Task] = {}
+        # Upstreams whose last probe had no answer although it was not refused.
+        self._silent: set[tuple[str, int]] = set()
 
     async def __aenter__(self) -> "ForwardingService":
         return self
@@ -198,6 +200,13 @@
         """Returns the version of the configuration in force."""
         return self._get_catalog().version
 
+    def is_silent(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether the last probe of an upstream had no answer at all.
+
+        It may be sound then; one that has ended refuses connections.
+        """
+        return upstream.key in self._silent
+
     # Used by the handlers of both kinds of requests.
 
     def send(
@@ -408,8 +417,11 @@
             report = await self.control.read_report(upstream, PROBE_TIMEOUT_S)
         except exceptions.UpstreamError as error:
             self._probe_results.pop(upstream.key, None)
+            if not isinstance(error, exceptions.UpstreamUnreachableError):
+                self._silent.add(upstream.key)
             self.record_failure(upstream, f"{cause}; probe failed: {error}")
             return
+        self._silent.discard(upstream.key)
         now_s = asyncio.get_running_loop().time()
         previous = self._probe_results.get(upstream.key)
         min_interval_s = MIN_PROBE_INTERVAL_S
--- /dev/null
+++ b/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
@@ -0,0 +1,133 @@
+"""What silence proves about instances, requests and prompt parts."""
+
+import asyncio
+import dataclasses
+
+from fuchsiabarrow.fleet.tests import fleets
+from fuchsiabarrow.forwarding import messages
+from fuchsiabarrow.forwarding.tests import fakes
+from fuchsiabarrow.forwarding.tests import path_instances
+from fuchsiabarrow.utils.tests import virtual_time
+
+
+def test_stream_in_prefill_stays_if_its_instance_misdirected_another():
+    # The instance answered 421 because it gave up layers of another request,
+    # and answers probes.
+    async def run():
+        harness = fakes.Harness(path_instances.FIRST, path_instances.LAST)
+        script = [fakes.Head(), fakes.Wait(0.8), *fakes.stream(1, 11)[1:]]
+        harness.script(path_instances.FIRST.address, script)
+        task = path_instances.start(harness)
+        await asyncio.sleep(0.1)
+        harness.directory.replace(
+            [
+                path_instances.FIRST,
+                path_instances.LAST,
+                path_instances.SPARE_FIRST,
+            ]
+        )
+        harness.script(path_instances.SPARE_FIRST.address, fakes.stream(1, 11))
+        harness.forwarding.record_misdirected(path_instances.FIRST)
+        return await task, harness
+
+    writer, harness = virtual_time.run(run())
+    assert harness.sent_addresses == [path_instances.FIRST.address]
+    assert writer.body == path_instances.ALL_EVENTS
+
+
+def test_silent_stream_does_not_hold_the_test_of_a_part():
+    # A request that may run once waits for a silent instance; others with the
+    # part waited for its verdict until they were refused.
+    async def run():
+        harness = fakes.Harness(path_instances.FIRST, path_instances.LAST)
+        harness.script(
+            path_instances.FIRST.address, [fakes.Head(), fakes.Wait(60.0)]
+        )
+        path_instances.record_part_crash(harness, "p")
+        await asyncio.sleep(5.0)
+        testing = path_instances.start(
+            harness, is_resumable=False, shared_parts=("p", "own1")
+        )
+        await asyncio.sleep(0.2)
+        assert harness.sent_addresses == [path_instances.FIRST.address]
+        harness.directory.replace(
+            [
+                path_instances.FIRST,
+                path_instances.LAST,
+                path_instances.SPARE_FIRST,
+            ]
+        )
+        harness.script(path_instances.SPARE_FIRST.address, fakes.stream(1, 11))
+        harness.control.silent.add(path_instances.FIRST.address)
+        other = path_instances.start(
+            harness,
+            is_resumable=False,
+            shared_parts=("p", "own2"),
+        )
+        writer = await other
+        testing.cancel()
+        await asyncio.wait({testing})
+        return writer
+
+    writer = virtual_time.run(run())
+    assert writer.refusal is None, writer.refusal
+    assert writer.body == path_instances.ALL_EVENTS
+
+
+def test_lost_answer_beside_a_silent_later_instance_is_no_crash():
+    # An instance resets one connection, as it has too many, while another one
+    # of the path is silent.
+    async def run():
+        harness = fakes.Harness(
+            path_instances.FIRST, path_instances.LAST, path_instances.SPARE_LAST
+        )
+        reset = [fakes.Wait(0.05), fakes.ConnectionLost]
+        harness.script(
+            path_instances.FIRST.address, reset, fakes.stream(1, 11, 0.5)
+        )
+        task = path_instances.start(harness)
+        await asyncio.sleep(0.01)
+        used = harness.pool.sent[0][1].segments[1].upstream
+        harness.control.silent.add(used.address)
+        await asyncio.sleep(0.5)
+        counts = harness.forwarding.crash_counts.get_own(10)
+        await task
+        return counts
+
+    assert virtual_time.run(run()) == []
+
+
+def test_request_whose_instances_stop_without_a_word_is_refused_at_last():
+    # An instance that was replaced by a new start of itself has crashed.
+    others = [
+        fleets.make_instance(
+            f"other-{n}", "a", "fast", (0, 80), address=f"10.0.1.{n}:80"
+        )
+        for n in range(8)
+    ]
+
+    async def run():
+        harness = fakes.Harness(*others)
+        for instance in others:
+            harness.script(instance.address, [fakes.Wait(60.0)])
+        for _ in range(6):
+            sent = len(harness.pool.sent)
+            task = path_instances.start(
+                harness, body=b"poison", is_resumable=False
+            )
+            await asyncio.sleep(0.1)
+            for address, target, *_ in harness.pool.sent[sent:]:
+                harness.control.silent.add(address)
+                old = target.segments[0].upstream
+                reborn = dataclasses.replace(
+                    old, incarnation=old.incarnation + 1
+                )
+                await asyncio.sleep(2.0)
+                harness.directory.put(reborn)
+                harness.control.silent.clear()
+            await task
+        return task.result(), harness
+
+    writer, harness = virtual_time.run(run())
+    assert len(harness.sent_addresses) <= 3
+    assert writer.refusal.reason is messages.RefusalReason.CRASHES_UPSTREAMS
