--- a/src/fuchsiabarrow/fleet/directory.py
+++ b/src/fuchsiabarrow/fleet/directory.py
@@ -98,6 +98,19 @@
         matching = [u for u in self._upstreams.values() if u.address == address]
         return max(matching, key=lambda u: u.incarnation, default=None)
 
+    def is_replaced(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether a newer instance runs in the place of an instance.
+
+        It has the same id or the same address, so that the older one has ended.
+        """
+        return any(
+            known is not None and known.incarnation > upstream.incarnation
+            for known in (
+                self._upstreams.get(upstream.instance_id),
+                self.find_by_address(upstream.address),
+            )
+        )
+
     def get_all(self) -> list[upstreams.Upstream]:
         """Returns all upstreams in the list."""
         return list(self._upstreams.values())
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -574,7 +574,7 @@
         if upstream.key not in keys or connection is None:
             return
         if keys[0] == upstream.key:
-            if self._is_replaced(upstream):
+            if self._forwarding.directory.is_replaced(upstream):
                 self._disconnect("the first instance was replaced", [upstream])
             else:
                 self._try_move("the first instance is suspected", [upstream])
@@ -584,17 +584,6 @@
                 self._replace_suspects(connection)
             )
 
-    def _is_replaced(self, upstream: upstreams.Upstream) -> bool:
-        """Returns whether a newer instance runs in the place of an instance."""
-        directory = self._forwarding.directory
-        return any(
-            known is not None and known.incarnation > upstream.incarnation
-            for known in (
-                directory.get(upstream.instance_id),
-                directory.find_by_address(upstream.address),
-            )
-        )
-
     def _try_move(self, why: str, suspects: list[upstreams.Upstream]) -> bool:
         """Ends the attempt if the request can be sent on another path at once.
 
@@ -612,26 +601,32 @@
         if segments is None or not self._try_take_retry():
             return False
         self._next_segments = segments
-        self._disconnect(why, suspects)
+        first = self._path.segments[0].upstream
+        self._was_disconnected = self._disconnect(why, suspects)
+        if self._event_count == 0 and self._was_disconnected:
+            self._forwarding.watch_left_instance(first, self._fingerprint)
         return True
 
-    def _disconnect(self, why: str, suspects: list[upstreams.Upstream]) -> None:
-        """Ends the connection of the attempt, which is lost then."""
+    def _disconnect(self, why: str, suspects: list[upstreams.Upstream]) -> bool:
+        """Ends the connection of the attempt, which is lost then.
+
+        Returns:
+            Whether the upstream had not closed it before.
+        """
         if self._connection is None:
-            return
+            return False
         was_open = self._connection.disconnect(why)
         self._connection = None
-        self._was_disconnected |= was_open
         self._log(
             "attempt_disconnected",
             instance=self._path.segments[0].upstream.instance_id,
             why=why,
             suspects=_format_instances(suspects),
-            # Whether the upstream had not closed it before.
             was_open=was_open,
             silent_s=round(self._monitor.get_silence_s(), 4),
             may_repeat=self._request.route.may_repeat,
         )
+        return was_open
 
     async def _replace_suspects(
         self, connection: connections.Connection
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -25,6 +25,7 @@
 from fuchsiabarrow.limits import budgets
 from fuchsiabarrow.limits import crash_counts
 from fuchsiabarrow.limits import crashing_parts
+from fuchsiabarrow.limits import left_instances
 from fuchsiabarrow.limits import upstream_limits
 from fuchsiabarrow.ports import pipelines
 from fuchsiabarrow.telemetry import logs
@@ -144,6 +145,12 @@
         self.upstream_limits = upstream_limits.UpstreamLimits(
             asyncio.get_running_loop().time, count_entries, random_source
         )
+        self._left_instances = left_instances.LeftInstances(
+            asyncio.get_running_loop().time,
+            directory.is_replaced,
+            self.crash_counts.add,
+        )
+        directory.add_listener(self._left_instances.check)
         self._budgets: dict[str, budgets.SharedRetryBudget] = {}
         self._streams: dict[generations.GenerationHandler, None] = {}
         self._probe_results: dict[tuple[str, int], _ProbeResult] = {}
@@ -181,6 +188,12 @@
             detail,
         )
 
+    def watch_left_instance(
+        self, upstream: upstreams.Upstream, fingerprint: int
+    ) -> None:
+        """Counts a crash if an instance that a request has left is replaced."""
+        self._left_instances.record(upstream, fingerprint)
+
     async def check_alive(
         self, upstream: upstreams.Upstream, is_urgent: bool = False
     ) -> bool:
