Follow path changes that are refused or get no answer

A refused change was repeated with the same instance each 0.4 s, as the address in the refusal was not used. A change without an answer may have been carried out; when a new instance stalled later, the stream was not known to pass through it, and waited until the engine cut it. A change before the first event released the capacity reserved for reading the prompt.

Change: the instance that a refusal names is excluded for the stream; a report that names the own request with an instance of an unanswered change leads to another change; the prefill stays reserved before the first event.

The three tests of test_path_changes.py failed before and pass after.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -84,6 +84,8 @@
         self._part_check = part_checks.PartCheck(forwarding, exchange.request)
         # Whether this entry itself ended the connection of the attempt.
         self._was_disconnected = False
+        # Addresses in path changes that got no answer.
+        self._unanswered_addresses: set[str] = set()
         # Path and retry that were secured before the connection was ended.
         self._next_segments: tuple[paths.PathSegment, ...] | None = None
         self._has_retry = False
@@ -561,6 +563,37 @@
             upstream = forwarding.directory.find_by_address(address)
             if upstream is not None:
                 forwarding.record_failure(upstream, "stalled", is_shared=True)
+        self._replace_unknown_instances(report.stalled)
+
+    def _replace_unknown_instances(
+        self, stalled: tuple[tuple[str, str], ...]
+    ) -> None:
+        """Changes the path if this stream waits for an instance outside it.
+
+        A change of the path that got no answer was carried out then.
+
+        Args:
+            stalled: Ids of stalled requests at the first instance, and the
+                addresses that they wait for.
+        """
+        known = {segment.upstream.address for segment in self._path.segments}
+        unknown = [
+            upstream
+            for request_id, address in stalled
+            if request_id == self._request.request_id
+            and address in self._unanswered_addresses - known
+            and (
+                upstream := self._forwarding.directory.find_by_address(address)
+            )
+        ]
+        is_changing = (
+            self._path_change_task is not None
+            and not self._path_change_task.done()
+        )
+        if unknown and self._connection is not None and not is_changing:
+            self._path_change_task = asyncio.create_task(
+                self._change_path(self._connection, unknown)
+            )
 
     def handle_suspect(self, upstream: upstreams.Upstream) -> None:
         """Moves the stream off an instance that is suspected to have failed.
@@ -675,10 +708,19 @@
         if self._connection is not connection:
             return False
         if not outcome.is_accepted:
+            self._unanswered_addresses.update(
+                segment.upstream.address for segment in segments
+            )
+            at_fault = self._forwarding.directory.find_by_address(
+                outcome.unreachable_address
+            )
+            if at_fault is not None:
+                self._path.excluded.add(at_fault.key)
             self._try_move("path change failed", suspects)
             return False
         self._reserve_path(segments)
-        self._path.finish_prefill()
+        if self._event_count:
+            self._path.finish_prefill()
         self._monitor.reset_silence()
         return True
 
--- /dev/null
+++ b/src/fuchsiabarrow/forwarding/tests/test_path_changes.py
@@ -0,0 +1,120 @@
+"""Orders that change the path of a running stream."""
+
+import asyncio
+import dataclasses
+
+from fuchsiabarrow.forwarding.tests import fakes
+from fuchsiabarrow.forwarding.tests import path_instances
+from fuchsiabarrow.utils.tests import virtual_time
+
+
+def test_prefill_stays_reserved_if_the_path_changes_before_the_first_event():
+    async def run():
+        harness = fakes.Harness(
+            path_instances.FIRST, path_instances.LAST, path_instances.SPARE_LAST
+        )
+        harness.script(
+            path_instances.FIRST.address,
+            [fakes.Head(), fakes.Wait(0.8), *fakes.stream(1, 11)[1:]],
+        )
+        task = path_instances.start(harness)
+        await asyncio.sleep(0.1)
+        used = harness.pool.sent[0][1].segments[1].upstream
+        harness.control.silent.add(used.address)
+        await asyncio.sleep(0.6)
+        assert len(harness.control.path_changes) == 1
+        prefill = harness.load_table.get(path_instances.FIRST.key).prefill
+        await task
+        return prefill
+
+    assert virtual_time.run(run()) > 0
+
+
+def test_path_change_that_was_refused_for_an_instance_is_tried_without_it():
+    # The instance that was not there was named, and ordered again and again.
+    async def run():
+        harness = fakes.Harness(path_instances.FIRST, path_instances.LAST)
+        script = [*fakes.stream(1, 5), fakes.Wait(3.0)]
+        script += fakes.stream(5, 11)[1:]
+        harness.script(path_instances.FIRST.address, script)
+        tried = []
+
+        async def change_path(upstream, request_id, segments, timeout_s):
+            later = segments[1].upstream
+            tried.append(later.instance_id)
+            return fakes.pipelines.PathChangeOutcome(
+                later is path_instances.THIRD_LAST,
+                "" if later is path_instances.THIRD_LAST else later.address,
+                "status 409",
+            )
+
+        harness.control.change_path = change_path
+        task = path_instances.start(harness, is_resumable=False)
+        await asyncio.sleep(0.1)
+        faster = dataclasses.replace(path_instances.SPARE_LAST)
+        harness.directory.replace(
+            [
+                path_instances.FIRST,
+                path_instances.LAST,
+                faster,
+                path_instances.THIRD_LAST,
+            ]
+        )
+        # The third instance is busier, and so not the first choice.
+        busy = fakes.loads.Load(20, 20, 1e5, 1e5)
+        harness.load_table.set_report(
+            "other", [(path_instances.THIRD_LAST.key, busy)]
+        )
+        harness.control.silent.add(path_instances.LAST.address)
+        await task
+        return tried
+
+    tried = virtual_time.run(run())
+    assert "third-last" in tried, tried
+
+
+def test_path_that_was_changed_without_an_answer_is_followed():
+    # The order was carried out, but its answer was lost. When the new instance
+    # stalled, the stream was not known to pass through it.
+    async def run():
+        harness = fakes.Harness(path_instances.FIRST, path_instances.LAST)
+        script = [*fakes.stream(1, 5), fakes.Wait(1.0), fakes.make_event(5)]
+        script += [fakes.Wait(6.0), *fakes.stream(6, 11)[1:]]
+        harness.script(path_instances.FIRST.address, script)
+        orders = []
+
+        async def change_path(upstream, request_id, segments, timeout_s):
+            orders.append([s.upstream.instance_id for s in segments])
+            await asyncio.sleep(timeout_s)
+            return fakes.pipelines.PathChangeOutcome(False, "", "no answer")
+
+        harness.control.change_path = change_path
+        task = path_instances.start(harness, is_resumable=False)
+        await asyncio.sleep(0.1)
+        harness.directory.replace(
+            [
+                path_instances.FIRST,
+                path_instances.LAST,
+                path_instances.SPARE_LAST,
+            ]
+        )
+        harness.control.silent.add(path_instances.LAST.address)
+        await asyncio.sleep(1.1)
+        # The first event over the new path came; later the old instance is
+        # well again, and the new one stalls.
+        harness.control.silent.clear()
+        await asyncio.sleep(2.5)
+        before = len(orders)
+        assert before
+        harness.directory.put(path_instances.THIRD_LAST)
+        harness.control.stalled[path_instances.FIRST.address] = (
+            ("r1", path_instances.SPARE_LAST.address),
+        )
+        await asyncio.sleep(3.0)
+        after = orders[before:]
+        await task
+        return after
+
+    after = virtual_time.run(run())
+    assert after
+    assert after[-1] in (["first", "last"], ["first", "third-last"])
