Secure the next attempt before the connection of a stream is ended

Cause: a stream gave up its connection to a silent instance before its next attempt was certain. Streams that moved together chose their paths before any of them was counted as load or took its permit (20 streams: 10 and 10 at instances with room for 4 each; 20 at once at one that had announced 4 a second). A path was still used after a wait of up to 4 s, at an instance that had begun to leave. If the new instance accepted no connections, a request without an event ended with 502, and a begun one had none for 2.6 s. Streams were moved although events arrived, as another request could not connect, or as the instance had sent a 421 to it; requests were moved and then held back for a suspected part of their prompt. A request that tests a part kept the test while its instance was silent.

Change: a move reserves the path, takes retry and permit, and opens the connection; only then the old one is ended, and not if an event arrived meanwhile. The path is checked again before it is used. A stream whose last event is younger than the least silence is not moved; it looks again at its next silence. Tests of parts end when the instance is suspected.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -10,12 +10,14 @@
 """
 
 import asyncio
+import dataclasses
 import enum
 from typing import TYPE_CHECKING
 
 import logbook
 
 from fuchsiabarrow import exceptions
+from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet import paths
 from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.forwarding import connections
@@ -62,6 +64,15 @@
     LOST = enum.auto()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _NextAttempt:
+    """What an attempt needs, prepared while another one still runs."""
+
+    segments: tuple[paths.PathSegment, ...]
+    reservation: loads.Reservation
+    connection: connections.Connection
+
+
 class GenerationHandler:
     """Serves one request to a language model.
 
@@ -84,10 +95,12 @@
         self._part_check = part_checks.PartCheck(forwarding, exchange.request)
         # Whether this entry itself ended the connection of the attempt.
         self._was_disconnected = False
+        # Prepared before the connection of the present attempt was ended.
+        self._next: _NextAttempt | None = None
         # Addresses in path changes that got no answer.
         self._unanswered_addresses: set[str] = set()
-        # Path and retry that were secured before the connection was ended.
-        self._next_segments: tuple[paths.PathSegment, ...] | None = None
+        # Suspected instances of the path that the stream could not leave yet.
+        self._suspects: dict[tuple[str, int], upstreams.Upstream] = {}
         self._has_retry = False
         self._connection: connections.Connection | None = None
         self._may_have_run = False
@@ -99,6 +112,7 @@
         )
         self._silence_check_task: asyncio.Task | None = None
         self._path_change_task: asyncio.Task | None = None
+        self._move_task: asyncio.Task | None = None
         self._failure_detail = ""
         self._first_event_s: float | None = None
         self._longest_gap_s = 0.0
@@ -129,6 +143,7 @@
         finally:
             forwarding.remove_stream(self)
             self._stop_monitoring()
+            self._discard_next()
         if refusal is not None and self._writer.is_started:
             self._record_abort(refusal)
             self._writer.abort()
@@ -167,7 +182,7 @@
             refusal = await self._check_parts()
             if refusal is not None:
                 return refusal
-            segments = self._take_next_path() or self._choose_path()
+            segments = self._get_next_path() or self._choose_path()
             if segments is None:
                 if not self._writer.is_started:
                     return self._make_refusal(
@@ -313,12 +328,20 @@
             return None
         return segments
 
-    def _take_next_path(self) -> tuple[paths.PathSegment, ...] | None:
-        """Returns the path secured by `_try_move`, if it is still usable."""
-        segments, self._next_segments = self._next_segments, None
-        if segments is None or self._find_suspects(segments):
+    def _get_next_path(self) -> tuple[paths.PathSegment, ...] | None:
+        """Returns the path of the prepared attempt, if it is still usable."""
+        if self._next is None:
             return None
-        return segments
+        if not self._path.is_usable(self._next.segments):
+            self._discard_next()
+            return None
+        return self._next.segments
+
+    def _discard_next(self) -> None:
+        if self._next is not None:
+            self._next.connection.close()
+            self._next.reservation.__exit__()
+            self._next = None
 
     def _find_suspects(
         self, segments: tuple[paths.PathSegment, ...]
@@ -339,8 +362,14 @@
             )
         return self._has_retry
 
-    def _reserve_path(self, segments: tuple[paths.PathSegment, ...]) -> None:
-        self._path.reserve(segments)
+    def _adopt_path(
+        self,
+        segments: tuple[paths.PathSegment, ...],
+        reservation: loads.Reservation,
+    ) -> None:
+        """Makes a path with reserved capacity the current one."""
+        self._suspects.clear()
+        self._path.adopt(segments, reservation)
         event_ms = self._path.estimate_event_ms()
         self._monitor.set_expected_interval(event_ms / MS_PER_S)
 
@@ -351,14 +380,10 @@
     ) -> _AttemptResult:
         """Sends the request over a path and relays the response."""
         forwarding, request = self._forwarding, self._request
-        self._reserve_path(segments)
         self._was_disconnected = False
         first = segments[0].upstream
-        forwarding.upstream_limits.take(first.key)
         try:
-            connection = await forwarding.pool.open(
-                first.address, request.route.may_repeat
-            )
+            connection = await self._open_connection(segments)
         except exceptions.UpstreamUnreachableError as error:
             self._log_not_sent(first, error)
             forwarding.record_failure(first, f"connect: {error}")
@@ -382,6 +407,25 @@
                 self._connection = None
                 self._stop_monitoring()
 
+    async def _open_connection(
+        self, segments: tuple[paths.PathSegment, ...]
+    ) -> connections.Connection:
+        """Reserves a path and connects to its first instance.
+
+        Raises:
+            UpstreamUnreachableError: It does not accept connections.
+        """
+        forwarding, first = self._forwarding, segments[0].upstream
+        next_attempt, self._next = self._next, None
+        if next_attempt is not None:
+            self._adopt_path(segments, next_attempt.reservation)
+            return next_attempt.connection
+        self._adopt_path(segments, self._path.hold(segments))
+        forwarding.upstream_limits.take(first.key)
+        return await forwarding.pool.open(
+            first.address, self._request.route.may_repeat
+        )
+
     def _log_not_sent(
         self, first: upstreams.Upstream, error: Exception
     ) -> None:
@@ -530,10 +574,15 @@
 
     def _stop_monitoring(self) -> None:
         self._monitor.stop()
-        for task in (self._silence_check_task, self._path_change_task):
+        for task in (
+            self._silence_check_task,
+            self._path_change_task,
+            self._move_task,
+        ):
             if task is not None:
                 task.cancel()
         self._silence_check_task = self._path_change_task = None
+        self._move_task = None
 
     async def _probe_silent_path(self, silent_s: float) -> None:
         """Probes the instances of a silent stream and avoids stalled ones.
@@ -542,11 +591,14 @@
         it waits, but only after a delay.
         """
         forwarding = self._forwarding
-        for upstream in self._find_suspects(self._path.segments):
-            self.handle_suspect(upstream)
+        first = self._path.segments[0].upstream
+        if forwarding.directory.is_replaced(first):
+            self._disconnect("the first instance was replaced", [first])
+        for upstream in list(self._suspects.values()):
+            if forwarding.directory.is_avoided(upstream):
+                self.handle_suspect(upstream)
         if self._connection is None:
             return
-        first = self._path.segments[0].upstream
         for segment in self._path.segments[1:]:
             forwarding.start_probe(segment.upstream, "silent")
         report = await forwarding.get_fresh_report(first, "silent")
@@ -599,47 +651,97 @@
         """Moves the stream off an instance that is suspected to have failed.
 
         A sound instance may be silent for seconds and then go on. So the
-        connection is ended only if the request is sent elsewhere at once, or
-        if the first instance is certainly gone; else the stream waits.
+        connection is ended only if the request is sent elsewhere at once;
+        otherwise the stream waits until its next report of silence.
         """
         segments, connection = self._path.segments, self._connection
         keys = [segment.upstream.key for segment in segments]
         if upstream.key not in keys or connection is None:
             return
+        self._suspects[upstream.key] = upstream
+        if self._gets_events():
+            return
         if keys[0] == upstream.key:
-            if self._forwarding.directory.is_replaced(upstream):
-                self._disconnect("the first instance was replaced", [upstream])
-            else:
-                self._try_move("the first instance is suspected", [upstream])
+            # Others may test the parts of the prompt elsewhere.
+            self._part_check.end_test()
+            if self._move_task is None or self._move_task.done():
+                self._move_task = asyncio.create_task(
+                    self._try_move(
+                        "the first instance is suspected", [upstream]
+                    )
+                )
             return
         if self._path_change_task is None or self._path_change_task.done():
             self._path_change_task = asyncio.create_task(
                 self._replace_suspects(connection)
             )
 
-    def _try_move(self, why: str, suspects: list[upstreams.Upstream]) -> bool:
+    def _gets_events(self) -> bool:
+        """Returns whether an event has just shown that the path works."""
+        return (
+            self._event_count > 0
+            and self._monitor.get_silence_s() < stream_monitors.MIN_SILENCE_S
+        )
+
+    async def _try_move(
+        self, why: str, suspects: list[upstreams.Upstream]
+    ) -> bool:
         """Ends the attempt if the request can be sent on another path at once.
 
+        The next attempt has its path, retry and connection before that.
+
         Args:
             why: The reason, for the log.
             suspects: Instances of the path that are suspected.
 
         Returns:
-            Whether it can: it may be repeated, and sends, a retry and a path
-            are left for it.
+            Whether the attempt was ended.
         """
-        if not self._request.route.may_repeat or self._send_count >= MAX_SENDS:
+        connection = self._connection
+        if (
+            connection is None
+            or not self._request.route.may_repeat
+            or self._send_count >= MAX_SENDS
+            or (not self._event_count and not self._part_check.is_clear())
+        ):
             return False
         segments = self._choose_path()
         if segments is None or not self._try_take_retry():
             return False
-        self._next_segments = segments
+        next_attempt = await self._prepare_attempt(segments)
+        if next_attempt is None:
+            return False
+        self._discard_next()
+        self._next = next_attempt
+        if self._connection is not connection or self._gets_events():
+            self._discard_next()
+            return False
         first = self._path.segments[0].upstream
         self._was_disconnected = self._disconnect(why, suspects)
         if self._event_count == 0 and self._was_disconnected:
             self._forwarding.watch_left_instance(first, self._fingerprint)
         return True
 
+    async def _prepare_attempt(
+        self, segments: tuple[paths.PathSegment, ...]
+    ) -> "_NextAttempt | None":
+        """Reserves a path and connects to its first instance, if possible."""
+        forwarding, first = self._forwarding, segments[0].upstream
+        reservation = self._path.hold(segments)
+        forwarding.upstream_limits.take(first.key)
+        connection = None
+        try:
+            connection = await forwarding.pool.open(first.address, True)
+        except exceptions.UpstreamUnreachableError as error:
+            self._log_not_sent(first, error)
+            self._path.excluded.add(first.key)
+            forwarding.record_failure(first, f"connect: {error}")
+            return None
+        finally:
+            if connection is None:
+                reservation.__exit__()
+        return _NextAttempt(segments, reservation, connection)
+
     def _disconnect(self, why: str, suspects: list[upstreams.Upstream]) -> bool:
         """Ends the connection of the attempt, which is lost then.
 
@@ -685,7 +787,7 @@
         """
         segments = self._choose_path(self._path.segments[:1])
         if segments is None:
-            self._try_move(
+            await self._try_move(
                 "no other path begins at the first instance", suspects
             )
             return False
@@ -716,9 +818,9 @@
             )
             if at_fault is not None:
                 self._path.excluded.add(at_fault.key)
-            self._try_move("path change failed", suspects)
+            await self._try_move("path change failed", suspects)
             return False
-        self._reserve_path(segments)
+        self._adopt_path(segments, self._path.hold(segments))
         if self._event_count:
             self._path.finish_prefill()
         self._monitor.reset_silence()
--- a/src/fuchsiabarrow/forwarding/part_checks.py
+++ b/src/fuchsiabarrow/forwarding/part_checks.py
@@ -89,6 +89,11 @@
                 return judgement
             await asyncio.sleep(POLL_S)
 
+    def is_clear(self) -> bool:
+        """Returns whether the request may be sent without a wait."""
+        judgement = self._part_crashes.judge(self._organisation, self._parts)
+        return judgement.verdict is crashing_parts.Verdict.CLEAR
+
     def record_begin(self) -> None:
         """Records that the answer has begun."""
         self._part_crashes.record_begin(self._parts)
--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -124,14 +124,50 @@
             prefix,
         )
 
-    def reserve(self, segments: tuple[paths.PathSegment, ...]) -> None:
-        """Reserves capacity on a path and releases that on the previous one."""
-        self._release()
-        self.segments = segments
-        self._reservation = paths.reserve_path(
+    def is_usable(self, segments: tuple[paths.PathSegment, ...]) -> bool:
+        """Returns whether the request may still be sent on a chosen path."""
+        directory = self._forwarding.directory
+        for segment in segments:
+            upstream = segment.upstream
+            known = directory.get(upstream.instance_id)
+            if (
+                known is None
+                or known.key != upstream.key
+                or known.is_leaving
+                or known.layers is None
+                or not known.layers.first <= segment.first
+                or not segment.end <= known.layers.end
+                or directory.is_replaced(upstream)
+                or directory.is_avoided(upstream)
+                or directory.is_full(upstream)
+            ):
+                return False
+        return True
+
+    def hold(
+        self, segments: tuple[paths.PathSegment, ...]
+    ) -> loads.Reservation:
+        """Reserves capacity on a path beside that on the current one."""
+        reservation = paths.reserve_path(
             self._forwarding.load_table, list(segments), self._size
         )
-        self._reservation.__enter__()
+        reservation.__enter__()
+        return reservation
+
+    def adopt(
+        self,
+        segments: tuple[paths.PathSegment, ...],
+        reservation: loads.Reservation,
+    ) -> None:
+        """Makes a path the current one and releases the previous one.
+
+        Args:
+            segments: The path.
+            reservation: Its capacity, as returned by `hold`.
+        """
+        self._release()
+        self.segments = segments
+        self._reservation = reservation
 
     def finish_prefill(self) -> None:
         """Releases the capacity reserved for prefilling the prompt."""
