--- a/src/fuchsiabarrow/platform/tests/simulated_network.py
+++ b/src/fuchsiabarrow/platform/tests/simulated_network.py
@@ -482,6 +482,7 @@
         self._low_water_bytes = HIGH_WATER_BYTES // 4
         self._is_writing_paused = False
         self._is_reading_paused = False
+        self._is_end_sent = False
         self._is_closing = False
         self._is_lost = False
         self._user_timer: asyncio.TimerHandle | None = None
@@ -491,6 +492,8 @@
     def write(self, data) -> None:
         if self._is_closing or not data:
             return
+        if self._is_end_sent:
+            raise RuntimeError("cannot write after write_eof")
         data = bytes(data)
         self._unread_bytes += len(data)
         self._record.sent_bytes += len(data)
@@ -506,10 +509,12 @@
         self.write(b"".join(list_of_data))
 
     def write_eof(self) -> None:
-        raise NotImplementedError
+        if not (self._is_closing or self._is_end_sent):
+            self._is_end_sent = True
+            self._send(_Item.END)
 
     def can_write_eof(self) -> bool:
-        return False
+        return True
 
     def get_write_buffer_size(self) -> int:
         return max(0, self._unread_bytes - WINDOW_BYTES)
@@ -544,7 +549,7 @@
 
     def close(self) -> None:
         if not self._is_closing:
-            self._send(_Item.END)
+            self.write_eof()
             self._finish(None)
 
     def abort(self) -> None:
