Count a lost answer of a plain request as one crash at most

Cause: the upstream that lost the answer was kept when the next ones accepted no connections, and was counted again for each of them.

Change: it is forgotten before each attempt. The test failed before (three counted) and passes after.

--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -192,13 +192,13 @@
         """Sends the request once; returns the error, or None on success."""
         forwarding, request = self._forwarding, self._request
         self._last_tried = f"last upstream tried: {upstream.instance_id}"
+        self._lost_upstream = None
         may_reuse = request.route.may_repeat
         try:
             connection = await forwarding.pool.open(upstream.address, may_reuse)
         except exceptions.UpstreamUnreachableError as error:
             forwarding.record_failure(upstream, f"connect: {error}")
             return str(error)
-        self._lost_upstream = None
         async with connection:
             try:
                 return await self._send_and_receive(connection, upstream)
--- a/src/fuchsiabarrow/forwarding/tests/test_plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_plain_requests.py
@@ -221,3 +221,23 @@
     assert second.refusal.is_not_run
     assert second.refusal.retry_after_s > 1.0
     assert harness.sent_addresses == [FAR.address]
+
+
+def test_lost_answer_counts_as_one_crash_at_most():
+    # It counted once more with each other upstream that accepted no connection,
+    # so that one lost answer could block its request.
+    async def run():
+        other = fleets.make_instance(
+            "other", "b", "", service=fakes.PLAIN_SERVICE, address="10.0.0.3:80"
+        )
+        harness = fakes.Harness(NEAR, FAR, other)
+        harness.script(NEAR.address, [fakes.ConnectionLost], fakes.Unreachable)
+        harness.script(FAR.address, fakes.Unreachable)
+        harness.script(other.address, fakes.Unreachable)
+        request = fakes.make_request(fakes.make_route(IDEMPOTENT))
+        writer = await harness.serve(request)
+        return writer, harness.forwarding.crash_counts.get_own(10)
+
+    writer, counts = virtual_time.run(run())
+    assert [count for _, count in counts] == [1]
+    assert writer.refusal.reason is messages.RefusalReason.UPSTREAM_FAILED
