--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -1,12 +1,14 @@
 """Composition root of an entry that forwards whole requests to upstreams."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import random
 
 import aiohttp.web
 import logbook
 
+from fuchsiabarrow import exceptions
 from fuchsiabarrow.catalogs import service as catalog_service
 from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet import lists
@@ -14,10 +16,14 @@
 from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.fleet import watchers
 from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import isolation
+from fuchsiabarrow.forwarding import links
 from fuchsiabarrow.forwarding import service as forwarding_service
 from fuchsiabarrow.kernel import registry
 from fuchsiabarrow.peers import load_reports
 from fuchsiabarrow.peers import relays
+from fuchsiabarrow.peers import summaries
+from fuchsiabarrow.peers import tunnels
 from fuchsiabarrow.placement import service as placement_service
 from fuchsiabarrow.platform import frontend as frontend_module
 from fuchsiabarrow.platform import settings as settings_module
@@ -77,6 +83,7 @@
             await self._add_replicated_state()
             await self._add_forwarding()
             await self._add_load_reports()
+            await self._add_tunnels()
             await self._add_placement()
             await self._add_http_interfaces()
         except BaseException:
@@ -167,9 +174,23 @@
             budget_extra=settings.budget_extra,
             budget_window_s=settings.budget_window_s,
         )
+        link_table = links.LinkTable(
+            asyncio.get_running_loop().time, self._source
+        )
+        await kernel.add("link_table", contextlib.nullcontext(link_table))
+        tunnel_client = tunnels.TunnelClient(
+            settings.failure_domain,
+            lambda: kernel.get("load_reports").find_helpers(),
+            self._source,
+        )
         connection_pool = await kernel.add(
             "connection_pool",
-            connections.ConnectionPool(forwarding_settings.connect_timeout_s),
+            connections.ConnectionPool(
+                forwarding_settings.connect_timeout_s,
+                link_table,
+                tunnel_client,
+                metrics,
+            ),
         )
         control = upstream_control.UpstreamControl(connection_pool)
         await kernel.add("upstream_control", contextlib.nullcontext(control))
@@ -217,6 +238,7 @@
                     ),
                 ),
                 self._source,
+                self._make_helper,
             ),
         )
 
@@ -259,6 +281,78 @@
             ),
         )
 
+    async def _add_tunnels(self) -> None:
+        kernel, settings = self.kernel, self._settings
+        directory = kernel.get("directory")
+        if settings.tunnel_port:
+
+            def is_known(address: str) -> bool:
+                upstream = directory.find_by_address(address)
+                return upstream is not None and not upstream.is_leaving
+
+            await kernel.add(
+                "tunnel_server",
+                tunnels.TunnelServer(
+                    f"{settings.ip}:{settings.tunnel_port}",
+                    lambda: not kernel.get("link_table").is_isolated(),
+                    is_known,
+                    self._connect_for_other,
+                ),
+            )
+        await kernel.add(
+            "isolation_monitor",
+            isolation.IsolationMonitor(
+                kernel.get("link_table"),
+                directory,
+                kernel.get("connection_pool"),
+                self._source,
+            ),
+        )
+
+    async def _connect_for_other(
+        self,
+        address: str,
+        make_protocol: Callable[[], asyncio.Protocol],
+        timeout_s: float,
+    ) -> asyncio.Protocol:
+        """Connects to an upstream for another entry.
+
+        Raises:
+            UpstreamUnreachableError: The upstream does not accept connections.
+                This entry avoids it then, too.
+            NoHelperError: The same, but the links of this entry may be at
+                fault.
+        """
+        kernel = self.kernel
+        is_sound = kernel.get("link_table").is_sound()
+        try:
+            return await kernel.get("connection_pool").connect_directly(
+                address, make_protocol, timeout_s
+            )
+        except exceptions.UpstreamUnreachableError as error:
+            upstream = kernel.get("directory").find_by_address(address)
+            if upstream is not None:
+                kernel.get("forwarding").record_failure(
+                    upstream, f"connect: {error}"
+                )
+            if not is_sound:
+                raise exceptions.NoHelperError(str(error)) from error
+            raise
+
+    def _make_helper(self) -> summaries.Helper | None:
+        """Returns how other entries reach upstreams through this one."""
+        kernel = self.kernel
+        link_table = kernel.get("link_table")
+        if "tunnel_server" not in kernel or link_table.is_isolated():
+            return None
+        server = kernel.get("tunnel_server")
+        return summaries.Helper(
+            link_table.reached_at_s,
+            server.address,
+            self._settings.failure_domain,
+            server.token,
+        )
+
     async def _add_placement(self) -> None:
         kernel = self.kernel
         await kernel.add(
@@ -316,11 +410,11 @@
             metrics.configuration_version.set(current_catalog.catalog.version)
         metrics.configuration_age_s.set(current_catalog.get_age_s())
         metrics.list_age_s.set(directory.get_age_s())
-        upstream_list = directory.get_all()
-        metrics.upstreams.set(len(upstream_list))
-        metrics.avoided_upstreams.set(
-            sum(map(directory.is_avoided, upstream_list))
-        )
+        metrics.upstreams.set(len(directory.get_all()))
+        metrics.avoided_upstreams.set(directory.count_avoided())
+        metrics.isolated.set(kernel.get("link_table").is_isolated())
+        if "tunnel_server" in kernel:
+            metrics.tunnels.set(kernel.get("tunnel_server").count())
         metrics.entries.set(kernel.get("load_reports").count_live())
         return aiohttp.web.Response(
             body=metrics.encode(), content_type="text/plain"
@@ -361,6 +455,14 @@
         )
         _log.info(logs.format_event("reloaded", entry=settings.name))
 
+    def _stop_tunnels(self) -> Callable[[], int]:
+        """Refuses new tunnels; returns a function that counts the open ones."""
+        if "tunnel_server" not in self.kernel:
+            return lambda: 0
+        server = self.kernel.get("tunnel_server")
+        server.is_stopping = True
+        return server.count
+
     async def drain(self) -> None:
         """Shuts down gracefully: stops accepting and finishes running work.
 
@@ -381,6 +483,7 @@
         kernel.get("frontend").stop()
         reports = kernel.get("load_reports")
         reports.is_stopping = True
+        count_tunnels = self._stop_tunnels()
         await reports.send_now()
         await asyncio.sleep(min(DEREGISTRATION_DELAY_S, limit_s))
         listener, frontend = (
@@ -392,10 +495,8 @@
             # Lets requests on connections accepted just now be read first.
             await asyncio.sleep(DRAIN_POLL_S)
             listener.close_idle(frontend.busy_connections)
-            if (
-                not frontend.busy_connections
-                or loop.time() - started_s > limit_s
-            ):
+            is_busy = frontend.busy_connections or count_tunnels()
+            if not is_busy or loop.time() - started_s > limit_s:
                 break
         _log.info(
             logs.format_event(
--- a/src/fuchsiabarrow/exceptions.py
+++ b/src/fuchsiabarrow/exceptions.py
@@ -184,6 +184,10 @@
     """No byte of the request was sent, so it did not run."""
 
 
+class NoHelperError(UpstreamUnreachableError):
+    """No other entry could be asked to connect to an upstream."""
+
+
 class UpstreamResponseLostError(UpstreamError):
     """The response is missing, incomplete or invalid.
 
--- a/src/fuchsiabarrow/fleet/directory.py
+++ b/src/fuchsiabarrow/fleet/directory.py
@@ -190,6 +190,14 @@
         """Clears the failures of an upstream that answered successfully."""
         self._health.pop(upstream.key, None)
 
+    def count_avoided(self) -> int:
+        """Returns the number of upstreams that are avoided at present."""
+        return sum(map(self.is_avoided, self._upstreams.values()))
+
+    def clear_failures(self) -> None:
+        """Forgets all failures: they were those of this entry's own links."""
+        self._health.clear()
+
     def is_avoided(self, upstream: upstreams.Upstream) -> bool:
         """Returns whether an upstream is avoided after a recent failure."""
         health = self._health.get(upstream.key)
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -282,6 +282,8 @@
                 for instance in instances
             )
         )
+        if forwarding.pool.is_isolated():
+            return False  # This entry cannot tell.
         return not answers[0] or any(
             not is_alive and not forwarding.is_silent(instance)
             for instance, is_alive in zip(
@@ -592,11 +594,11 @@
         """
         forwarding = self._forwarding
         first = self._path.segments[0].upstream
-        if forwarding.directory.is_replaced(first):
-            self._disconnect("the first instance was replaced", [first])
-        for upstream in list(self._suspects.values()):
-            if forwarding.directory.is_avoided(upstream):
-                self.handle_suspect(upstream)
+        if forwarding.directory.get(first.instance_id) is None:
+            # It has left or is dead; probes would tell nothing new.
+            await self._try_move("the first instance is not listed", [first])
+            return
+        self._check_suspects()
         if self._connection is None:
             return
         for segment in self._path.segments[1:]:
@@ -611,12 +613,28 @@
             stalled=",".join(sorted(addresses)),
             pace_factor=report.slowdown,
         )
+        if self._connection is None:
+            return
+        # The instance answers, though perhaps not on this connection.
+        if forwarding.pool.is_way_lost(self._connection):
+            if await self._try_move("the way to it is lost", [first]):
+                return
         for address in addresses:
             upstream = forwarding.directory.find_by_address(address)
             if upstream is not None:
                 forwarding.record_failure(upstream, "stalled", is_shared=True)
         self._replace_unknown_instances(report.stalled)
 
+    def _check_suspects(self) -> None:
+        """Leaves instances that the stream could not leave before."""
+        directory = self._forwarding.directory
+        first = self._path.segments[0].upstream
+        if directory.is_replaced(first):
+            self._disconnect("the first instance was replaced", [first])
+        for upstream in list(self._suspects.values()):
+            if directory.is_avoided(upstream):
+                self.handle_suspect(upstream)
+
     def _replace_unknown_instances(
         self, stalled: tuple[tuple[str, str], ...]
     ) -> None:
--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -141,13 +141,16 @@
         )
 
     async def _has_crashed(self) -> bool:
-        """Returns whether the upstream that lost the answer is unreachable."""
+        """Returns whether the upstream that lost the answer is unreachable.
+
+        An entry that reaches no upstream cannot tell.
+        """
         try:
             connection = await self._forwarding.pool.open(
                 self._lost_upstream.address, False
             )
         except exceptions.UpstreamUnreachableError:
-            return True
+            return not self._forwarding.pool.is_isolated()
         connection.close()
         return False
 
--- a/src/fuchsiabarrow/forwarding/tests/fakes.py
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -124,6 +124,12 @@
         self.sent: list[tuple] = []
         self.connections: list[FakeConnection] = []
 
+    def is_isolated(self) -> bool:
+        return False
+
+    def is_way_lost(self, connection) -> bool:
+        return False
+
     async def open(self, address, may_reuse=True, timeout_s=None):
         scripts = self.scripts[address]
         script = scripts.pop(0) if len(scripts) > 1 else scripts[0]
--- a/src/fuchsiabarrow/peers/load_report.capnp
+++ b/src/fuchsiabarrow/peers/load_report.capnp
@@ -31,6 +31,16 @@
   ageMs @1 :UInt32;
 }
 
+# An entry that connects to upstreams for entries that cannot.
+struct Helper {
+  # Where it accepts tunnels, and the number that they must present.
+  address @0 :Text;
+  token @1 :UInt64;
+  domain @2 :Text;
+  # Time since it last connected to an upstream.
+  ageMs @3 :UInt32;
+}
+
 struct LoadReport {
   sender @0 :Text;
   domain @1 :Text;
@@ -87,4 +97,6 @@
   limitUpstreams @26 :List(UInt64);
   limitMilli @27 :List(UInt32);
   limitAgeMs @28 :List(UInt32);
+
+  helpers @29 :List(Helper);
 }
--- a/src/fuchsiabarrow/peers/report_codec.py
+++ b/src/fuchsiabarrow/peers/report_codec.py
@@ -127,6 +127,15 @@
     )
     _encode_part_evidence(message, summary, now_s)
     _encode_announcements(message, summary, now_s)
+    message.helpers = [
+        {
+            "address": helper.address,
+            "token": helper.token,
+            "domain": helper.domain,
+            "ageMs": _encode_age_ms(now_s - helper.reached_at_s),
+        }
+        for helper in summary.helpers
+    ]
     message.contacts = [
         {
             "name": contact.name,
@@ -181,16 +190,17 @@
     return min(MAX_UINT32, max(0, int(value)))
 
 
+def _encode_age_ms(age_s: float) -> int:
+    return _clip(min(age_s, MAX_AGE_S) * MILLISECONDS_PER_S)
+
+
 def _encode_holders(
     holders: tuple[summaries.CopyHolder, ...], now_s: float
 ) -> list[dict]:
     return [
         {
             "address": entry.address,
-            "ageMs": _clip(
-                min(now_s - entry.confirmed_at_s, MAX_AGE_S)
-                * MILLISECONDS_PER_S
-            ),
+            "ageMs": _encode_age_ms(now_s - entry.confirmed_at_s),
         }
         for entry in holders
     ]
@@ -263,6 +273,15 @@
             )
         },
         _decode_announcements(message, now_s),
+        tuple(
+            summaries.Helper(
+                now_s - helper.ageMs / MILLISECONDS_PER_S,
+                helper.address,
+                helper.domain,
+                helper.token,
+            )
+            for helper in message.helpers
+        ),
     )
 
 
--- a/src/fuchsiabarrow/peers/summaries.py
+++ b/src/fuchsiabarrow/peers/summaries.py
@@ -8,10 +8,13 @@
 from fuchsiabarrow.limits import crashing_parts
 from fuchsiabarrow.limits import upstream_limits
 
-__all__ = ["CopyHolder", "Summary", "merge", "subtract"]
+__all__ = ["CopyHolder", "Helper", "Summary", "merge", "subtract"]
 
 # Maximum number of entries that an aggregate names as holders of recent copies.
 MAX_COPY_HOLDERS = 4
+# Maximum number of helpers of one failure domain that an aggregate names. Those
+# that reached an upstream last come first, so that they vary with the load.
+MAX_HELPERS_PER_DOMAIN = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -28,6 +31,23 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Helper:
+    """An entry that connects to upstreams for entries that cannot.
+
+    Attributes:
+        reached_at_s: Loop time at which it last connected to an upstream.
+        address: ``ip:port`` on which it accepts tunnels.
+        domain: Its failure domain.
+        token: Number that a tunnel to it must present; only entries know it.
+    """
+
+    reached_at_s: float
+    address: str
+    domain: str
+    token: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Summary:
     """Load of one entry, or aggregate over several.
@@ -44,6 +64,7 @@
         part_crashes: Known crashes of upstreams under parts of prompts.
         part_begins: When answers began on parts that others suspect.
         announcements: Rate limits that upstreams announced, by their hash.
+        helpers: Entries that connect to upstreams for others.
     """
 
     entry_count: int
@@ -62,6 +83,7 @@
     announcements: Mapping[int, upstream_limits.Announcement] = (
         dataclasses.field(default_factory=dict)
     )
+    helpers: tuple[Helper, ...] = ()
 
 
 def merge(summaries: Iterable[Summary]) -> Summary:
@@ -97,6 +119,7 @@
         upstream_limits.merge_announcements(
             part.announcements for part in parts
         ),
+        _select_helpers(part.helpers for part in parts),
     )
 
 
@@ -109,6 +132,17 @@
     return tuple(ordered[:MAX_COPY_HOLDERS])
 
 
+def _select_helpers(
+    groups: Iterable[tuple[Helper, ...]],
+) -> tuple[Helper, ...]:
+    by_domain: dict[str, list[Helper]] = {}
+    for helper in sorted((h for part in groups for h in part), reverse=True):
+        selected = by_domain.setdefault(helper.domain, [])
+        if len(selected) < MAX_HELPERS_PER_DOMAIN:
+            selected.append(helper)
+    return tuple(h for selected in by_domain.values() for h in selected)
+
+
 def subtract(total: Summary, part: Summary) -> Summary:
     """Returns an aggregate less the load and the crashes of one part of it."""
     remaining = dict(total.loads)
--- a/src/fuchsiabarrow/platform/settings.py
+++ b/src/fuchsiabarrow/platform/settings.py
@@ -26,6 +26,8 @@
         ready_address: ``ip:port`` to listen on for readiness checks.
         operator_address: ``ip:port`` to serve metrics on; empty for none.
         entry_port: Port to listen on for other entries.
+        tunnel_port: Port to listen on for tunnels of other entries; 0 if the
+            platform provides only one internal port.
         seed_ips: IP addresses of instances to contact first; some may be down.
         store_address: ``ip:port`` of the object store.
         drain_s: Time after which a leaving upstream must get no new requests.
@@ -48,6 +50,7 @@
     ready_address: str
     operator_address: str
     entry_port: int
+    tunnel_port: int
     seed_ips: tuple[str, ...]
     store_address: str
     drain_s: float
@@ -98,7 +101,10 @@
         name, separator, value = line.partition("=")
         if separator and not line.lstrip().startswith("#"):
             fields[name.strip()] = value.strip()
-    ports = _get_required(fields, "internal_ports").split(",")
+    ports = [
+        int(_parse_number("internal_ports", port))
+        for port in _get_required(fields, "internal_ports").split(",")
+    ]
     seeds = [seed for seed in fields.get("seeds", "").split(",") if seed]
     return PlatformSettings(
         name=_get_required(fields, "node_name"),
@@ -107,7 +113,8 @@
         caller_address=_get_address(fields, "listen.front"),
         ready_address=_get_address(fields, "listen.ready"),
         operator_address=fields.get("listen.control", ""),
-        entry_port=int(_parse_number("internal_ports", ports[0])),
+        entry_port=ports[0],
+        tunnel_port=ports[0] + 1 if ports[-1] > ports[0] else 0,
         seed_ips=tuple(seed.rpartition(":")[0] for seed in seeds),
         store_address=_get_address(fields, "provider.address"),
         drain_s=_get_number(fields, "bounds.drain_ms") / MS_PER_S,
--- a/src/fuchsiabarrow/platform/tests/entry_simulation.py
+++ b/src/fuchsiabarrow/platform/tests/entry_simulation.py
@@ -469,6 +469,12 @@
     async def __aexit__(self, *details):
         pass
 
+    def is_isolated(self) -> bool:
+        return False
+
+    def is_way_lost(self, connection) -> bool:
+        return False
+
     async def open(self, address, may_reuse=True, timeout_s=None):
         engine = self._cluster.engines[address]
         if engine.upstream is None or engine.is_refusing:
@@ -794,7 +800,7 @@
             mock.patch.object(
                 forwarding_entry.connections,
                 "ConnectionPool",
-                lambda timeout_s: _Pool(self, name),
+                lambda *options: _Pool(self, name),
             ),
             mock.patch.object(
                 forwarding_entry.upstream_control,
--- a/src/fuchsiabarrow/telemetry/metrics.py
+++ b/src/fuchsiabarrow/telemetry/metrics.py
@@ -128,6 +128,19 @@
             "avoided_upstreams",
             "Upstreams that are excluded from selection at present.",
         )
+        self.isolated = self._make_gauge(
+            "isolated",
+            "1 while this entry reaches no upstream by itself, else 0.",
+        )
+        self.tunnels = self._make_gauge(
+            "tunnels",
+            "Connections to upstreams that are open for other entries.",
+        )
+        self.tunnels_opened = self._make_counter(
+            "tunnels_opened",
+            "Connections to upstreams that another entry opened for this one.",
+            [],
+        )
         self.entries = self._make_gauge("entries", "Entries known to be alive.")
 
 
