Let entries with cut links not place layers

Cause: the entry with the placement duty took the instances that it could not connect to for dead and ordered others to load their layers. Before entries reached instances through others, its orders failed as well.

Change: an entry whose links may be at fault is not eligible for the duty. Three upstreams that fail at once count as such for a second, in which another entry says whether they are dead.

--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -239,6 +239,7 @@
                 ),
                 self._source,
                 self._make_helper,
+                lambda: not kernel.get("link_table").has_fault(),
             ),
         )
 
--- a/src/fuchsiabarrow/forwarding/links.py
+++ b/src/fuchsiabarrow/forwarding/links.py
@@ -29,6 +29,8 @@
 IDLE_DOUBT_S = 1.0
 DOUBT_LINKS = 3
 DOUBT_WINDOW_S = 3.0
+# Time in which another entry usually tells whether an upstream is dead.
+VERDICT_S = 1.0
 # Range of the time without doubt after another entry has confirmed that an
 # upstream is dead; doubled each time that happens in a row.
 MIN_TRUST_S = 0.5
@@ -171,6 +173,15 @@
         """
         return not (self.is_isolated() or self._has_doubt())
 
+    def has_fault(self) -> bool:
+        """Returns whether upstreams may seem dead because of cut links."""
+        oldest_s = self._read_time_s() - VERDICT_S
+        pending = sum(
+            link.failed_at_s > oldest_s and not link.is_dead
+            for link in self._failed.values()
+        )
+        return self.is_isolated() or self.has_cuts() or pending >= DOUBT_LINKS
+
     def _has_doubt(self) -> bool:
         """Returns whether the links of this entry may be at fault."""
         now_s = self._read_time_s()
--- a/src/fuchsiabarrow/forwarding/tests/test_links.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_links.py
@@ -120,6 +120,21 @@
     assert table.get_unexplained() == []
 
 
+def test_entry_with_cut_links_knows_that_it_has_a_fault():
+    # It must not plan the placement of layers as if the upstreams were dead.
+    table, clock = make_table()
+    assert not table.has_fault()
+    table.record_unreachable(FIRST)
+    assert not table.has_fault()
+    isolate(table)
+    table.record_reached(FOURTH)
+    assert table.has_fault()
+    clock.now_s += links.VERDICT_S + 0.1
+    assert not table.has_fault()
+    table.record_cut(FIRST)
+    assert table.has_fault()
+
+
 def test_cut_link_is_tried_again_after_a_pause():
     table, clock = make_table()
     table.record_unreachable(FIRST)
--- a/src/fuchsiabarrow/peers/load_reports.py
+++ b/src/fuchsiabarrow/peers/load_reports.py
@@ -109,6 +109,7 @@
         random_source: Random number generator.
         get_helper: Returns how other entries reach upstreams through this
             one; None while it reaches none itself.
+        may_lead: Returns whether this entry knows which upstreams are dead.
     """
 
     def __init__(
@@ -122,10 +123,12 @@
         get_configuration_age_s: Callable[[], float],
         settings: Settings,
         random_source: random.Random,
-        get_helper: Callable[[], summaries.Helper | None] | None = None,
+        get_helper: Callable[[], summaries.Helper | None] = lambda: None,
+        may_lead: Callable[[], bool] = lambda: True,
     ):
         self.is_stopping = False
         self._get_helper = get_helper
+        self._may_lead = may_lead
         self._directory = directory
         self._load_table = load_table
         self._crashes = crashes
@@ -210,28 +213,21 @@
         """Returns whether this entry is the leader.
 
         The leader performs the tasks that only one entry is to perform. It is
-        the first by name of the live entries that are not shutting down, reach
-        upstreams and have a current list of them. Entries with different
-        views may disagree on it. This entry does not check the age of its own
-        list here; it only stops naming itself as a candidate to the others.
+        the first by name of the live entries that are not shutting down, know
+        which upstreams are dead and have a current list of them. Entries with
+        different views may disagree on it. This entry does not check the age
+        of its own list here; it only stops naming itself as a candidate to the
+        others.
         """
         if self.is_stopping:
             return False
         sources = self._aggregation.get_sources(self._read_time_s())
-        if self._is_cut_off() and any(
-            summary.leader_candidate for summary in sources.values()
-        ):
-            return False
-        return all(
+        return self._may_lead() and all(
             not summary.leader_candidate
             or summary.leader_candidate >= self._settings.name
             for summary in sources.values()
         )
 
-    def _is_cut_off(self) -> bool:
-        """Returns whether this entry reaches no upstream by itself."""
-        return self._get_helper is not None and self._get_helper() is None
-
     def find_helpers(self) -> list[summaries.Helper]:
         """Returns live entries that connect to upstreams for others."""
         own_ip = self._settings.address.rpartition(":")[0]
@@ -377,12 +373,10 @@
         settings, directory = self._settings, self._directory
         list_age_s = directory.get_age_s()
         configuration_age_s = self._get_configuration_age_s()
-        helper = None
-        if self._get_helper is not None and not self.is_stopping:
-            helper = self._get_helper()
+        helper = None if self.is_stopping else self._get_helper()
         is_eligible = (
             not self.is_stopping
-            and not self._is_cut_off()
+            and self._may_lead()
             and list_age_s < MAX_LIST_AGE_S
         )
         return summaries.Summary(
--- a/src/fuchsiabarrow/peers/tests/test_load_reports.py
+++ b/src/fuchsiabarrow/peers/tests/test_load_reports.py
@@ -13,6 +13,7 @@
 from fuchsiabarrow.limits import crashing_parts
 from fuchsiabarrow.limits import upstream_limits
 from fuchsiabarrow.peers import load_reports
+from fuchsiabarrow.peers import summaries
 from fuchsiabarrow.utils.tests import free_ports
 
 UPSTREAM = fleets.make_instance("i-1")
@@ -35,6 +36,8 @@
             loop.time, random.Random(1)
         )
         self.suspects = []
+        self.helper = None
+        self.may_lead = True
         self.reports = load_reports.LoadReports(
             self.directory,
             self.load_table,
@@ -55,6 +58,8 @@
                 seed_retry_period_s=0.1,
             ),
             random.Random(port),
+            lambda: self.helper,
+            lambda: self.may_lead,
         )
 
 
@@ -107,6 +112,40 @@
     asyncio.run(run())
 
 
+def test_leadership_passes_from_an_entry_with_faulty_links():
+    # It took sound upstreams for dead, and had others load their layers.
+    async def run():
+        async with run_entries(2) as entries:
+            await wait_until(
+                lambda: all(e.reports.count_live() == 2 for e in entries)
+            )
+            assert entries[0].reports.is_leader()
+            entries[0].may_lead = False
+            assert not entries[0].reports.is_leader()
+            await wait_until(lambda: entries[1].reports.is_leader())
+
+    asyncio.run(run())
+
+
+def test_helpers_are_known_to_the_other_entries():
+    async def run():
+        async with run_entries(3) as entries:
+            helper = summaries.Helper(0.0, "10.0.0.1:9001", "a", 2**63 + 7)
+            entries[0].helper = helper
+            await wait_until(
+                lambda: all(e.reports.find_helpers() for e in entries[1:])
+            )
+            (found,) = entries[1].reports.find_helpers()
+            assert (found.address, found.domain) == ("10.0.0.1:9001", "a")
+            assert found.token == helper.token
+            entries[0].helper = None
+            await wait_until(
+                lambda: not any(e.reports.find_helpers() for e in entries)
+            )
+
+    asyncio.run(run())
+
+
 def test_leadership_passes_from_a_stopped_entry_to_the_next():
     async def run():
         async with run_entries(3) as entries:
