Ask entries without faults of their own for a way to an upstream first

Cause: an entry with cut links of its own was asked as readily as a sound one. The sound one was left out for a second after a slow answer, and did not offer help for moments in which it seemed isolated, between two connections. Upstreams were avoided for 2 s when no other entry could be asked.

Change: load reports say whether an entry has cut links; sound ones come first, up to three are asked, and none is left out. An upstream that only cannot be reached because of links is not avoided; after three such instances a request is refused.

--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -295,7 +295,7 @@
                 "tunnel_server",
                 tunnels.TunnelServer(
                     f"{settings.ip}:{settings.tunnel_port}",
-                    lambda: not kernel.get("link_table").is_isolated(),
+                    lambda: not kernel.get("link_table").is_cut_off(),
                     is_known,
                     self._connect_for_other,
                 ),
@@ -344,7 +344,7 @@
         """Returns how other entries reach upstreams through this one."""
         kernel = self.kernel
         link_table = kernel.get("link_table")
-        if "tunnel_server" not in kernel or link_table.is_isolated():
+        if "tunnel_server" not in kernel or link_table.is_cut_off():
             return None
         server = kernel.get("tunnel_server")
         return summaries.Helper(
@@ -352,6 +352,7 @@
             server.address,
             self._settings.failure_domain,
             server.token,
+            link_table.has_fault(),
         )
 
     async def _add_placement(self) -> None:
--- a/src/fuchsiabarrow/forwarding/connections.py
+++ b/src/fuchsiabarrow/forwarding/connections.py
@@ -49,7 +49,7 @@
 # before one of them has shown that a link is cut.
 MAX_QUESTIONS = 1
 # Time for another entry to connect to an upstream that refused a connection.
-SECOND_OPINION_TIMEOUT_S = 0.15
+SECOND_OPINION_TIMEOUT_S = 0.25
 
 _log = logbook.Logger(__name__)
 
@@ -487,9 +487,8 @@
                 # Refused, as by a dead upstream, which is to be found soon.
                 left_s = min(left_s, SECOND_OPINION_TIMEOUT_S)
             tunnel = self._start(self._ask(address, left_s))
-            used = await _wait_for_success(
-                [task for task in (direct, tunnel) if task is not None],
-                None if is_usual else TUNNEL_DELAY_S,
+            used = await self._wait_for_either(
+                direct, tunnel, None if is_usual else TUNNEL_DELAY_S
             )
             if used is tunnel and self._metrics is not None:
                 self._metrics.tunnels_opened.inc()
@@ -497,6 +496,31 @@
         finally:
             self._settle(address, direct, tunnel, used)
 
+    async def _wait_for_either(
+        self,
+        direct: asyncio.Task | None,
+        tunnel: asyncio.Task,
+        rest_timeout_s: float | None,
+    ) -> asyncio.Task:
+        """Returns the first of two attempts that succeeds.
+
+        Raises:
+            UpstreamUnreachableError: Both have failed.
+            NoHelperError: The same, but the links of this entry are known to
+                be at fault, and no other entry could tell.
+        """
+        tasks = [task for task in (direct, tunnel) if task is not None]
+        try:
+            return await _wait_for_success(tasks, rest_timeout_s)
+        except exceptions.UpstreamUnreachableError:
+            if (
+                tunnel.done()
+                and isinstance(tunnel.exception(), exceptions.NoHelperError)
+                and self._links.has_fault()
+            ):
+                raise tunnel.exception() from None
+            raise
+
     def _settle(
         self,
         address: str,
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -39,6 +39,9 @@
 PATH_CHANGE_TIMEOUT_S = 0.25
 # Pause between searches for a path, for a stream that has begun.
 PATH_RETRY_S = 0.1
+# Number of instances without a way to them after which no other is tried: this
+# entry, and those that could help, are probably cut off.
+MAX_MISSING_WAYS = 3
 # Pause between attempts to replace suspected instances of a running stream.
 PATH_CHANGE_RETRY_S = 0.4
 MAX_ERROR_BYTES = 1_048_576
@@ -102,6 +105,9 @@
         # Suspected instances of the path that the stream could not leave yet.
         self._suspects: dict[tuple[str, int], upstreams.Upstream] = {}
         self._has_retry = False
+        # Instances that neither this nor another entry could connect to,
+        # because of links between them.
+        self._missing_ways = 0
         self._connection: connections.Connection | None = None
         self._may_have_run = False
         self._send_count = 0
@@ -183,15 +189,12 @@
             if refusal is not None:
                 return refusal
             segments = self._get_next_path() or self._choose_path()
-            if segments is None:
+            if segments is None or self._missing_ways >= MAX_MISSING_WAYS:
                 if not self._writer.is_started:
-                    return self._make_refusal(
-                        messages.RefusalReason.OVERLOADED,
-                        self._path.describe_missing_path(),
-                        self._path.get_permit_wait_s(),
-                    )
+                    return self._make_path_refusal()
                 await asyncio.sleep(PATH_RETRY_S)
                 self._path.excluded.clear()
+                self._missing_ways = 0
                 continue
             if self._send_count >= MAX_SENDS:
                 return self._make_refusal(
@@ -291,6 +294,18 @@
             )
         )
 
+    def _make_path_refusal(self) -> messages.Refusal:
+        """Returns the refusal of a request for which there is no path."""
+        if self._missing_ways >= MAX_MISSING_WAYS:
+            return self._make_refusal(
+                messages.RefusalReason.NO_UPSTREAM, self._failure_detail
+            )
+        return self._make_refusal(
+            messages.RefusalReason.OVERLOADED,
+            self._path.describe_missing_path(),
+            self._path.get_permit_wait_s(),
+        )
+
     def _make_refusal(
         self,
         reason: messages.RefusalReason,
@@ -388,7 +403,9 @@
             connection = await self._open_connection(segments)
         except exceptions.UpstreamUnreachableError as error:
             self._log_not_sent(first, error)
-            forwarding.record_failure(first, f"connect: {error}")
+            forwarding.record_unreachable(first, error)
+            self._path.excluded.add(first.key)
+            self._missing_ways += isinstance(error, exceptions.NoHelperError)
             return _AttemptResult.NOT_RUN
         async with connection:
             self._connection = connection
@@ -753,7 +770,7 @@
         except exceptions.UpstreamUnreachableError as error:
             self._log_not_sent(first, error)
             self._path.excluded.add(first.key)
-            forwarding.record_failure(first, f"connect: {error}")
+            forwarding.record_unreachable(first, error)
             return None
         finally:
             if connection is None:
--- a/src/fuchsiabarrow/forwarding/isolation.py
+++ b/src/fuchsiabarrow/forwarding/isolation.py
@@ -73,7 +73,7 @@
         self._links.retain({upstream.address for upstream in listed})
         await self._check_links()
         now_s = asyncio.get_running_loop().time()
-        if not self._links.is_isolated():
+        if not self._links.is_cut_off():
             if self._isolated_at_s is not None:
                 self._record_way("isolation_ended")
                 self._isolated_at_s = None
--- a/src/fuchsiabarrow/forwarding/links.py
+++ b/src/fuchsiabarrow/forwarding/links.py
@@ -33,8 +33,8 @@
 VERDICT_S = 1.0
 # Range of the time without doubt after another entry has confirmed that an
 # upstream is dead; doubled each time that happens in a row.
-MIN_TRUST_S = 0.5
-MAX_TRUST_S = 2.0
+MIN_TRUST_S = 1.0
+MAX_TRUST_S = 4.0
 # Range of the time after which a link that is cut is tried again.
 RETRY_S = (0.5, 1.0)
 # Least time between two trials of links, over all of them, while this entry is
@@ -157,8 +157,7 @@
         link = self._failed.get(address)
         if link is not None and link.is_cut:
             return LinkState.CUT
-        failing_s = self._read_time_s() - self._failing_since_s
-        if self.is_isolated() and failing_s >= MIN_ISOLATION_S:
+        if self.is_cut_off():
             return LinkState.UNCERTAIN
         return LinkState.DOUBTFUL if self._has_doubt() else LinkState.DIRECT
 
@@ -237,8 +236,16 @@
         self._tried_at_s = now_s
         return True
 
+    def is_cut_off(self) -> bool:
+        """Returns whether this entry has been isolated for some time."""
+        failing_s = self._read_time_s() - self._failing_since_s
+        return failing_s >= MIN_ISOLATION_S and self.is_isolated()
+
     def is_isolated(self) -> bool:
-        """Returns whether this entry seems to reach no upstream by itself."""
+        """Returns whether this entry seems to reach no upstream by itself.
+
+        It may only seem so for a moment, between two connections.
+        """
         now_s = self._read_time_s()
         oldest_s = max(self._reached_at_s, now_s - FAILURE_EXPIRY_S)
         failed = sum(
--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -200,7 +200,7 @@
         try:
             connection = await forwarding.pool.open(upstream.address, may_reuse)
         except exceptions.UpstreamUnreachableError as error:
-            forwarding.record_failure(upstream, f"connect: {error}")
+            forwarding.record_unreachable(upstream, error)
             return str(error)
         async with connection:
             try:
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -341,6 +341,18 @@
         )
         self.notify_streams(upstream)
 
+    def record_unreachable(
+        self,
+        upstream: upstreams.Upstream,
+        error: exceptions.UpstreamUnreachableError,
+    ) -> None:
+        """Avoids an upstream that did not accept a connection.
+
+        Not if only the links of this entry are known to be at fault.
+        """
+        if not isinstance(error, exceptions.NoHelperError):
+            self.record_failure(upstream, f"connect: {error}")
+
     def record_misdirected(self, upstream: upstreams.Upstream) -> None:
         """Avoids an upstream that rejected a request as misdirected (421).
 
@@ -428,6 +440,8 @@
         self.metrics.probes.labels(cause.partition(" ")[0]).inc()
         try:
             report = await self.control.read_report(upstream, PROBE_TIMEOUT_S)
+        except exceptions.NoHelperError:
+            return  # The links of this entry are at fault.
         except exceptions.UpstreamError as error:
             self._probe_results.pop(upstream.key, None)
             if not isinstance(error, exceptions.UpstreamUnreachableError):
--- a/src/fuchsiabarrow/peers/load_report.capnp
+++ b/src/fuchsiabarrow/peers/load_report.capnp
@@ -39,6 +39,8 @@
   domain @2 :Text;
   # Time since it last connected to an upstream.
   ageMs @3 :UInt32;
+  # Whether some of its own links may be cut.
+  hasFault @4 :Bool;
 }
 
 struct LoadReport {
--- a/src/fuchsiabarrow/peers/report_codec.py
+++ b/src/fuchsiabarrow/peers/report_codec.py
@@ -133,6 +133,7 @@
             "token": helper.token,
             "domain": helper.domain,
             "ageMs": _encode_age_ms(now_s - helper.reached_at_s),
+            "hasFault": helper.has_fault,
         }
         for helper in summary.helpers
     ]
@@ -279,6 +280,7 @@
                 helper.address,
                 helper.domain,
                 helper.token,
+                helper.hasFault,
             )
             for helper in message.helpers
         ),
--- a/src/fuchsiabarrow/peers/summaries.py
+++ b/src/fuchsiabarrow/peers/summaries.py
@@ -40,12 +40,14 @@
         address: ``ip:port`` on which it accepts tunnels.
         domain: Its failure domain.
         token: Number that a tunnel to it must present; only entries know it.
+        has_fault: Whether some of its own links may be cut.
     """
 
     reached_at_s: float
     address: str
     domain: str
     token: int
+    has_fault: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,7 +138,9 @@
     groups: Iterable[tuple[Helper, ...]],
 ) -> tuple[Helper, ...]:
     by_domain: dict[str, list[Helper]] = {}
-    for helper in sorted((h for part in groups for h in part), reverse=True):
+    helpers = [helper for part in groups for helper in part]
+    helpers.sort(key=lambda helper: (helper.has_fault, -helper.reached_at_s))
+    for helper in helpers:
         selected = by_domain.setdefault(helper.domain, [])
         if len(selected) < MAX_HELPERS_PER_DOMAIN:
             selected.append(helper)
--- a/src/fuchsiabarrow/peers/tunnels.py
+++ b/src/fuchsiabarrow/peers/tunnels.py
@@ -42,7 +42,9 @@
 TCP_USER_TIMEOUT_MS = 3000
 # Part of the time to open a tunnel that the other entry leaves for its answer.
 ANSWER_MARGIN_S = 0.02
-# Helpers are not asked again for this time after they failed to answer.
+# Number of helpers that are asked one after another for one connection.
+MAX_HELPERS = 3
+# Other helpers come first for this time after one has failed to answer.
 HELPER_PAUSE_S = 1.0
 # A helper that reached no upstream for longer may be cut off without knowing.
 FRESH_S = 3.0
@@ -481,29 +483,33 @@
         self._paused_until_s: dict[str, float] = {}
 
     def _choose_helpers(self) -> list[summaries.Helper]:
-        """Returns at most two helpers, to be asked one after the other."""
+        """Returns the helpers to be asked, one after the other."""
         now_s = asyncio.get_running_loop().time()
         self._paused_until_s = {
             address: until_s
             for address, until_s in self._paused_until_s.items()
             if until_s > now_s
         }
-        helpers = [
-            helper
-            for helper in self._get_helpers()
-            if helper.address not in self._paused_until_s
-        ]
+        helpers = self._get_helpers()
         self._random_source.shuffle(helpers)
         helpers.sort(
             key=lambda helper: (
+                helper.address in self._paused_until_s,
+                helper.has_fault,
                 now_s - helper.reached_at_s > FRESH_S,
                 helper.domain != self._failure_domain,
             )
         )
         first, others = helpers[:1], helpers[1:]
         # A failure domain may be cut off as a whole.
-        others.sort(key=lambda helper: helper.domain == first[0].domain)
-        return first + others[:1]
+        others.sort(
+            key=lambda helper: (
+                helper.address in self._paused_until_s,
+                helper.has_fault,
+                helper.domain == first[0].domain,
+            )
+        )
+        return first + others[: MAX_HELPERS - 1]
 
     def is_available(self, helper: str) -> bool:
         """Returns whether an entry is alive and still opens tunnels.
