Do not take a slow caller for a silent upstream

Cause: while a write to a slow caller waits, no events are read, and the stream counted as silent. Its connection could be ended then, and what had arrived on it was lost: an answer that may run once was cut after 5 of 10 events that had all arrived, as its instance had been replaced meanwhile.

Change: no report of silence while a write is in progress. The test failed before and passes after.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -120,6 +120,7 @@
         self._path_change_task: asyncio.Task | None = None
         self._move_task: asyncio.Task | None = None
         self._failure_detail = ""
+        self._is_writing = False
         self._first_event_s: float | None = None
         self._longest_gap_s = 0.0
         self._last_event_s = exchange.request.arrived_s
@@ -546,7 +547,9 @@
                     received[-1].event_id or self._last_event_id
                 )
                 self._event_count += len(received)
+                self._is_writing = True
                 await self._writer.write(b"".join(e.data for e in received))
+                self._is_writing = False
                 self._monitor.reset_silence()
         if parser.remainder:
             raise exceptions.UpstreamResponseLostError(
@@ -586,6 +589,8 @@
             self._forwarding.start_probe(segment.upstream, "slow")
 
     def _start_silence_check(self, silent_s: float) -> None:
+        if self._is_writing:
+            return  # The caller is slow; more events may have arrived.
         if self._silence_check_task is None or self._silence_check_task.done():
             self._silence_check_task = asyncio.create_task(
                 self._probe_silent_path(silent_s)
--- a/src/fuchsiabarrow/forwarding/tests/test_moved_streams.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_moved_streams.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+from fuchsiabarrow import exceptions
 from fuchsiabarrow.fleet import paths
 from fuchsiabarrow.forwarding.tests import fakes
 from fuchsiabarrow.forwarding.tests import path_instances
@@ -224,3 +225,51 @@
 
     harness = virtual_time.run(run())
     assert path_instances.SPARE_FIRST.address not in harness.sent_addresses
+
+
+class _BufferedConnection(fakes.FakeConnection):
+    """Drops what it has received if it is disconnected while it is open."""
+
+    async def _next(self):
+        if self._broken.done():
+            raise exceptions.UpstreamResponseLostError(self._broken.result())
+        return await super()._next()
+
+
+class _SlowWriter(fakes.FakeResponseWriter):
+    async def write(self, data: bytes) -> None:
+        await super().write(data)
+        if data == fakes.make_event(5):
+            await asyncio.sleep(1.0)
+
+
+def test_answer_that_was_received_is_not_cut_if_its_instance_is_replaced():
+    # The instance had sent the whole answer and stopped without closing the
+    # connection, while the caller still read it.
+    async def run():
+        harness = fakes.Harness(path_instances.FIRST, path_instances.LAST)
+        script = fakes.stream(1, 11, 0.0)
+        opened = []
+
+        async def open_connection(address, *options):
+            return _BufferedConnection(script, opened, address)
+
+        harness.pool.open = open_connection
+        writer = _SlowWriter()
+        request = fakes.make_stream_request(is_resumable=False)
+        task = asyncio.create_task(harness.forwarding.serve(request, writer))
+        await asyncio.sleep(0.5)
+        assert writer.body.endswith(fakes.make_event(5))
+        reborn = dataclasses.replace(
+            path_instances.FIRST, instance_id="reborn", incarnation=2
+        )
+        harness.directory.put(reborn)
+        harness.forwarding.record_failure(
+            path_instances.FIRST, "silent; probe failed: status 421"
+        )
+        await task
+        return writer
+
+    writer = virtual_time.run(run())
+    assert writer.body == path_instances.ALL_EVENTS
+    assert writer.is_finished
