--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -811,7 +811,11 @@
             suspects = self._find_suspects(self._path.segments[1:])
             if not suspects:
                 return
-            if not await self._change_path(connection, suspects):
+            # Orders to an instance that is silent itself would be carried out
+            # one after another when it goes on.
+            if self._find_suspects(
+                self._path.segments[:1]
+            ) or not await self._change_path(connection, suspects):
                 await asyncio.sleep(PATH_CHANGE_RETRY_S)
 
     async def _change_path(
--- a/src/fuchsiabarrow/forwarding/tests/test_path_changes.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_path_changes.py
@@ -118,3 +118,58 @@
     after = virtual_time.run(run())
     assert after
     assert after[-1] in (["first", "last"], ["first", "third-last"])
+
+
+def test_stream_that_gets_events_keeps_its_path():
+    # Another entry reported an instance as stalled; each event had passed
+    # through it. The new one had to read the whole prompt.
+    async def run():
+        harness = fakes.Harness(
+            path_instances.FIRST, path_instances.LAST, path_instances.SPARE_LAST
+        )
+        harness.script(path_instances.FIRST.address, fakes.stream(1, 11, 0.05))
+        task = path_instances.start(harness)
+        await asyncio.sleep(0.22)
+        used = harness.pool.sent[0][1].segments[1].upstream
+        harness.forwarding.record_failure(used, "reported by another")
+        await task
+        return harness.control.path_changes
+
+    assert virtual_time.run(run()) == []
+
+
+def test_instance_that_is_itself_silent_gets_no_orders():
+    # It carries them out one after another when it goes on, and each of the
+    # new instances reads the whole prompt.
+    async def run():
+        harness = fakes.Harness(path_instances.FIRST, path_instances.LAST)
+        script = [*fakes.stream(1, 5), fakes.Wait(3.0)]
+        script += fakes.stream(5, 11)[1:]
+        harness.script(path_instances.FIRST.address, script)
+        orders = []
+
+        async def change_path(upstream, request_id, segments, timeout_s):
+            orders.append([s.upstream.instance_id for s in segments])
+            await asyncio.sleep(timeout_s)
+            return fakes.pipelines.PathChangeOutcome(False, "", "no answer")
+
+        harness.control.change_path = change_path
+        task = path_instances.start(harness, is_resumable=False)
+        await asyncio.sleep(0.1)
+        harness.directory.replace(
+            [
+                path_instances.FIRST,
+                path_instances.LAST,
+                path_instances.SPARE_LAST,
+                path_instances.THIRD_LAST,
+            ]
+        )
+        harness.control.silent.update(
+            [path_instances.FIRST.address, path_instances.LAST.address]
+        )
+        writer = await task
+        return writer, orders
+
+    writer, orders = virtual_time.run(run())
+    assert writer.body == path_instances.ALL_EVENTS
+    assert len(orders) <= 1, orders
