Use a silent instance again when its streams go on

Cause: an instance that did not answer a probe was avoided for 2, 4 or 6 s, whatever arrived from it meanwhile; new requests were refused for lack of a path although all instances answered.

Change: an event of a stream that waited for it ends the avoidance, if it was avoided because it was silent and not because it refused connections. The test failed before and passes after.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -571,6 +571,9 @@
     def _record_progress(self, now_s: float, count: int) -> None:
         metrics = self._forwarding.metrics
         self._last_event_s = now_s
+        for upstream in self._suspects.values():
+            self._forwarding.record_life(upstream)
+        self._suspects.clear()
         if self._event_count == 0:
             self._path.finish_prefill()
             self._part_check.record_begin()
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -341,6 +341,12 @@
         )
         self.notify_streams(upstream)
 
+    def record_life(self, upstream: upstreams.Upstream) -> None:
+        """Uses an upstream again that was avoided because it was silent."""
+        if upstream.key in self._silent:
+            self._silent.discard(upstream.key)
+            self.directory.record_success(upstream)
+
     def record_unreachable(
         self,
         upstream: upstreams.Upstream,
--- a/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
@@ -131,3 +131,28 @@
     writer, harness = virtual_time.run(run())
     assert len(harness.sent_addresses) <= 3
     assert writer.refusal.reason is messages.RefusalReason.CRASHES_UPSTREAMS
+
+
+def test_instance_that_goes_on_is_used_again_at_once():
+    # The first event after a silence proved that all instances of the path go
+    # on, but requests were refused until they were not avoided any more.
+    async def run():
+        harness = fakes.Harness(path_instances.FIRST, path_instances.LAST)
+        script = [*fakes.stream(1, 5), fakes.Wait(path_instances.SILENCE_S)]
+        script += fakes.stream(5, 11)[1:]
+        harness.script(
+            path_instances.FIRST.address, script, fakes.stream(1, 11)
+        )
+        waiting = path_instances.start(harness, is_resumable=False)
+        await asyncio.sleep(0.1)
+        harness.control.silent.add(path_instances.FIRST.address)
+        await asyncio.sleep(0.5)
+        harness.control.silent.clear()
+        assert harness.directory.is_avoided(path_instances.FIRST)
+        first = await waiting
+        assert first.body == path_instances.ALL_EVENTS
+        return await path_instances.start(harness)
+
+    writer = virtual_time.run(run())
+    assert writer.refusal is None, writer.refusal
+    assert writer.body == path_instances.ALL_EVENTS
