Failing test: a silent instance is planned as dead

Cause: the leader plans without instances that are avoided, also after a single probe without an answer in 0.25 s, which avoids for 2 s.

Seen: the only holder of layers 40 to 80 is avoided once; at the next run another instance is ordered to load layers 24 to 80. Loading takes seconds, and it gives up its own layers meanwhile.

--- /dev/null
+++ b/src/fuchsiabarrow/placement/tests/test_service.py
@@ -0,0 +1,64 @@
+"""Orders of the placement service."""
+
+import asyncio
+import types
+
+from fuchsiabarrow.fleet import directory as directory_module
+from fuchsiabarrow.fleet.tests import fleets
+from fuchsiabarrow.placement import service as service_module
+from fuchsiabarrow.utils.tests import virtual_time
+
+MODEL = fleets.make_model(layer_mb=200.0)
+# Time between two runs of the planning.
+PERIOD_S = 0.5
+
+
+def make_instance(number, layers):
+    return fleets.make_instance(
+        f"i{number}", "a", "fast", layers, address=f"10.0.0.{number}:80"
+    )
+
+
+def test_silent_instance_is_not_planned_as_dead():
+    # The only holder of some layers was silent for a second and avoided for
+    # two; another instance was ordered to give up its own layers for them.
+    instances = [
+        make_instance(1, (0, 40)),
+        make_instance(2, (0, 40)),
+        make_instance(3, (40, 80)),
+    ]
+    orders = []
+
+    async def send_order(upstream, layers, after_orders):
+        orders.append((upstream.instance_id, layers))
+        return service_module.OrderOutcome(True, False, "status 202")
+
+    async def read_report(upstream, timeout_s):
+        return types.SimpleNamespace(is_busy=False, order_count=1)
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        directory = directory_module.Directory(loop.time)
+        directory.replace(instances)
+        catalog = types.SimpleNamespace(
+            services={
+                "s": types.SimpleNamespace(name=fleets.SERVICE, engine=MODEL)
+            }
+        )
+        service = service_module.PlacementService(
+            directory, lambda: catalog, send_order, read_report, lambda: True
+        )
+        for _ in range(10):
+            directory.confirm(loop.time())
+            await service.run_once()
+            await asyncio.sleep(PERIOD_S)
+        assert not orders
+        # One probe without an answer.
+        directory.record_failure(instances[2])
+        for _ in range(3):
+            directory.confirm(loop.time())
+            await service.run_once()
+            await asyncio.sleep(PERIOD_S)
+
+    virtual_time.run(run())
+    assert not orders
