Avoid an upstream that lost an answer and accepts no connection

Callers saw nothing but a delay: the next requests tried the dead upstream again.

Cause: when an answer of a plain request is lost, the entry opens a connection to see whether the upstream has crashed. If that failed, the crash was counted but the upstream was not avoided.

Change: such an upstream is avoided, unless the entry reaches no upstream. The two cases of the new test failed before.

--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -143,14 +143,16 @@
     async def _has_crashed(self) -> bool:
         """Returns whether the upstream that lost the answer is unreachable.
 
-        An entry that reaches no upstream cannot tell.
+        It is avoided then. An entry that reaches no upstream cannot tell.
         """
+        forwarding, upstream = self._forwarding, self._lost_upstream
         try:
-            connection = await self._forwarding.pool.open(
-                self._lost_upstream.address, False
-            )
-        except exceptions.UpstreamUnreachableError:
-            return not self._forwarding.pool.is_isolated()
+            connection = await forwarding.pool.open(upstream.address, False)
+        except exceptions.UpstreamUnreachableError as error:
+            if forwarding.pool.is_isolated():
+                return False
+            forwarding.record_unreachable(upstream, error)
+            return True
         connection.close()
         return False
 
--- a/src/fuchsiabarrow/forwarding/tests/test_plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_plain_requests.py
@@ -241,3 +241,10 @@
     writer, counts = virtual_time.run(run())
     assert [count for _, count in counts] == [1]
     assert writer.refusal.reason is messages.RefusalReason.UPSTREAM_FAILED
+
+
+# The next request was sent to the dead upstream as well, up to seconds later.
+@pytest.mark.parametrize("kind", [ONCE, IDEMPOTENT])
+def test_upstream_that_lost_an_answer_and_is_unreachable_is_avoided(kind):
+    _, harness = serve([[fakes.ConnectionLost], fakes.Unreachable], kind)
+    assert harness.forwarding.directory.is_avoided(NEAR)
