Test that connections for other entries take one hop

The code did so already (connect_directly); nothing tested it. With connect_directly made to use other entries, the test fails.

--- a/src/fuchsiabarrow/forwarding/tests/test_connections.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_connections.py
@@ -1,6 +1,7 @@
 import asyncio
 import contextlib
 import errno
+import random
 import socket
 import struct
 import threading
@@ -10,6 +11,7 @@
 
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import links
 from fuchsiabarrow.utils import loops
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -303,3 +305,43 @@
 
     with pytest.raises(exceptions.UpstreamResponseLostError, match="over"):
         loops.run(run())
+
+
+class RecordedTunnels:
+    """Records for which upstreams other entries are asked; none reaches any."""
+
+    def __init__(self):
+        self.asked: list[str] = []
+
+    async def open(self, address, make_protocol, timeout_s):
+        self.asked.append(address)
+        raise exceptions.NoHelperError(address)
+
+    def is_available(self, helper):
+        return False
+
+
+# Two entries that both lost their links would ask each other without end.
+def test_connection_for_another_entry_is_never_opened_through_a_third_one():
+    async def run():
+        loop = asyncio.get_running_loop()
+        table = links.LinkTable(loop.time, random.Random(1))
+        tunnels = RecordedTunnels()
+        async with connections.ConnectionPool(1.0, table, tunnels) as pool:
+            address = find_closed_address()
+            table.record_unreachable(address)
+            table.record_cut(address)
+            with pytest.raises(exceptions.UpstreamUnreachableError):
+                await pool.connect_directly(address, asyncio.Protocol, 1.0)
+            assert tunnels.asked == []
+            with pytest.raises(exceptions.UpstreamUnreachableError):
+                await pool.open(address)
+            assert tunnels.asked == [address]
+
+    loops.run(run())
+
+
+def find_closed_address() -> str:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
