Keep the next attempt of a stream when two of its moves end together

Callers could see a stream end although its next attempt had been secured: the connection to a silent instance was ended, and the next one closed at once.

Cause: a stream may try to leave its first instance for two reasons at the same time (a path change that was refused, and the suspected first instance). The second attempt to move replaced what the first one had prepared, then found the connection ended and discarded it.

Change: a move that comes too late discards only what it has prepared itself. The test failed before (8 of 10 events, cut at the deadline) and passes after.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -75,6 +75,11 @@
     reservation: loads.Reservation
     connection: connections.Connection
 
+    def discard(self) -> None:
+        """Closes the connection and releases the reserved capacity."""
+        self.connection.close()
+        self.reservation.__exit__()
+
 
 class GenerationHandler:
     """Serves one request to a language model.
@@ -357,8 +362,7 @@
 
     def _discard_next(self) -> None:
         if self._next is not None:
-            self._next.connection.close()
-            self._next.reservation.__exit__()
+            self._next.discard()
             self._next = None
 
     def _find_suspects(
@@ -754,11 +758,12 @@
         next_attempt = await self._prepare_attempt(segments)
         if next_attempt is None:
             return False
-        self._discard_next()
-        self._next = next_attempt
         if self._connection is not connection or self._gets_events():
-            self._discard_next()
+            # Another move may have ended the attempt and prepared the next.
+            next_attempt.discard()
             return False
+        self._discard_next()
+        self._next = next_attempt
         first = self._path.segments[0].upstream
         self._was_disconnected = self._disconnect(why, suspects)
         if self._event_count == 0 and self._was_disconnected:
--- a/src/fuchsiabarrow/forwarding/tests/test_moved_streams.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_moved_streams.py
@@ -273,3 +273,48 @@
     writer = virtual_time.run(run())
     assert writer.body == path_instances.ALL_EVENTS
     assert writer.is_finished
+
+
+def test_second_move_does_not_discard_the_attempt_that_the_first_prepared():
+    # Both the first and the last instance were suspected. The connection was
+    # ended for one move, and its prepared attempt was discarded by the other.
+    async def run():
+        harness = fakes.Harness(path_instances.FIRST, path_instances.LAST)
+        harness.control.accepts_paths = False
+        harness.script(
+            path_instances.FIRST.address,
+            [*fakes.stream(1, 5), fakes.Wait(60.0)],
+        )
+        task = path_instances.start(harness)
+        await asyncio.sleep(0.5)
+        harness.directory.replace(
+            [
+                path_instances.FIRST,
+                path_instances.LAST,
+                path_instances.SPARE_FIRST,
+                path_instances.SPARE_LAST,
+            ]
+        )
+        script = fakes.stream(5, 11)
+        harness.script(
+            path_instances.SPARE_FIRST.address,
+            script,
+            script,
+            fakes.Unreachable,
+        )
+        open_connection = harness.pool.open
+
+        async def open_slowly(*options):
+            await asyncio.sleep(0.1)
+            return await open_connection(*options)
+
+        harness.pool.open = open_slowly
+        for suspect in (path_instances.LAST, path_instances.FIRST):
+            harness.forwarding.record_failure(suspect, "probe failed")
+            await asyncio.sleep(0)
+        return await task, harness
+
+    writer, harness = virtual_time.run(run())
+    assert writer.body == path_instances.ALL_EVENTS
+    assert writer.is_finished
+    assert all(c.is_closed for c in harness.pool.connections)
