Do not keep unused retries of silent streams for a later window

Upstreams could see more repeats in a window than the retry budget allows (BUDGET).

Cause: a stream that tries to leave a silent instance takes a retry from the budget, and kept it when the other instance accepted no connection or the silent one went on. The budget refilled meanwhile; once the instance died, all the kept retries were used together with those of that window.

Change: a retry that is not used at once goes back to the budget, and is taken again before the connection is ended.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -156,6 +156,7 @@
             forwarding.remove_stream(self)
             self._stop_monitoring()
             self._discard_next()
+            self._return_retry()
         if refusal is not None and self._writer.is_started:
             self._record_abort(refusal)
             self._writer.abort()
@@ -198,6 +199,7 @@
             if segments is None or self._missing_ways >= MAX_MISSING_WAYS:
                 if not self._writer.is_started:
                     return self._make_path_refusal()
+                self._return_retry()
                 await asyncio.sleep(PATH_RETRY_S)
                 self._path.excluded.clear()
                 self._missing_ways = 0
@@ -384,6 +386,16 @@
             )
         return self._has_retry
 
+    def _return_retry(self) -> None:
+        """Returns a retry that is not used soon.
+
+        Those of many streams, used together in a later window, would exceed
+        the limit of that window.
+        """
+        if self._has_retry:
+            self._has_retry = False
+            self._forwarding.return_retry(self._service.name)
+
     def _adopt_path(
         self,
         segments: tuple[paths.PathSegment, ...],
@@ -756,11 +768,20 @@
         if segments is None or not self._try_take_retry():
             return False
         next_attempt = await self._prepare_attempt(segments)
-        if next_attempt is None:
-            return False
-        if self._connection is not connection or self._gets_events():
+        if self._connection is not connection:
             # Another move may have ended the attempt and prepared the next.
-            next_attempt.discard()
+            if next_attempt is not None:
+                next_attempt.discard()
+            return False
+        if (
+            next_attempt is None
+            or self._gets_events()
+            # Another move may have failed and returned the retry.
+            or not self._try_take_retry()
+        ):
+            self._return_retry()
+            if next_attempt is not None:
+                next_attempt.discard()
             return False
         self._discard_next()
         self._next = next_attempt
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -266,6 +266,10 @@
         """Takes one retry from the budget of a service, if one is left."""
         return self._get_budget(service).try_withdraw()
 
+    def return_retry(self, service: str) -> None:
+        """Returns a retry to the budget of a service, as it was not used."""
+        self._get_budget(service).put_back()
+
     def _get_budget(self, service: str) -> budgets.SharedRetryBudget:
         settings = self.settings
         budget = self._budgets.get(service)
--- a/src/fuchsiabarrow/limits/budgets.py
+++ b/src/fuchsiabarrow/limits/budgets.py
@@ -112,6 +112,11 @@
         self._balance -= 1
         return True
 
+    def put_back(self) -> None:
+        """Puts back one retry that was taken a short time ago and not used."""
+        self._refill()
+        self._balance = min(self._get_max_balance(), self._balance + 1)
+
     def _get_max_balance(self) -> float:
         return max(1.0, self._share / 2)
 
