Count a crash of an instance that did not answer an earlier probe

Callers' requests that crash a later instance of their path went on to further instances (BUDGET limits them to three).

Cause: an instance that once left a probe without an answer stayed marked as silent until it answered another one. If it refused connections in between, as one that has crashed does, the crash was not counted, as a silent instance may be sound.

Change: a refused connection ends the mark. The test failed before (no crash counted) and passes after.

--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -361,6 +361,7 @@
         Not if only the links of this entry are known to be at fault.
         """
         if not isinstance(error, exceptions.NoHelperError):
+            self._silent.discard(upstream.key)
             self.record_failure(upstream, f"connect: {error}")
 
     def record_misdirected(self, upstream: upstreams.Upstream) -> None:
@@ -454,7 +455,9 @@
             return  # The links of this entry are at fault.
         except exceptions.UpstreamError as error:
             self._probe_results.pop(upstream.key, None)
-            if not isinstance(error, exceptions.UpstreamUnreachableError):
+            if isinstance(error, exceptions.UpstreamUnreachableError):
+                self._silent.discard(upstream.key)
+            else:
                 self._silent.add(upstream.key)
             self.record_failure(upstream, f"{cause}; probe failed: {error}")
             return
--- a/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+from fuchsiabarrow import exceptions
 from fuchsiabarrow.fleet.tests import fleets
 from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.forwarding.tests import fakes
@@ -156,3 +157,31 @@
     writer = virtual_time.run(run())
     assert writer.refusal is None, writer.refusal
     assert writer.body == path_instances.ALL_EVENTS
+
+
+def test_crash_of_an_instance_that_was_silent_before_is_counted():
+    # An instance that did not answer one probe counted as silent for good, also
+    # when it refused connections later.
+    async def run():
+        harness = fakes.Harness(path_instances.FIRST, path_instances.LAST)
+        harness.control.silent.add(path_instances.LAST.address)
+        harness.forwarding.start_probe(path_instances.LAST, "slow")
+        await asyncio.sleep(10.0)
+        harness.control.silent.clear()
+        harness.script(
+            path_instances.FIRST.address,
+            [fakes.Wait(0.05), fakes.ConnectionLost],
+        )
+        read_report = harness.control.read_report
+
+        async def refuse_at_last(upstream, timeout_s):
+            if upstream == path_instances.LAST:
+                raise exceptions.UpstreamUnreachableError("refused")
+            return await read_report(upstream, timeout_s)
+
+        harness.control.read_report = refuse_at_last
+        await path_instances.start(harness, is_resumable=False)
+        return harness.forwarding.crash_counts.get_own(10)
+
+    ((_, count),) = virtual_time.run(run())
+    assert count == 1
