Do not take an instance that answers probes for one that has crashed

A request whose answer is lost beside an instance that is avoided for a reason of another kind was counted as having crashed it, and so were the parts of its prompt; after three such counts the request is refused for a minute.

Cause: an avoided instance was not probed after a lost answer, and counted as dead, also if it was avoided because it had rejected another request as misdirected (421) or because requests of other entries wait for it.

Change: it is probed then, and counts as dead only if the probe, or the last connection to it, has failed.

--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -157,6 +157,8 @@
         self._probes: dict[tuple[str, int], asyncio.Task] = {}
         # Upstreams whose last probe had no answer although it was not refused.
         self._silent: set[tuple[str, int]] = set()
+        # Upstreams that refused the last connection to them.
+        self._unreachable: set[tuple[str, int]] = set()
 
     async def __aenter__(self) -> "ForwardingService":
         return self
@@ -199,15 +201,23 @@
     ) -> bool:
         """Returns whether an upstream that lost an answer is still usable.
 
-        Probes it first, unless it is avoided.
+        Probes it first, unless it is avoided because a probe or a connection
+        failed. One that is avoided for another reason may answer.
 
         Args:
             upstream: The upstream.
             is_urgent: Whether it is probed even if the next probe is not due
                 yet; its last answer does not show whether it has crashed since.
         """
-        await self._wait_for_probe(upstream, "lost", is_urgent)
-        return not self.directory.is_avoided(upstream)
+        is_forced = not self._has_failed(upstream)
+        await self._wait_for_probe(upstream, "lost", is_urgent, is_forced)
+        return not (
+            self.directory.is_avoided(upstream) and self._has_failed(upstream)
+        )
+
+    def _has_failed(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether the last probe or connection has failed."""
+        return upstream.key in self._silent or upstream.key in self._unreachable
 
     def get_catalog_version(self) -> int:
         """Returns the version of the configuration in force."""
@@ -332,6 +342,7 @@
         avoid_s = self.directory.record_failure(upstream, is_shared)
         if was_avoided:
             return
+        self._forget_failure(upstream)
         self.metrics.exclusions.inc()
         _log.info(
             logs.format_event(
@@ -351,6 +362,10 @@
             self._silent.discard(upstream.key)
             self.directory.record_success(upstream)
 
+    def _forget_failure(self, upstream: upstreams.Upstream) -> None:
+        self._silent.discard(upstream.key)
+        self._unreachable.discard(upstream.key)
+
     def record_unreachable(
         self,
         upstream: upstreams.Upstream,
@@ -361,8 +376,9 @@
         Not if only the links of this entry are known to be at fault.
         """
         if not isinstance(error, exceptions.NoHelperError):
-            self._silent.discard(upstream.key)
             self.record_failure(upstream, f"connect: {error}")
+            self._forget_failure(upstream)
+            self._unreachable.add(upstream.key)
 
     def record_misdirected(self, upstream: upstreams.Upstream) -> None:
         """Avoids an upstream that rejected a request as misdirected (421).
@@ -371,6 +387,7 @@
         it continue: the layers that it no longer holds may be others than those
         that they use.
         """
+        self._forget_failure(upstream)
         if self.directory.is_avoided(upstream):
             return
         avoid_s = self.directory.record_failure(upstream)
@@ -389,6 +406,7 @@
         upstream: upstreams.Upstream,
         cause: str,
         is_urgent: bool = False,
+        is_forced: bool = False,
     ) -> None:
         """Starts a probe; an upstream that does not answer it is avoided.
 
@@ -399,12 +417,13 @@
             upstream: The upstream.
             cause: Reason of the probe, for the log.
             is_urgent: Whether it does not wait until the next probe is due.
+            is_forced: Whether an upstream that is avoided is probed as well.
         """
         now_s = asyncio.get_running_loop().time()
         result = self._probe_results.get(upstream.key)
         if (
             upstream.key in self._probes
-            or self.directory.is_avoided(upstream)
+            or (self.directory.is_avoided(upstream) and not is_forced)
             or (
                 not is_urgent
                 and result is not None
@@ -441,8 +460,9 @@
         upstream: upstreams.Upstream,
         cause: str,
         is_urgent: bool = False,
+        is_forced: bool = False,
     ) -> None:
-        self.start_probe(upstream, cause, is_urgent)
+        self.start_probe(upstream, cause, is_urgent, is_forced)
         task = self._probes.get(upstream.key)
         if task is not None:
             await asyncio.wait({task})
@@ -455,13 +475,14 @@
             return  # The links of this entry are at fault.
         except exceptions.UpstreamError as error:
             self._probe_results.pop(upstream.key, None)
+            self.record_failure(upstream, f"{cause}; probe failed: {error}")
+            self._forget_failure(upstream)
             if isinstance(error, exceptions.UpstreamUnreachableError):
-                self._silent.discard(upstream.key)
+                self._unreachable.add(upstream.key)
             else:
                 self._silent.add(upstream.key)
-            self.record_failure(upstream, f"{cause}; probe failed: {error}")
             return
-        self._silent.discard(upstream.key)
+        self._forget_failure(upstream)
         now_s = asyncio.get_running_loop().time()
         previous = self._probe_results.get(upstream.key)
         min_interval_s = MIN_PROBE_INTERVAL_S
--- a/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
@@ -3,11 +3,14 @@
 import asyncio
 import dataclasses
 
+import pytest
+
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.fleet.tests import fleets
 from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.forwarding.tests import fakes
 from fuchsiabarrow.forwarding.tests import path_instances
+from fuchsiabarrow.limits import crashing_parts
 from fuchsiabarrow.utils.tests import virtual_time
 
 
@@ -185,3 +188,40 @@
 
     ((_, count),) = virtual_time.run(run())
     assert count == 1
+
+
+@pytest.mark.parametrize(
+    "suspect",
+    [path_instances.FIRST, path_instances.LAST],
+    ids=lambda suspect: suspect.instance_id,
+)
+@pytest.mark.parametrize("cause", ["misdirected", "stalled"])
+def test_lost_answer_beside_an_instance_that_answers_probes_is_no_crash(
+    suspect, cause
+):
+    # An instance that had answered another request with 421, or for which
+    # another entry's request waited, counted as crashed.
+    async def run():
+        harness = fakes.Harness(path_instances.FIRST, path_instances.LAST)
+        harness.script(
+            path_instances.FIRST.address,
+            [fakes.Wait(0.15), fakes.ConnectionLost],
+        )
+        task = path_instances.start(
+            harness, is_resumable=False, shared_parts=("p",)
+        )
+        await asyncio.sleep(0.1)
+        if cause == "misdirected":
+            harness.forwarding.record_misdirected(suspect)
+        else:
+            harness.forwarding.record_failure(suspect, "reported by entry-2")
+        await task
+        parts = harness.forwarding.part_crashes
+        verdict = parts.judge(
+            crashing_parts.compute_hash(""), [crashing_parts.compute_hash("p")]
+        ).verdict
+        return harness.forwarding.crash_counts.get_own(10), verdict
+
+    counts, verdict = virtual_time.run(run())
+    assert counts == []
+    assert verdict is crashing_parts.Verdict.CLEAR
