--- a/benchmarks/router_costs.py
+++ b/benchmarks/router_costs.py
@@ -68,18 +68,22 @@
     )
 
 
-def make_report(entry_count: int, upstream_count: int) -> report_codec.Report:
+def make_report(
+    entry_count: int, upstream_count: int, domain_count: int
+) -> report_codec.Report:
     """Returns an aggregated load report, as an aggregator sends it.
 
     Args:
         entry_count: Entries whose loads are summed.
         upstream_count: Upstreams with load.
+        domain_count: Failure domains with entries that help others.
     """
     informed = tuple(
         summaries.CopyHolder(99.0, f"10.0.0.{n}:7000")
         for n in range(summaries.MAX_COPY_HOLDERS)
     )
     load = loads.Load(3, 1, 9000.0, 10.0)
+    rng = random.Random(1)
     return report_codec.Report(
         "entry-1",
         "a",
@@ -97,6 +101,16 @@
             {},
             informed,
             informed,
+            helpers=tuple(
+                summaries.Helper(
+                    99.0,
+                    f"10.{d}.0.{n}:7001",
+                    f"domain-{d}",
+                    rng.getrandbits(64),
+                )
+                for d in range(domain_count)
+                for n in range(summaries.MAX_HELPERS_PER_DOMAIN)
+            ),
         ),
         tuple(
             report_codec.Contact(f"entry-{n}", "a", f"10.0.0.{n}:7000", 17)
@@ -105,16 +119,18 @@
     )
 
 
-def print_report_cost(entry_count: int, upstream_count: int) -> None:
+def print_report_cost(
+    entry_count: int, upstream_count: int, domain_count: int
+) -> None:
     """Prints the cost of encoding and decoding an aggregated load report."""
-    report = make_report(entry_count, upstream_count)
+    report = make_report(entry_count, upstream_count, domain_count)
     data = report_codec.encode(report, 100.0)
     encode_us = measure_us(lambda: report_codec.encode(report, 100.0), 300)
     decode_us = measure_us(lambda: report_codec.decode(data, 100.0), 300)
     print(
-        f"load report of {entry_count} entries over {upstream_count} instances:"
-        f" {len(data)} bytes, encode {encode_us:.0f} us,"
-        f" decode {decode_us:.0f} us"
+        f"load report of {entry_count} entries over {upstream_count} instances"
+        f" with helpers of {domain_count} domains: {len(data)} bytes,"
+        f" encode {encode_us:.0f} us, decode {decode_us:.0f} us"
     )
 
 
@@ -145,7 +161,8 @@
     for fleet_scale in (1, 3, 10):
         print_path_cost(fleet_scale)
     for entries, instances in ((9, 33), (70, 90), (400, 1000)):
-        print_report_cost(entries, instances)
+        for domains in (0, 9):
+            print_report_cost(entries, instances, domains)
     for organisations in (10, 8_900):
         print_configuration_cost(organisations)
     print_upstream_cost()
