--- a/src/fuchsiabarrow/exceptions.py
+++ b/src/fuchsiabarrow/exceptions.py
@@ -185,7 +185,11 @@
 
 
 class NoHelperError(UpstreamUnreachableError):
-    """No other entry could be asked to connect to an upstream."""
+    """An upstream was not reached, and no entry could tell whether it is dead.
+
+    No other entry could be asked, or the links of all that were asked may be at
+    fault themselves.
+    """
 
 
 class UpstreamResponseLostError(UpstreamError):
--- a/src/fuchsiabarrow/forwarding/connections.py
+++ b/src/fuchsiabarrow/forwarding/connections.py
@@ -536,7 +536,8 @@
         Args:
             address: ``ip:port`` of the upstream.
             direct: Opens a direct connection; None if not started.
-            tunnel: Opens a connection through another entry, likewise.
+            tunnel: Opens a connection through another entry; None if not
+                started.
             used: The one whose connection is used; None if there is none.
         """
         if direct is not None and _has_succeeded(direct) and tunnel is not None:
--- a/src/fuchsiabarrow/forwarding/isolation.py
+++ b/src/fuchsiabarrow/forwarding/isolation.py
@@ -68,7 +68,7 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     async def run_once(self) -> None:
-        """Tries an upstream if this entry is isolated."""
+        """Checks doubtful links; tries an upstream while isolated."""
         listed = [u for u in self._directory.get_all() if not u.is_leaving]
         self._links.retain({upstream.address for upstream in listed})
         await self._check_links()
@@ -98,6 +98,7 @@
             self._record_way("isolation_bypassed")
 
     async def _check_links(self) -> None:
+        """Asks others about upstreams that did not accept connections."""
         addresses = self._links.get_unexplained()[:MAX_CHECKS]
         if not addresses:
             return
@@ -110,6 +111,7 @@
                 self._directory.record_success(upstream)
 
     def _record_way(self, event: str) -> None:
+        """Logs the first way after isolation, or its end; forgets failures."""
         now_s = asyncio.get_running_loop().time()
         _log.info(
             logs.format_event(
--- a/src/fuchsiabarrow/forwarding/links.py
+++ b/src/fuchsiabarrow/forwarding/links.py
@@ -19,13 +19,15 @@
 # An entry that fails to reach this many upstreams, and reaches none, is taken
 # to be cut off from all of them.
 MIN_ISOLATED_LINKS = 3
-# Isolation must last this long before upstreams are connected through other
-# entries at once: the upstreams of a failure domain may have died together.
+# Isolation must last this long before other entries are asked without waiting
+# for a direct connection: the upstreams of a failure domain may have died
+# together.
 MIN_ISOLATION_S = 0.25
-# A failure that is older is no evidence of isolation any more.
+# A failure that is older is forgotten, also that of a link known to be cut.
 FAILURE_EXPIRY_S = 8.0
-# This entry doubts its links if it has reached no upstream for this long, or if
-# the given number of upstreams did not accept connections within the window.
+# This entry doubts its links if it has reached no upstream for this long, if
+# the given number of upstreams did not accept connections within the window, or
+# if one of them did not after the last success.
 IDLE_DOUBT_S = 1.0
 DOUBT_LINKS = 3
 DOUBT_WINDOW_S = 3.0
@@ -166,7 +168,7 @@
         return any(link.is_cut for link in self._failed.values())
 
     def is_sound(self) -> bool:
-        """Returns whether this entry has just reached an upstream by itself.
+        """Returns whether this entry has no reason to doubt its links.
 
         An upstream that does not accept its connections is dead then.
         """
@@ -208,10 +210,11 @@
         }
 
     def get_unexplained(self) -> list[str]:
-        """Returns upstreams that are dead, or whose links are cut.
+        """Returns upstreams that may be dead or may have cut links.
 
         Returns:
-            Their addresses; none unless this entry doubts its links.
+            Addresses of those that did not accept connections lately, without
+            a known reason; none unless this entry doubts its links.
         """
         if self.is_sound():
             return []
--- a/src/fuchsiabarrow/peers/summaries.py
+++ b/src/fuchsiabarrow/peers/summaries.py
@@ -12,8 +12,9 @@
 
 # Maximum number of entries that an aggregate names as holders of recent copies.
 MAX_COPY_HOLDERS = 4
-# Maximum number of helpers of one failure domain that an aggregate names. Those
-# that reached an upstream last come first, so that they vary with the load.
+# Maximum number of helpers of one failure domain that an aggregate names. Of
+# those without a fault, the ones that reached an upstream last come first, so
+# that they vary with the load.
 MAX_HELPERS_PER_DOMAIN = 3
 
 
--- a/src/fuchsiabarrow/peers/tunnels.py
+++ b/src/fuchsiabarrow/peers/tunnels.py
@@ -44,7 +44,8 @@
 ANSWER_MARGIN_S = 0.02
 # Number of helpers that are asked one after another for one connection.
 MAX_HELPERS = 3
-# Other helpers come first for this time after one has failed to answer.
+# Other helpers come first for this time after one has refused, or has failed to
+# answer.
 HELPER_PAUSE_S = 1.0
 # A helper that reached no upstream for longer may be cut off without knowing.
 FRESH_S = 3.0
@@ -74,9 +75,9 @@
     Attributes:
         OPEN: The upstream is connected.
         UNREACHABLE: The upstream does not accept connections.
-        REFUSED: This entry cannot help.
-        UNSURE: This entry does not know the upstream, or does not reach it but
-            its own links may be at fault.
+        REFUSED: The entry that was asked cannot help.
+        UNSURE: It does not know the upstream, or does not reach it but its own
+            links may be at fault.
     """
 
     OPEN = 0
@@ -309,7 +310,15 @@
     async def connect(
         self, encoded: bytes, entry_side: _EntrySide
     ) -> tuple[_Status, _UpstreamSide | None]:
-        """Connects to the upstream that an open request names."""
+        """Connects to the upstream that an open request names.
+
+        Args:
+            encoded: The open request, without its length.
+            entry_side: Connection of the tunnel to the entry that sent it.
+
+        Returns:
+            The answer, and the connection to the upstream if it is open.
+        """
         try:
             request = msgspec.msgpack.decode(encoded, type=_OpenRequest)
         except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as error:
--- a/src/fuchsiabarrow/platform/tests/cut_off_days.py
+++ b/src/fuchsiabarrow/platform/tests/cut_off_days.py
@@ -695,7 +695,8 @@
         shape: hang, reset or refuse.
         who: none, one, domain, half, most or all.
         missing: all, half or layers.
-        idle: Whether callers use the entries only later.
+        idle: Whether callers use the entries that are cut off only from some
+            seconds after the beginning of the cut on.
         disturbance: kill, freeze or stop an entry that helps; empty for none.
         leaving_share: Share of the callers that leave.
         before_s: How long callers send requests before the cut.
