Count no crash against a request that is then served elsewhere

A request that was on an instance when that one crashed or was restarted, and was then served in full by another one, kept the count for two minutes; requests with the same content are refused after three.

Cause: the count was only cleared if an attempt with events was lost, not if it was answered. Besides, an instance that a request had left because it was silent was watched for 15 s even after the request had been served elsewhere.

Change: an attempt with events clears the count and ends the watch. Both cases of the test failed before and pass after.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -215,6 +215,9 @@
                 )
             events_before = self._event_count
             result = await self._attempt(segments)
+            has_progressed = self._event_count > events_before
+            if has_progressed:
+                forwarding.clear_crashes(self._fingerprint)
             if result is _AttemptResult.DONE:
                 return None
             # A silent instance whose connection this entry ended itself may
@@ -224,9 +227,7 @@
                 and not self._was_disconnected
                 and await self._has_crashed()
             )
-            if self._event_count > events_before:
-                forwarding.crash_counts.clear(self._fingerprint)
-            elif has_crashed:
+            if has_crashed and not has_progressed:
                 self._record_part_crash()
                 count = forwarding.crash_counts.add(self._fingerprint)
                 if count >= crash_counts.CRASH_LIMIT:
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -196,6 +196,11 @@
         """Counts a crash if an instance that a request has left is replaced."""
         self._left_instances.record(upstream, fingerprint)
 
+    def clear_crashes(self, fingerprint: int) -> None:
+        """Removes the evidence against a request that has made progress."""
+        self.crash_counts.clear(fingerprint)
+        self._left_instances.remove(fingerprint)
+
     async def check_alive(
         self, upstream: upstreams.Upstream, is_urgent: bool = False
     ) -> bool:
--- a/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
@@ -225,3 +225,31 @@
     counts, verdict = virtual_time.run(run())
     assert counts == []
     assert verdict is crashing_parts.Verdict.CLEAR
+
+
+@pytest.mark.parametrize("is_silent", [False, True])
+def test_request_that_is_served_elsewhere_has_crashed_nothing(is_silent):
+    # A request that was on an instance when that one crashed, and was then
+    # served by another one, kept the count of a crash.
+    async def run():
+        harness = fakes.Harness(path_instances.FIRST, path_instances.LAST)
+        script = [fakes.Wait(60.0 if is_silent else 0.2), fakes.ConnectionLost]
+        harness.script(path_instances.FIRST.address, script)
+        harness.script(path_instances.SPARE_FIRST.address, fakes.stream(1, 11))
+        task = path_instances.start(harness)
+        await asyncio.sleep(0.1)
+        harness.directory.replace(
+            [
+                path_instances.FIRST,
+                path_instances.LAST,
+                path_instances.SPARE_FIRST,
+            ]
+        )
+        harness.control.silent.add(path_instances.FIRST.address)
+        writer = await task
+        assert writer.body == path_instances.ALL_EVENTS
+        reborn = dataclasses.replace(path_instances.FIRST, incarnation=2)
+        harness.directory.put(reborn)
+        return harness.forwarding.crash_counts.get_own(10)
+
+    assert virtual_time.run(run()) == []
--- a/src/fuchsiabarrow/limits/left_instances.py
+++ b/src/fuchsiabarrow/limits/left_instances.py
@@ -51,6 +51,14 @@
         self._departures.append(_Departure(upstream, fingerprint, until_s))
         del self._departures[:-MAX_WATCHED]
 
+    def remove(self, fingerprint: int) -> None:
+        """Removes a request that another instance has served since."""
+        self._departures = [
+            departure
+            for departure in self._departures
+            if departure.fingerprint != fingerprint
+        ]
+
     def check(self) -> None:
         """Counts the crashes that the list of upstreams shows by now."""
         if not self._departures:
