Keep the retry of a plain request whose upstream could not be connected

Callers of services without a model could get 502 with "retry budget exhausted" though no upstream had seen the retries.

Change: the retry is used up by the send, and goes back to the budget if there is none.

--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -51,6 +51,8 @@
         self._tried: set[tuple[str, int]] = set()
         self._run_count = 0
         self._send_count = 0
+        # Whether a retry was taken that no send has used yet.
+        self._has_retry = False
         # Last upstream that was tried, for the detail of a refusal.
         self._last_tried = "no upstream tried"
         self._lost_upstream: upstreams.Upstream | None = None
@@ -74,6 +76,9 @@
                 f" (route timeout {request.route.timeout_s} s);"
                 f" {self._last_tried}",
             )
+        finally:
+            if self._has_retry:
+                self._forwarding.return_retry(self._service.name)
         if refusal is None:
             return
         if self._failed_answer is not None:
@@ -89,9 +94,7 @@
             upstream = self._choose_upstream()
             if upstream is None:
                 break
-            if self._send_count and not forwarding.try_take_retry(
-                self._service.name
-            ):
+            if self._send_count and not self._try_take_retry():
                 detail = "retry budget exhausted"
                 break
             self._tried.add(upstream.key)
@@ -128,6 +131,14 @@
             )
         return messages.Refusal(reason, is_not_run, retry_after_s, detail)
 
+    def _try_take_retry(self) -> bool:
+        """Takes a retry from the budget unless one was taken before."""
+        if not self._has_retry:
+            self._has_retry = self._forwarding.try_take_retry(
+                self._service.name
+            )
+        return self._has_retry
+
     def _log_failure(self, upstream: upstreams.Upstream, why: str) -> None:
         _log.info(
             logs.format_event(
@@ -223,6 +234,7 @@
         target = messages.AttemptTarget(upstream)
         forwarding.send(connection, request, target, "", self._send_count > 0)
         self._send_count += 1
+        self._has_retry = False
         self._run_count += 1
         head = await forwarding.read_head(connection, request, upstream)
         body = await connection.read_body(MAX_ANSWER_BYTES)
--- a/src/fuchsiabarrow/forwarding/tests/test_plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_plain_requests.py
@@ -1,6 +1,9 @@
+import dataclasses
+
 import pytest
 
 from fuchsiabarrow.catalogs import documents
+from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet.tests import fleets
 from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.forwarding.tests import fakes
@@ -248,3 +251,32 @@
 def test_upstream_that_lost_an_answer_and_is_unreachable_is_avoided(kind):
     _, harness = serve([[fakes.ConnectionLost], fakes.Unreachable], kind)
     assert harness.forwarding.directory.is_avoided(NEAR)
+
+
+def test_retry_is_kept_if_no_connection_could_be_opened():
+    # A retry was taken for each upstream that accepted no connection, so that
+    # requests failed for lack of retries that no upstream had seen.
+    async def run():
+        others = [
+            dataclasses.replace(
+                FAR, instance_id=f"far-{n}", address=f"10.0.1.{n}:80"
+            )
+            for n in range(3)
+        ]
+        harness = fakes.Harness(NEAR, *others, budget_extra=0.0)
+        harness.forwarding.set_retry_budget(5.0, 0.0)
+        harness.script(NEAR.address, [fakes.ConnectionLost])
+        for other in others:
+            harness.script(other.address, fakes.Unreachable)
+        harness.script(others[-1].address, fakes.answer(b"last"))
+        # Upstreams with less load are tried first.
+        harness.load_table.set_report(
+            "other",
+            [(o.key, loads.Load(n + 1, 1)) for n, o in enumerate(others)],
+        )
+        request = fakes.make_request(fakes.make_route(IDEMPOTENT))
+        return await harness.serve(request), harness, others
+
+    writer, harness, others = virtual_time.run(run())
+    assert writer.body == b"last", writer.refusal
+    assert harness.sent_addresses == [NEAR.address, others[-1].address]
