Check the next attempt of a stream again once it is connected

A stream whose silent upstream would have gone on was refused with 502, or sent although a part of its prompt was suspected.

Cause: the other path and the prompt were checked before the connection was opened, which may take 0.4 s. If an instance of that path began to leave meanwhile, the present connection was ended all the same, and then no path was left.

Change: both are checked again before the connection is ended. Both cases of the test failed before and pass after.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -762,7 +762,7 @@
             connection is None
             or not self._request.route.may_repeat
             or self._send_count >= MAX_SENDS
-            or (not self._event_count and not self._part_check.is_clear())
+            or not self._is_prompt_clear()
         ):
             return False
         segments = self._choose_path()
@@ -777,6 +777,8 @@
         if (
             next_attempt is None
             or self._gets_events()
+            or not self._path.is_usable(segments)
+            or not self._is_prompt_clear()
             # Another move may have failed and returned the retry.
             or not self._try_take_retry()
         ):
@@ -792,6 +794,10 @@
             self._forwarding.watch_left_instance(first, self._fingerprint)
         return True
 
+    def _is_prompt_clear(self) -> bool:
+        """Returns whether the prompt may be sent without a wait."""
+        return self._event_count > 0 or self._part_check.is_clear()
+
     async def _prepare_attempt(
         self, segments: tuple[paths.PathSegment, ...]
     ) -> "_NextAttempt | None":
--- a/src/fuchsiabarrow/forwarding/tests/test_moved_streams.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_moved_streams.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 
+import pytest
+
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.fleet import paths
 from fuchsiabarrow.forwarding.tests import fakes
@@ -318,3 +320,53 @@
     assert writer.body == path_instances.ALL_EVENTS
     assert writer.is_finished
     assert all(c.is_closed for c in harness.pool.connections)
+
+
+def make_leaving(harness):
+    harness.directory.put(
+        dataclasses.replace(path_instances.SPARE_FIRST, is_leaving=True)
+    )
+
+
+def suspect_part(harness):
+    path_instances.record_part_crash(harness, "p")
+
+
+@pytest.mark.parametrize("change", [make_leaving, suspect_part])
+def test_stream_stays_if_its_next_attempt_is_ruled_out_while_it_connects(
+    change,
+):
+    # The other instance or the request was ruled out while the connection to
+    # the other instance was being opened, and the present one was ended.
+    async def run():
+        harness = fakes.Harness(path_instances.FIRST, path_instances.LAST)
+        script = [fakes.Head(), fakes.Wait(path_instances.SILENCE_S)]
+        harness.script(
+            path_instances.FIRST.address, [*script, *fakes.stream(1, 11)[1:]]
+        )
+        harness.script(path_instances.SPARE_FIRST.address, fakes.stream(1, 11))
+        open_connection = harness.pool.open
+
+        async def open_slowly(address, *options):
+            await asyncio.sleep(0.1)
+            if address == path_instances.SPARE_FIRST.address:
+                change(harness)
+            return await open_connection(address, *options)
+
+        harness.pool.open = open_slowly
+        task = path_instances.start(harness, shared_parts=("p", "own"))
+        await asyncio.sleep(0.15)
+        harness.directory.replace(
+            [
+                path_instances.FIRST,
+                path_instances.LAST,
+                path_instances.SPARE_FIRST,
+            ]
+        )
+        harness.control.silent.add(path_instances.FIRST.address)
+        return await task, harness
+
+    writer, harness = virtual_time.run(run())
+    assert writer.body == path_instances.ALL_EVENTS, writer.refusal
+    assert harness.sent_addresses == [path_instances.FIRST.address]
+    assert all(c.is_closed for c in harness.pool.connections)
