--- a/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
@@ -253,3 +253,29 @@
         return harness.forwarding.crash_counts.get_own(10)
 
     assert virtual_time.run(run()) == []
+
+
+def test_instance_that_was_stalled_is_used_again_when_it_goes_on():
+    # Requests were refused until it was not avoided any more, as if the events
+    # of a stream that had waited for it did not show that it went on.
+    async def run():
+        harness = fakes.Harness(path_instances.FIRST, path_instances.LAST)
+        script = [*fakes.stream(1, 5), fakes.Wait(path_instances.SILENCE_S)]
+        script += fakes.stream(5, 11)[1:]
+        harness.script(
+            path_instances.FIRST.address, script, fakes.stream(1, 11)
+        )
+        waiting = path_instances.start(harness, is_resumable=False)
+        await asyncio.sleep(0.1)
+        stalled = (("r1", path_instances.LAST.address),)
+        harness.control.stalled[path_instances.FIRST.address] = stalled
+        await asyncio.sleep(0.5)
+        harness.control.stalled.clear()
+        assert harness.directory.is_avoided(path_instances.LAST)
+        first = await waiting
+        assert first.body == path_instances.ALL_EVENTS
+        return await path_instances.start(harness)
+
+    writer = virtual_time.run(run())
+    assert writer.refusal is None, writer.refusal
+    assert writer.body == path_instances.ALL_EVENTS
