--- a/src/fuchsiabarrow/peers/tests/test_tunnels.py
+++ b/src/fuchsiabarrow/peers/tests/test_tunnels.py
@@ -9,6 +9,7 @@
 import pytest
 
 from fuchsiabarrow import exceptions
+from fuchsiabarrow.catalogs import documents
 from fuchsiabarrow.peers import summaries
 from fuchsiabarrow.peers import tunnels
 
@@ -282,3 +283,21 @@
             assert helper == setting.server.address
 
     run(main)
+
+
+def test_caller_that_leaves_during_an_upload_is_noticed():
+    # The entry that helps does not read from the tunnel while the upstream does
+    # not read the body, and an upstream may be at work before it has read it.
+    async def main(setting):
+        protocol = await setting.open()
+        upstream = setting.upstreams[0]
+        upstream.transport.pause_reading()
+        protocol.transport.write(
+            b"z" * documents.RequestLimits().max_body_bytes
+        )
+        await asyncio.sleep(0.5)
+        protocol.transport.abort()
+        await asyncio.sleep(0.5)
+        assert setting.server.count() == 0
+
+    run(main)
