Count a crash of a later instance that runs again already

Cause: a later instance whose probe has no proper answer counts as silent, and may be sound. One whose place a newer one has taken has ended, and answers no probe of its own either.

Change: it counts as crashed if the list shows the newer one. The test failed before (no crash counted) and passes after.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -297,7 +297,11 @@
         if forwarding.pool.is_isolated():
             return False  # This entry cannot tell.
         return not answers[0] or any(
-            not is_alive and not forwarding.is_silent(instance)
+            not is_alive
+            and (
+                not forwarding.is_silent(instance)
+                or forwarding.directory.is_replaced(instance)
+            )
             for instance, is_alive in zip(
                 instances[1:], answers[1:], strict=True
             )
--- a/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
@@ -279,3 +279,24 @@
     writer = virtual_time.run(run())
     assert writer.refusal is None, writer.refusal
     assert writer.body == path_instances.ALL_EVENTS
+
+
+def test_crash_of_a_later_instance_that_runs_again_is_counted():
+    # The old one counted as silent, though a newer one ran in its place.
+    async def run():
+        harness = fakes.Harness(path_instances.FIRST, path_instances.LAST)
+        harness.script(
+            path_instances.FIRST.address,
+            [fakes.Wait(0.2), fakes.ConnectionLost],
+        )
+        task = path_instances.start(harness, is_resumable=False)
+        await asyncio.sleep(0.1)
+        harness.control.silent.add(path_instances.LAST.address)
+        harness.directory.put(
+            dataclasses.replace(path_instances.LAST, incarnation=2)
+        )
+        await task
+        return harness.forwarding.crash_counts.get_own(10)
+
+    ((_, count),) = virtual_time.run(run())
+    assert count == 1
