Plan an instance as dead only if it refuses or stays silent (LOST)

Cause: the leader planned without every instance that the directory avoids, and one probe without an answer within 0.25 s is enough for that. After the avoidance a dead one was back in the plan without having been tried.

Change: a refused connection is an error of its own (UpstreamRefusedError), and the directory keeps it as evidence of an end until the upstream answers, 10 s at most. The leader leaves such an instance out at once, as before, and probes it when its avoidance ends. An instance that is avoided for another reason is probed by the leader in each run. It keeps its layers, and gets no order if it is silent; it is planned as dead if a probe that began 2.5 s after the first unanswered one has no answer either, and stays so until it answers. No instance is moved off layers that only a silent one holds too. An instance that answers the probe (misdirected requests, lost answers, stalled requests reported by others) stays in the plan as well; before it was left out.

The error of another entry that helps does not say whether the connection was refused; that of the direct attempt does. If there is only the former, or a status other than 200, it counts as silence.

The price: an instance without power is replaced later. For instances that refuse it follows in the next run; if another instance is silent then, that run takes up to 0.25 s longer.

--- a/src/fuchsiabarrow/forwarding/connections.py
+++ b/src/fuchsiabarrow/forwarding/connections.py
@@ -441,7 +441,8 @@
             timeout_s: Timeout; that of the pool applies if it is shorter.
 
         Raises:
-            UpstreamUnreachableError: The connection could not be opened.
+            UpstreamRefusedError: The connection was refused.
+            UpstreamUnreachableError: It could not be opened otherwise.
         """
         loop = asyncio.get_running_loop()
         timeout_s = min(max(0.0, timeout_s), self._connect_timeout_s)
@@ -453,7 +454,12 @@
                 )
         except (OSError, TimeoutError) as error:
             self._links.record_unreachable(address)
-            raise exceptions.UpstreamUnreachableError(
+            error_type = (
+                exceptions.UpstreamRefusedError
+                if isinstance(error, ConnectionRefusedError)
+                else exceptions.UpstreamUnreachableError
+            )
+            raise error_type(
                 f"{address}: cannot connect ({_describe_error(error)});"
                 " use another upstream"
             ) from error
