Keep dead upstreams avoided when other entries confirm their deaths

Callers saw nothing but a delay: each dead upstream was tried once more.

Cause: an entry that had been isolated forgot all failures when the isolation ended, whatever the reason. It also ends because other entries say that the upstreams that it failed to reach are dead.

Change: failures are forgotten only if an upstream was reached, by a connection of the entry or through another one.

--- a/src/fuchsiabarrow/forwarding/isolation.py
+++ b/src/fuchsiabarrow/forwarding/isolation.py
@@ -75,7 +75,11 @@
         now_s = asyncio.get_running_loop().time()
         if not self._links.is_cut_off():
             if self._isolated_at_s is not None:
-                self._record_way("isolation_ended")
+                self._log_event("isolation_ended")
+                # Otherwise other entries have said that the upstreams are
+                # dead, or the failures are too old.
+                if self._links.reached_at_s >= self._isolated_at_s:
+                    self._forget_failures()
                 self._isolated_at_s = None
             return
         if self._isolated_at_s is None:
@@ -95,7 +99,8 @@
             return
         connection.close()
         if not self._has_way:
-            self._record_way("isolation_bypassed")
+            self._log_event("isolation_bypassed")
+            self._forget_failures()
 
     async def _check_links(self) -> None:
         """Asks others about upstreams that did not accept connections."""
@@ -110,8 +115,7 @@
             if upstream is not None:
                 self._directory.record_success(upstream)
 
-    def _record_way(self, event: str) -> None:
-        """Logs the first way after isolation, or its end; forgets failures."""
+    def _log_event(self, event: str) -> None:
         now_s = asyncio.get_running_loop().time()
         _log.info(
             logs.format_event(
@@ -120,6 +124,9 @@
                 avoided=self._directory.count_avoided(),
             )
         )
+
+    def _forget_failures(self) -> None:
+        """Uses all upstreams again, once in an isolation."""
         if not self._has_way:
             self._directory.clear_failures()
         self._has_way = True
