--- a/src/fuchsiabarrow/adapters/engines.py
+++ b/src/fuchsiabarrow/adapters/engines.py
@@ -62,6 +62,11 @@
     step: engines.Step
     future: asyncio.Future
     sent_at_s: float
+    handle_silence: Callable[[str], bool]
+
+
+def _give_up(instance_id: str) -> bool:
+    return True
 
 
 def _get_match_key(item: engines.Step | engines.StepAnswer) -> tuple:
@@ -120,7 +125,11 @@
         if self._socket is not None:
             await self._socket.close()
 
-    async def step(self, step: engines.Step) -> engines.StepAnswer:
+    async def step(
+        self,
+        step: engines.Step,
+        handle_silence: Callable[[str], bool] = _give_up,
+    ) -> engines.StepAnswer:
         """Implements `fuchsiabarrow.ports.engines.Engine.step`."""
         loop = asyncio.get_running_loop()
         if self._closed:
@@ -130,7 +139,9 @@
             )
         key = _get_match_key(step)
         future = loop.create_future()
-        self._pending[key] = _PendingStep(step, future, loop.time())
+        self._pending[key] = _PendingStep(
+            step, future, loop.time(), handle_silence
+        )
         self._has_pending.set()
         self._send(["step", step])
         try:
@@ -198,9 +209,15 @@
                 await self._wakeup.wait()
                 try:
                     socket = await self._open()
-                except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                except TimeoutError as error:
+                    if not self._report_silence():
+                        self._fail_after_error(error)
+                    continue
+                except (aiohttp.ClientError, OSError) as error:
                     self._fail_after_error(error)
                     continue
+                # Without the steps that were given up meanwhile.
+                self._queue_pending()
             try:
                 socket = await self._serve_connection(socket)
             except Exception as error:
@@ -257,8 +274,12 @@
         replacement = results[-1]
         if isinstance(replacement, aiohttp.ClientWebSocketResponse):
             self._count("silent_connection")
-            self._resend_pending()
+            self._queue_pending()
             return replacement
+        if isinstance(replacement, TimeoutError) and self._pending:
+            # Steps that were made while the connection was being closed.
+            self._queue_pending()
+            return None
         if isinstance(
             replacement, (aiohttp.ClientError, TimeoutError, OSError)
         ):
@@ -271,14 +292,16 @@
         )
         return None
 
-    def _resend_pending(self) -> None:
-        """Queues the outstanding steps to be sent on the new connection.
+    def _queue_pending(self) -> None:
+        """Queues the outstanding steps to be sent on a new connection.
 
         The engine refuses a step for a position that its KV cache has already
         passed, so no step is applied twice.
         """
         self._send_queue = [
-            ["step", pending.step] for pending in self._pending.values()
+            ["step", pending.step]
+            for pending in self._pending.values()
+            if not pending.future.done()
         ]
         self._wakeup.set()
 
@@ -311,15 +334,21 @@
     async def _watch_silence(self) -> aiohttp.ClientWebSocketResponse:
         """Waits until the connection is unresponsive; returns a replacement.
 
+        While the whole engine is silent, the connection is kept for the steps
+        that are not given up.
+
         A check that ran late because this process was paused is ignored, as the
         frames that arrived during the pause have not been read yet.
 
         Raises:
-            TimeoutError: A new connection did not respond either.
+            TimeoutError: A new connection did not respond either, and no step
+                waits for the engine.
             aiohttp.ClientError: No new connection could be opened.
         """
         limit_s = self._settings.silence_timeout_s
         loop = asyncio.get_running_loop()
+        # Time of the last frame before the engine was silent.
+        silent_after_s: float | None = None
         while True:
             await self._has_pending.wait()
             oldest_sent_at_s = self._get_oldest_sent_at_s()
@@ -334,23 +363,72 @@
             await asyncio.sleep(delay_s)
             if stall_detector.was_stalled() or not self._is_overdue(limit_s):
                 continue
-            replacement = await self._compare_connections()
+            grace_s = 0.0
+            if silent_after_s == self._last_frame_s:
+                grace_s = self._compute_silence_s()
+            try:
+                replacement = await self._compare_connections(grace_s)
+            except TimeoutError:
+                if not self._report_silence():
+                    raise
+                silent_after_s = self._last_frame_s
+                continue
             if replacement is not None:
                 return replacement
 
     def _is_overdue(self, limit_s: float) -> bool:
+        return self._compute_silence_s() >= limit_s
+
+    def _compute_silence_s(self) -> float:
+        """Returns how long outstanding steps have had no frame in seconds."""
         oldest_sent_at_s = self._get_oldest_sent_at_s()
         if oldest_sent_at_s is None:
-            return False
+            return 0.0
         now_s = asyncio.get_running_loop().time()
-        return now_s - max(oldest_sent_at_s, self._last_frame_s) >= limit_s
+        return now_s - max(oldest_sent_at_s, self._last_frame_s)
+
+    def _report_silence(self) -> bool:
+        """Fails the outstanding steps that are given up on a silent engine.
+
+        Returns:
+            Whether other steps wait for the engine.
+        """
+        given_up = 0
+        for key, pending in list(self._pending.items()):
+            if pending.future.done():
+                continue
+            if pending.handle_silence(self._instance_id):
+                pending.future.set_exception(self._make_silence_error())
+                del self._pending[key]
+                given_up += 1
+        self._count("silent_engine")
+        _log.info(
+            logs.format_event(
+                "engine_silent",
+                instance=self._instance_id,
+                given_up=given_up,
+                waiting=len(self._pending),
+            )
+        )
+        return bool(self._pending)
+
+    def _make_silence_error(self) -> exceptions.InstanceTimeoutError:
+        return exceptions.InstanceTimeoutError(
+            self._instance_id, "did not respond on a new connection"
+        )
 
     async def _compare_connections(
-        self,
+        self, grace_s: float
     ) -> aiohttp.ClientWebSocketResponse | None:
         """Probes the current connection and a new one to the same engine.
 
-        An engine that is busy with a long batch answers on both.
+        An engine that is busy with a long batch answers on both. After a
+        silence of the whole engine, the answers on the current connection may
+        arrive later than those on a new one.
+
+        Args:
+            grace_s: Time that the current connection has, beyond
+                `probe_grace_s`, as long as a step waits for the engine.
 
         Returns:
             The new connection if only that one answers; None if the current
@@ -367,6 +445,14 @@
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(replacement.close)
             await asyncio.sleep(self._settings.probe_grace_s)
+            loop = asyncio.get_running_loop()
+            limit_s = loop.time() + grace_s
+            while (
+                self._last_frame_s == last_frame_s
+                and loop.time() < limit_s
+                and self._report_silence()
+            ):
+                await asyncio.sleep(self._settings.silence_timeout_s)
             if self._last_frame_s == last_frame_s:
                 stack.pop_all()
                 return replacement
@@ -382,9 +468,7 @@
         self._send_queue = []
         self._wakeup.clear()
         if isinstance(error, TimeoutError):
-            failure = exceptions.InstanceTimeoutError(
-                self._instance_id, "did not respond on a new connection"
-            )
+            failure: exceptions.InstanceError = self._make_silence_error()
         else:
             failure = exceptions.InstanceUnreachableError(
                 self._instance_id, "connection failed; use another instance"
--- a/src/fuchsiabarrow/limits/crashing_parts.py
+++ b/src/fuchsiabarrow/limits/crashing_parts.py
@@ -385,11 +385,15 @@
 
     def try_start_test(self, parts: frozenset[int]) -> bool:
         """Reserves suspected parts for one request; False if one is tested."""
-        if not self._tested.isdisjoint(parts):
+        if not self.may_test(parts):
             return False
         self._tested |= parts
         return True
 
+    def may_test(self, parts: frozenset[int]) -> bool:
+        """Returns whether no request tests one of the parts."""
+        return self._tested.isdisjoint(parts)
+
     def end_test(self, parts: frozenset[int]) -> None:
         """Ends a test that `try_start_test` began."""
         self._tested -= parts
--- a/src/fuchsiabarrow/limits/suspects.py
+++ b/src/fuchsiabarrow/limits/suspects.py
@@ -129,26 +129,56 @@
             attempt without a token runs on one of these instances and one of
             the two is isolated.
         """
+        if not self.may_start(fingerprint, instance_ids, now_s, must_isolate):
+            return None
         is_isolated = must_isolate or self.is_isolated(fingerprint, now_s)
-        targets = frozenset(instance_ids)
-        for other in self._pending_attempts:
-            is_shared = not targets.isdisjoint(other.instance_ids)
-            if is_shared and (is_isolated or other.is_isolated):
-                return None
-        attempt = PendingAttempt(fingerprint, targets, is_isolated)
+        attempt = PendingAttempt(
+            fingerprint, frozenset(instance_ids), is_isolated
+        )
         self._pending_attempts.add(attempt)
         return attempt
 
+    def may_start(
+        self,
+        fingerprint: str,
+        instance_ids: list[str],
+        now_s: float,
+        must_isolate: bool = False,
+        replaced: PendingAttempt | None = None,
+    ) -> bool:
+        """Returns whether an attempt may start on instances.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            instance_ids: Instances that it would run on.
+            now_s: Loop time.
+            must_isolate: Whether it is isolated in any case.
+            replaced: Attempt that would end before.
+        """
+        is_isolated = must_isolate or self.is_isolated(fingerprint, now_s)
+        return not any(
+            (is_isolated or other.is_isolated)
+            and not other.instance_ids.isdisjoint(instance_ids)
+            for other in self._pending_attempts
+            if other is not replaced
+        )
+
     def end_attempt(self, attempt: PendingAttempt | None) -> None:
         """Removes an attempt that has produced a token or has ended."""
         self._pending_attempts.discard(attempt)
 
-    def find_isolated_instances(self) -> frozenset[str]:
-        """Returns the instances on which isolated attempts run."""
+    def find_isolated_instances(
+        self, replaced: PendingAttempt | None = None
+    ) -> frozenset[str]:
+        """Returns the instances on which isolated attempts run.
+
+        Args:
+            replaced: Attempt that is not considered.
+        """
         return frozenset(
             instance_id
             for attempt in self._pending_attempts
-            if attempt.is_isolated
+            if attempt.is_isolated and attempt is not replaced
             for instance_id in attempt.instance_ids
         )
 
--- a/src/fuchsiabarrow/limits/tests/test_suspects.py
+++ b/src/fuchsiabarrow/limits/tests/test_suspects.py
@@ -80,6 +80,19 @@
     assert start_attempt(tracker, "good", "i3") is not None
 
 
+def test_attempt_that_is_replaced_does_not_hold_back_its_successor(tracker):
+    for number in range(2):
+        crash(tracker, start_attempt(tracker, "bad", f"i{number}"))
+    current = start_attempt(tracker, "bad", "i3", "i4")
+    assert not tracker.may_start("bad", ["i3"], 0.0)
+    assert tracker.may_start("bad", ["i3"], 0.0, replaced=current)
+    assert not tracker.find_isolated_instances(current)
+    start_attempt(tracker, "new", "i5")
+    assert not tracker.may_start("bad", ["i5"], 0.0, replaced=current)
+    # Nothing was registered or ended.
+    assert tracker.find_isolated_instances() == {"i3", "i4"}
+
+
 def test_number_of_kept_fingerprints_is_bounded():
     tracker = suspects.CrashSuspects(suspects.Settings(block_limit=10))
     for number in range(100):
--- a/src/fuchsiabarrow/ports/engines.py
+++ b/src/fuchsiabarrow/ports/engines.py
@@ -1,5 +1,6 @@
 """Port to the model engines, which run ranges of model layers."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -79,13 +80,23 @@
 class Engine(Protocol):
     """A connection to one engine instance."""
 
-    async def step(self, step: Step) -> StepAnswer:
+    async def step(
+        self, step: Step, handle_silence: Callable[[str], bool]
+    ) -> StepAnswer:
         """Applies a step and returns the answer, whose status is ``ok``.
 
+        Args:
+            step: The step; sent again only on a connection that replaces the
+                one that it was sent on.
+            handle_silence: Called with the instance id each time the instance
+                has answered neither on its connection nor on a new one;
+                returns whether the step is given up. If not, the answer is
+                waited for.
+
         Raises:
             InstanceUnreachableError: The connection was refused or lost.
-            InstanceTimeoutError: The step timed out, or the instance does not
-                respond even on a new connection.
+            InstanceTimeoutError: The step timed out, or it was given up
+                because the instance is silent.
             InstanceRefusedError: The instance is draining, is busy or does
                 not hold the layers.
             CachePositionError: The KV cache is at another position.
--- a/src/fuchsiabarrow/streams/attempts.py
+++ b/src/fuchsiabarrow/streams/attempts.py
@@ -31,6 +31,8 @@
         tracer: Creates a span for each hop.
         report_hop: Called with the instance id and the latency in seconds of
             each hop that processed a single position.
+        handle_silence: Called with the instance id while an instance with an
+            outstanding step is silent; returns whether to give the attempt up.
     """
 
     def __init__(
@@ -40,12 +42,14 @@
         stages: connections.StageSet,
         tracer: trace.Tracer,
         report_hop: Callable[[str, float], None],
+        handle_silence: Callable[[str], bool],
     ):
         self._request_id = request_id
         self._number = number
         self._stages = stages
         self._tracer = tracer
         self._report_hop = report_hop
+        self._handle_silence = handle_silence
         self._position = 0
         self._spans: list[trace.Span] = []
         self._busy_s = [0.0] * len(stages.hops)
@@ -179,7 +183,9 @@
             )
             async with self._stage_locks[index]:
                 started_s = loop.time()
-                answer = await stages.engines[index].step(step)
+                answer = await stages.engines[index].step(
+                    step, self._handle_silence
+                )
                 elapsed_s = loop.time() - started_s
             self._busy_s[index] += elapsed_s
             if len(chunk) == 1:
--- a/src/fuchsiabarrow/streams/drivers.py
+++ b/src/fuchsiabarrow/streams/drivers.py
@@ -126,6 +126,9 @@
         self._organisation_hash = crashing_parts.compute_hash(
             stream.request.organisation
         )
+        # Chain and retry that were secured before the attempt was given up.
+        self._next_chain: tuple[chains.Hop, ...] | None = None
+        self._has_retry = False
         # Suspected parts of the prompt that the current attempt tests.
         self._tested: frozenset[int] = frozenset()
 
@@ -174,6 +177,7 @@
                 stages,
                 context.tracer,
                 self._report_hop,
+                self._handle_silence,
             ) as attempt,
         ):
             while not self._stream.is_ended():
@@ -266,8 +270,47 @@
             self._avoid.add(error.instance_id)
         if not decision.should_continue:
             raise self._make_failure("too many attempts failed")
-        if decision.uses_retry_budget and not context.budget.try_withdraw():
+        if decision.uses_retry_budget and not self._try_take_retry():
             raise self._make_failure("the retry budget is exhausted")
+        self._has_retry = False
+
+    def _try_take_retry(self) -> bool:
+        """Takes a retry from the budget unless one was taken before."""
+        if not self._has_retry:
+            self._has_retry = self._context.budget.try_withdraw()
+        return self._has_retry
+
+    def _handle_silence(self, instance_id: str) -> bool:
+        """Returns whether to give up the attempt on a silent instance.
+
+        A sound instance may be silent for seconds and then go on. So the
+        attempt is given up only once an attempt, a chain and a retry are
+        secured for the stream; else it waits for the instance.
+        """
+        context = self._context
+        now_s = asyncio.get_running_loop().time()
+        context.routing.health.record_failure(instance_id, now_s)
+        if self._next_chain is not None:
+            return True
+        judgement = self._judge_parts()
+        decision = recovery.decide_next_attempt(
+            recovery.Cause.SILENT,
+            self._failures + 1,
+            context.settings.attempts,
+        )
+        if (
+            not decision.should_continue
+            or context.suspects.is_blocked(self._request.fingerprint, now_s)
+            or not self._may_send_parts(judgement)
+        ):
+            return False
+        chain = self._find_other_chain(
+            instance_id, now_s, bool(judgement.suspects)
+        )
+        if chain is None or not self._try_take_retry():
+            return False
+        self._next_chain = chain
+        return True
 
     def _make_failure(self, why: str) -> exceptions.StreamFailedError:
         retry_after_s = self._context.settings.retry_after_s
@@ -303,8 +346,9 @@
         suspects.end_attempt(self._pending_attempt)
         if not self._try_clear_parts():
             return None
+        chain = self._take_next_chain(now_s)
         try:
-            chain = self._choose_chain(
+            chain = chain or self._choose_chain(
                 self._avoid | suspects.find_isolated_instances()
             )
         except exceptions.ChainUnavailableError:
@@ -317,6 +361,76 @@
         )
         return None if self._pending_attempt is None else chain
 
+    def _take_next_chain(self, now_s: float) -> tuple[chains.Hop, ...] | None:
+        """Returns the chain secured by `_handle_silence`, if still usable."""
+        chain, self._next_chain = self._next_chain, None
+        if chain is None or not self._is_available(chain, now_s):
+            return None
+        return chain
+
+    def _is_available(
+        self, chain: tuple[chains.Hop, ...], now_s: float
+    ) -> bool:
+        """Returns whether all instances of a chain may be preferred."""
+        health = self._context.routing.health
+        states = [health.find(hop.instance_id) for hop in chain]
+        return all(
+            state is not None and state.is_available(now_s) for state in states
+        )
+
+    def _find_other_chain(
+        self, silent_id: str, now_s: float, must_isolate: bool
+    ) -> tuple[chains.Hop, ...] | None:
+        """Returns an available chain without a silent instance, if any.
+
+        Instances that failed this stream before are used if they are available
+        again and no other chain exists.
+
+        Args:
+            silent_id: Id of the silent instance.
+            now_s: Loop time.
+            must_isolate: Whether the next attempt is isolated in any case.
+        """
+        suspects = self._context.suspects
+        avoid = {silent_id} | suspects.find_isolated_instances(
+            self._pending_attempt
+        )
+        for avoided in (avoid | self._avoid, avoid):
+            try:
+                chain = self._choose_chain(avoided)
+            except exceptions.ChainUnavailableError:
+                return None
+            names = [hop.instance_id for hop in chain]
+            if (
+                silent_id not in names
+                and self._is_available(chain, now_s)
+                and suspects.may_start(
+                    self._request.fingerprint,
+                    names,
+                    now_s,
+                    must_isolate,
+                    self._pending_attempt,
+                )
+            ):
+                return chain
+        return None
+
+    def _judge_parts(self) -> crashing_parts.Judgement:
+        """Returns what the parts of the prompt say on another attempt."""
+        if self._stream.tokens:
+            return crashing_parts.Judgement(crashing_parts.Verdict.CLEAR)
+        return self._context.part_crashes.judge(
+            self._organisation_hash, self._request.shared_parts
+        )
+
+    def _may_send_parts(self, judgement: crashing_parts.Judgement) -> bool:
+        """Returns whether the next attempt may start, by the prompt's parts."""
+        if judgement.verdict is crashing_parts.Verdict.SUSPECT:
+            return self._context.part_crashes.may_test(
+                judgement.suspects - self._tested
+            )
+        return judgement.verdict is crashing_parts.Verdict.CLEAR
+
     def _try_clear_parts(self) -> bool:
         """Returns whether the request may be sent, by the parts of its prompt.
 
@@ -324,12 +438,8 @@
             StreamFailedError: A part is blocked because it crashed upstreams.
         """
         self._end_test()
-        if self._stream.tokens:
-            return True
         part_crashes = self._context.part_crashes
-        judgement = part_crashes.judge(
-            self._organisation_hash, self._request.shared_parts
-        )
+        judgement = self._judge_parts()
         if judgement.verdict is crashing_parts.Verdict.BLOCKED:
             raise make_crashing_request_error()
         if judgement.verdict is crashing_parts.Verdict.SUSPECT:
