Soak: entries cut off from all upstreams, and silent upstreams

Cause: in the soak all entries shared one proxy for each upstream, so that no fault could separate one entry from the upstreams, and the entries had no port for tunnels.

Change: each entry has its own proxy for each upstream, and a port for tunnels. One, half or all of the entries are cut off from all upstreams in three shapes: connections hang, are reset, or live on while new ones are refused. An upstream is silent for 0.5 to 2.5 s, after which all bytes arrive. No check was changed. A new check compares how often callers are served at entries that are cut off and at the others, from 3 s after the start of the cut on; the bound is the two thirds of the rule. Faults have new numbers in the sorted list: a seed draws other faults than before.

--- a/src/fuchsiabarrow/platform/tests/processes.py
+++ b/src/fuchsiabarrow/platform/tests/processes.py
@@ -27,8 +27,11 @@
         host: Loopback address used by this entry only.
         front: Port for callers.
         ready: Port for readiness checks.
-        inner: Port for other entries, the same for all entries.
+        inner: Port for other entries, the same for all entries; tunnels use
+            the next port.
         control: Port for metrics.
+        module: Module that the process runs.
+        environment: Environment variables added to those of this process.
         settings_path: Settings file.
         log_path: File that receives standard output and error.
 
@@ -43,7 +46,13 @@
         self.name = name
         self.host = host
         self.inner = inner
-        self.front, self.ready, self.control = free_ports.find_ports(3)
+        self.front, self.ready, self.control = [
+            port
+            for port in free_ports.find_ports(5)
+            if port not in (inner, inner + 1)
+        ][:3]
+        self.module = "fuchsiabarrow"
+        self.environment: dict[str, str] = {}
         self.log_path = folder / f"{name}.log"
         self.settings_path = folder / f"{name}.conf"
         self._process: subprocess.Popen | None = None
@@ -59,6 +68,10 @@
             grace_s=GRACE_S,
         )
         text = text.replace("node_name=entry-1", f"node_name={self.name}")
+        text = text.replace(
+            f"internal_ports={self.inner},{self.inner}",
+            f"internal_ports={self.inner},{self.inner + 1}",
+        )
         text = text.replace("127.0.0.1", self.host).replace("STORE", store)
         lines = [x for x in text.splitlines() if not x.startswith("seeds=")]
         seed_addresses = ",".join(f"{seed}:{self.control}" for seed in seeds)
@@ -75,11 +88,12 @@
         """Starts the process."""
         with open(self.log_path, "ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "fuchsiabarrow", "route"],
+                [sys.executable, "-m", self.module, "route"],
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env={
                     **os.environ,
+                    **self.environment,
                     "FUCHSIABARROW_SETTINGS": str(self.settings_path),
                 },
             )
--- a/src/fuchsiabarrow/platform/tests/soak/__main__.py
+++ b/src/fuchsiabarrow/platform/tests/soak/__main__.py
@@ -12,6 +12,11 @@
 from fuchsiabarrow.platform.tests.soak import scenario
 
 
+def _describe(counts: list[int]) -> str:
+    served_count, count = counts
+    return f"{served_count} of {count}"
+
+
 def main(
     *,
     first_seed: int = 1,
@@ -19,6 +24,7 @@
     duration_s: float = 10.0,
     entries: int = 4,
     logs: str = "",
+    only: str = "",
 ) -> None:
     """Runs seeds in turn; exits with 1 if any invariant was violated.
 
@@ -29,6 +35,8 @@
         entries: Number of entries.
         logs: Directory to which the logs of seeds with violations are copied;
             empty to discard them.
+        only: Names of the faults to draw from, separated by commas; empty
+            for all.
     """
     failed = 0
     for seed in range(first_seed, first_seed + count):
@@ -36,15 +44,23 @@
             began_s = time.monotonic()
             violations, soak = asyncio.run(
                 scenario.run_seed(
-                    seed, duration_s, entries, pathlib.Path(folder)
+                    seed,
+                    duration_s,
+                    entries,
+                    pathlib.Path(folder),
+                    [name for name in only.split(",") if name],
                 )
             )
             attempts = soak.history.attempts.values()
             statuses = collections.Counter(a.status for a in attempts)
+            cut_counts, other_counts = soak.history.count_during_cuts()
             print(
                 f"seed {seed}: {len(soak.faults)} faults,"
                 f" {len(attempts)} requests {dict(statuses)},"
                 f" {len(violations)} violations,"
+                f" served during cuts {_describe(cut_counts)} at cut entries,"
+                f" {_describe(other_counts)} at others,"
+                f" {soak.history.helped_count} runs through other entries,"
                 f" {time.monotonic() - began_s:.0f} s",
                 flush=True,
             )
--- a/src/fuchsiabarrow/platform/tests/soak/invariants.py
+++ b/src/fuchsiabarrow/platform/tests/soak/invariants.py
@@ -1,8 +1,10 @@
 """Requests as callers and upstreams saw them, and checks of invariants."""
 
+from collections.abc import Callable
+import contextlib
 import dataclasses
 
-__all__ = ["Attempt", "History"]
+__all__ = ["Attempt", "Cut", "History"]
 
 # How long after the store accepted the change a revoked key may still be used
 # (bounds.revoke_ms of the settings).
@@ -12,6 +14,14 @@
 # upstream through a slow proxy.
 DRAIN_S = 2.0
 TRANSIT_S = 1.0
+# From this time after the start of a cut on (bounds.stable_window_ms), requests
+# to entries that are cut off from all upstreams must be served this often,
+# compared with those to the other entries. A disturbance of an entry counts for
+# the same time after its end.
+STABLE_S = 3.0
+MIN_CUT_RATIO = 2 / 3
+# Fewer requests are not compared.
+MIN_COMPARED_REQUESTS = 20
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,6 +51,21 @@
     ended_s: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class Cut:
+    """Time in which entries are cut off from all upstreams.
+
+    Attributes:
+        entries: Names of the entries.
+        began_s: Loop time at which it began.
+        ended_s: Loop time at which it ended, infinite until then.
+    """
+
+    entries: frozenset[str]
+    began_s: float
+    ended_s: float = float("inf")
+
+
 class History:
     """Attempts, runs and faults of one seed.
 
@@ -52,6 +77,11 @@
         leaving_s: Time at which an upstream was listed as draining, by name;
             only of those that are listed so now.
         disturbed_store_s: Start and end of faults of the store.
+        entries: Names of all entries, by the source of their runs.
+        cuts: Cuts of entries from all upstreams.
+        disturbances: Entries that were killed, paused or stopped, with times.
+        helped_count: Number of runs that came through another entry than that
+            of the caller.
     """
 
     def __init__(self):
@@ -61,8 +91,34 @@
         self.revoked_s: dict[str, float] = {}
         self.leaving_s: dict[str, float] = {}
         self.disturbed_store_s: list[tuple[float, float]] = []
+        self.entries: dict[str, str] = {}
+        self.cuts: list[Cut] = []
+        self.disturbances: list[Cut] = []
+        self.helped_count = 0
+
+    @contextlib.contextmanager
+    def record_cut(self, names: frozenset[str], read_time_s: Callable):
+        """Records that entries are cut off from all upstreams."""
+        cut = Cut(names, read_time_s())
+        self.cuts.append(cut)
+        yield
+        cut.ended_s = read_time_s()
 
-    def record_run(self, request_id: str, upstream: str, now_s: float) -> None:
+    @contextlib.contextmanager
+    def record_disturbance(self, name: str, read_time_s: Callable):
+        """Records that the process of an entry is disturbed."""
+        disturbance = Cut(frozenset([name]), read_time_s())
+        self.disturbances.append(disturbance)
+        yield
+        disturbance.ended_s = read_time_s()
+
+    def record_run(
+        self,
+        request_id: str,
+        upstream: str,
+        now_s: float,
+        source_host: str | None = None,
+    ) -> None:
         """Records the start of a run at an upstream and checks it."""
         runs = self.runs.setdefault(request_id, [])
         runs.append((now_s, upstream))
@@ -72,6 +128,8 @@
                 f"{request_id} ran but was not sent by any caller"
             )
             return
+        helper = self.entries.get(source_host, attempt.entry)
+        self.helped_count += helper != attempt.entry
         if attempt.kind == "book" and len(runs) > 1:
             self.violations.append(
                 f"{request_id} is not idempotent but ran more than once: {runs}"
@@ -103,6 +161,68 @@
             for began_s, ended_s in self.disturbed_store_s
         )
 
+    def count_during_cuts(self) -> tuple[list[int], list[int]]:
+        """Counts requests while some entries were cut off and others were not.
+
+        Returns:
+            Served and all requests to the entries that were cut off, from
+            `STABLE_S` after the start of the cut on, and the same for the
+            others. Not counted: entries that were disturbed, answers to a
+            revoked or new key, and entries cut off for a part of the time.
+        """
+        cut_counts, other_counts = [0, 0], [0, 0]
+        for attempt in self.attempts.values():
+            began_s, ended_s = attempt.sent_s - STABLE_S, attempt.ended_s
+            cuts = [
+                cut
+                for cut in self.cuts
+                if cut.began_s < ended_s and cut.ended_s > began_s
+            ]
+            # Those cut off all the time.
+            names = {
+                name
+                for cut in cuts
+                if cut.began_s <= began_s and cut.ended_s >= ended_s
+                for name in cut.entries
+            }
+            cut_names = {name for cut in cuts for name in cut.entries}
+            is_disturbed = any(
+                attempt.entry in one.entries
+                and one.began_s < ended_s
+                and one.ended_s > began_s
+                for one in self.disturbances
+            )
+            if (
+                not names
+                or cut_names >= set(self.entries.values())
+                or is_disturbed
+                or attempt.status == 401
+                or not ended_s
+            ):
+                continue
+            if attempt.entry in names:
+                counts = cut_counts
+            elif attempt.entry not in cut_names:
+                counts = other_counts
+            else:
+                continue
+            counts[0] += attempt.status == 200 and attempt.is_complete
+            counts[1] += 1
+        return cut_counts, other_counts
+
+    def check_cuts(self) -> None:
+        """Checks that entries cut off from upstreams serve like the others."""
+        cut_counts, other_counts = self.count_during_cuts()
+        if min(cut_counts[1], other_counts[1]) < MIN_COMPARED_REQUESTS:
+            return
+        cut_share = cut_counts[0] / cut_counts[1]
+        other_share = other_counts[0] / other_counts[1]
+        if cut_share < MIN_CUT_RATIO * other_share:
+            self.violations.append(
+                "entries cut off from upstreams served {} of {} requests, the"
+                " others {} of {}".format(*cut_counts, *other_counts)
+            )
+
     def check_answer(self, attempt: Attempt) -> None:
         """Checks one response as its caller received it."""
         runs = self.runs.get(attempt.request_id, [])
--- a/src/fuchsiabarrow/platform/tests/soak/scenario.py
+++ b/src/fuchsiabarrow/platform/tests/soak/scenario.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 import contextlib
+import functools
 import pathlib
 import random
 import signal
@@ -17,12 +19,17 @@
 from fuchsiabarrow.platform.tests import sample_objects
 from fuchsiabarrow.platform.tests.soak import invariants
 from fuchsiabarrow.platform.tests.soak import proxies
+from fuchsiabarrow.platform.tests.soak import redirected_entry
 from fuchsiabarrow.utils.tests import free_ports
 
 __all__ = ["SoakRun", "run_seed"]
 
-# Last octet of the loopback address of the first entry.
+# Last octet of the loopback addresses of the first entry, its proxies, and the
+# connections that these open.
 FIRST_HOST_OCTET = 11
+ENTRY_HOSTS = "127.0.0"
+PROXY_HOSTS = "127.1.0"
+SOURCE_HOSTS = "127.3.0"
 CALLERS = 8
 REQUEST_TIMEOUT_S = 5.0
 EVENTS = 12
@@ -40,6 +47,10 @@
 # Duration of a fault, and the pause before the next fault is injected.
 FAULT_DURATION_RANGE_S = (0.1, 2.5)
 FAULT_INTERVAL_RANGE_S = (0.2, 1.0)
+SILENCE_DURATION_RANGE_S = (0.5, 2.5)
+# Beyond the time after which callers at entries that are cut off from upstreams
+# must be served like others.
+CUT_DURATION_RANGE_S = (0.5, 8.0)
 # A planned shutdown may cut off responses if another fault overlaps it or ended
 # less than this before it. Store faults count as present for this long after
 # their end.
@@ -51,12 +62,14 @@
     """Records runs as they start; its stream events have the request's id.
 
     Attributes:
-        proxy: Proxy through which entries reach it.
+        proxies: Proxies through which entries reach it, one for each entry.
+        port: Port of its proxies, and of the address that entries know.
     """
 
     def __init__(self, history: invariants.History, name: str, *service):
         super().__init__(name, *service)
-        self.proxy: proxies.Proxy | None = None
+        self.proxies: list[proxies.Proxy] = []
+        self.port = 0
         self._history = history
         self.delay_s = 0.01
 
@@ -64,7 +77,9 @@
         if request.headers.get(wire_names.EXPECT_INSTANCE) == self.name:
             now_s = asyncio.get_running_loop().time()
             request_id = request.headers[wire_names.ATTEMPT_ID]
-            self._history.record_run(request_id, self.name, now_s)
+            self._history.record_run(
+                request_id, self.name, now_s, request.remote
+            )
         return await super()._run(request)
 
     async def _stream(self, request, headers):
@@ -93,24 +108,42 @@
         seed: Seed for the choice of requests and faults.
         entry_count: Number of entries.
         folder: Directory for settings files and logs.
+        fault_names: Faults to draw from; all if empty.
     """
 
-    def __init__(self, seed: int, entry_count: int, folder: pathlib.Path):
+    def __init__(
+        self,
+        seed: int,
+        entry_count: int,
+        folder: pathlib.Path,
+        fault_names: Collection[str] = (),
+    ):
+        self._fault_names = fault_names
         self.history = invariants.History()
         self._source = random.Random(seed)
         inner = free_ports.find_ports(1)[0]
         self._entries = [
             processes.EntryProcess(
-                f"entry-{n}", f"127.0.0.{FIRST_HOST_OCTET + n}", inner, folder
+                f"entry-{n}",
+                f"{ENTRY_HOSTS}.{FIRST_HOST_OCTET + n}",
+                inner,
+                folder,
             )
             for n in range(entry_count)
         ]
+        for entry in self._entries:
+            proxy_host = entry.host.replace(ENTRY_HOSTS, PROXY_HOSTS)
+            entry.module = redirected_entry.__name__
+            entry.environment[redirected_entry.PROXY_HOST_VARIABLE] = proxy_host
+            source_host = entry.host.replace(ENTRY_HOSTS, SOURCE_HOSTS)
+            self.history.entries[source_host] = entry.name
         self._upstreams: list[SoakUpstream] = []
         self._store_proxies: list[proxies.Proxy] = []
         self._store = fake_stores.FakeStore()
         self._version = 7
         self._keys = ["key-1", "key-2"]
         self._reserved: set[object] = set()
+        self._cut_numbers: set[int] = set()
         self.faults: list[list] = []
         self._count = 0
         self._stack = contextlib.AsyncExitStack()
@@ -121,11 +154,25 @@
         await enter(self._store)
         self._session = await enter(aiohttp.ClientSession())
         await self._write_configuration()
-        for name, (service, kind, layers) in UPSTREAMS.items():
+        proxy_hosts = [
+            source_host.replace(SOURCE_HOSTS, PROXY_HOSTS)
+            for source_host in self.history.entries
+        ]
+        ports = free_ports.find_ports(len(UPSTREAMS), proxy_hosts[0])
+        for port, (name, (service, kind, layers)) in zip(
+            ports, UPSTREAMS.items(), strict=True
+        ):
             upstream = SoakUpstream(self.history, name, service, kind)
             self._upstreams.append(await enter(upstream))
             upstream.layers = layers
-            upstream.proxy = await enter(proxies.Proxy(upstream.address))
+            upstream.port = port
+            for host, source_host in zip(
+                proxy_hosts, self.history.entries, strict=True
+            ):
+                proxy = proxies.Proxy(
+                    upstream.address, f"{host}:{port}", source_host
+                )
+                upstream.proxies.append(await enter(proxy))
             await self._register(upstream)
         hosts = [entry.host for entry in self._entries]
         for entry in self._entries:
@@ -146,7 +193,7 @@
 
     async def _register(self, upstream: SoakUpstream, **changes) -> None:
         entry = upstream.make_entry(**changes)
-        entry["address"] = upstream.proxy.address
+        entry["address"] = f"{redirected_entry.UPSTREAM_HOST}:{upstream.port}"
         await self._store.put("servers", upstream.name, entry)
 
     async def _write_configuration(self) -> None:
@@ -170,6 +217,7 @@
             for caller in callers:
                 caller.cancel()
         self._check_stops()
+        self.history.check_cuts()
         return self.history.violations
 
     async def _send_requests(self) -> None:
@@ -223,9 +271,10 @@
     async def _draw_faults(self, duration_s: float) -> None:
         until_s = self._read_time_s() + duration_s
         kinds = self._list_faults()
+        names = sorted(self._fault_names or kinds)
         async with asyncio.TaskGroup() as group:
             while self._read_time_s() < until_s:
-                name = self._source.choice(sorted(kinds))
+                name = self._source.choice(names)
                 group.create_task(self._run_fault(name, kinds[name]))
                 await asyncio.sleep(
                     self._source.uniform(*FAULT_INTERVAL_RANGE_S)
@@ -245,6 +294,12 @@
             "entry_pause": self._pause_entry,
             "entry_stop": self._stop_entry,
             "entry_reload": self._reload_entry,
+            **{
+                f"entry_cut_{shape.value}": functools.partial(
+                    self._cut_entries, shape
+                )
+                for shape in proxies.CutShape
+            },
             "store_down": lambda: self._disturb_store(status=503),
             "store_limited": lambda: self._disturb_store(status=429),
             "store_silent": lambda: self._disturb_store(is_silent=True),
@@ -261,6 +316,7 @@
             "runner_cut_back": lambda: self._disturb_upstream(
                 "drops_responses"
             ),
+            "runner_silent": self._silence_upstream,
             "runner_restart": self._restart_upstream,
             "runner_leave": self._drain_upstream,
             "keys": self._change_keys,
@@ -283,22 +339,32 @@
     def _reserve_upstream(self):
         return self._reserve(self._upstreams)
 
-    async def _kill_entry(self) -> None:
+    @contextlib.contextmanager
+    def _disturb_entry(self):
+        """Draws an entry like `_reserve` and records that it is disturbed."""
         with self._reserve(self._entries) as entry:
+            if entry is None:
+                yield None
+                return
+            with self.history.record_disturbance(entry.name, self._read_time_s):
+                yield entry
+
+    async def _kill_entry(self) -> None:
+        with self._disturb_entry() as entry:
             if entry is not None:
                 entry.send(signal.SIGKILL)
                 await entry.wait_exit(5.0)
                 await self._start_entry(entry)
 
     async def _pause_entry(self) -> None:
-        with self._reserve(self._entries) as entry:
+        with self._disturb_entry() as entry:
             if entry is not None:
                 entry.send(signal.SIGSTOP)
                 await asyncio.sleep(self._draw_duration_s())
                 entry.send(signal.SIGCONT)
 
     async def _stop_entry(self) -> None:
-        with self._reserve(self._entries) as entry:
+        with self._disturb_entry() as entry:
             if entry is None:
                 return
             entry.send(signal.SIGTERM)
@@ -324,6 +390,34 @@
     async def _reload_entry(self) -> None:
         self._source.choice(self._entries).send(signal.SIGHUP)
 
+    async def _cut_entries(self, shape: proxies.CutShape) -> None:
+        """Cuts one, half or all of the entries off from all upstreams."""
+        count = len(self._entries)
+        free = sorted(set(range(count)) - self._cut_numbers)
+        wanted = self._source.choice([1, (count + 1) // 2, count])
+        numbers = self._source.sample(free, min(wanted, len(free)))
+        links = [u.proxies[n] for u in self._upstreams for n in numbers]
+        duration_s = self._source.uniform(*CUT_DURATION_RANGE_S)
+        self._cut_numbers.update(numbers)
+        names = frozenset(self._entries[n].name for n in numbers)
+        with self.history.record_cut(names, self._read_time_s):
+            for link in links:
+                link.cut(shape)
+            await asyncio.sleep(duration_s)
+            for link in links:
+                await link.end_cut()
+        self._cut_numbers.difference_update(numbers)
+
+    async def _silence_upstream(self) -> None:
+        with self._reserve_upstream() as upstream:
+            if upstream is None:
+                return
+            for proxy in upstream.proxies:
+                proxy.is_silent = True
+            await asyncio.sleep(self._source.uniform(*SILENCE_DURATION_RANGE_S))
+            for proxy in upstream.proxies:
+                proxy.is_silent = False
+
     async def _disturb_store(self, **changes) -> None:
         with self._reserve([self._store]) as store:
             if store is None:
@@ -344,36 +438,43 @@
             if proxy is not None:
                 span = [self._read_time_s(), float("inf")]
                 self.history.disturbed_store_s.append(span)
-                await self._disturb_proxy(proxy, how)
+                await self._disturb_proxies([proxy], how)
                 span[1] = self._read_time_s() + FAULT_MARGIN_S
 
     async def _disturb_upstream(self, how: str) -> None:
         with self._reserve_upstream() as upstream:
             if upstream is not None:
-                await self._disturb_proxy(upstream.proxy, how)
-
-    async def _disturb_proxy(self, proxy: proxies.Proxy, how: str) -> None:
-        if how == "reset":
-            proxy.reset()
-        elif how == "delay_s":
-            proxy.delay_s = self._source.uniform(0.01, 0.3)
-        else:
-            setattr(proxy, how, True)
+                await self._disturb_proxies(upstream.proxies, how)
+
+    async def _disturb_proxies(
+        self, disturbed_proxies: list[proxies.Proxy], how: str
+    ) -> None:
+        delay_s = self._source.uniform(0.01, 0.3)
+        for proxy in disturbed_proxies:
+            if how == "reset":
+                proxy.reset()
+            elif how == "delay_s":
+                proxy.delay_s = delay_s
+            else:
+                setattr(proxy, how, True)
         await asyncio.sleep(self._draw_duration_s())
-        proxy.clear_faults()
-        if how.startswith("drops"):
-            # After lost data, requests and responses on the open connections
-            # no longer match.
-            proxy.reset()
+        for proxy in disturbed_proxies:
+            proxy.clear_faults()
+            if how.startswith("drops"):
+                # After lost data, requests and responses on the open
+                # connections no longer match.
+                proxy.reset()
 
     async def _restart_upstream(self) -> None:
         with self._reserve_upstream() as upstream:
             if upstream is None:
                 return
-            upstream.proxy.refuses = True
-            upstream.proxy.reset()
+            for proxy in upstream.proxies:
+                proxy.refuses = True
+                proxy.reset()
             await asyncio.sleep(self._draw_duration_s())
-            upstream.proxy.clear_faults()
+            for proxy in upstream.proxies:
+                proxy.clear_faults()
             upstream.born += 1000
             await self._register(upstream)
 
@@ -451,9 +552,21 @@
 
 
 async def run_seed(
-    seed: int, duration_s: float, entry_count: int, folder: pathlib.Path
+    seed: int,
+    duration_s: float,
+    entry_count: int,
+    folder: pathlib.Path,
+    fault_names: Collection[str] = (),
 ) -> tuple[list[str], SoakRun]:
-    """Runs one seed; returns the violated invariants and the run."""
-    async with SoakRun(seed, entry_count, folder) as soak:
+    """Runs one seed; returns the violated invariants and the run.
+
+    Args:
+        seed: Seed for the choice of requests and faults.
+        duration_s: Time during which faults are injected.
+        entry_count: Number of entries.
+        folder: Directory for settings files and logs.
+        fault_names: Faults to draw from; all if empty.
+    """
+    async with SoakRun(seed, entry_count, folder, fault_names) as soak:
         violations = await soak.run(duration_s)
     return violations, soak
--- a/src/fuchsiabarrow/platform/tests/soak/test_soak.py
+++ b/src/fuchsiabarrow/platform/tests/soak/test_soak.py
@@ -1,6 +1,7 @@
 """A short soak test, and tests of the checks and the proxy it uses."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -12,6 +13,12 @@
 SEEDS = [1]
 DURATION_S = 6.0
 ENTRIES = 3
+LINK_FAULTS = [
+    "entry_cut_hang",
+    "entry_cut_refuse",
+    "entry_cut_reset",
+    "runner_silent",
+]
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -25,6 +32,15 @@
     assert len(soak.faults) > 3
 
 
+def test_invariants_hold_while_entries_are_cut_off(tmp_path):
+    violations, soak = asyncio.run(
+        scenario.run_seed(1, DURATION_S, ENTRIES, tmp_path, LINK_FAULTS)
+    )
+    assert violations == []
+    assert soak.history.cuts
+    assert soak.history.helped_count > 0
+
+
 def make_history(kind="book", key="key-1", sent_s=100.0) -> invariants.History:
     history = invariants.History()
     history.attempts["r1"] = invariants.Attempt("r1", kind, key, "e", sent_s)
@@ -176,3 +192,161 @@
             writer.close()
 
     asyncio.run(run())
+
+
+@contextlib.asynccontextmanager
+async def connect_to_echo():
+    """Yields a proxy of an echo server, and a function that connects to it."""
+
+    async def echo(reader, writer):
+        while data := await reader.read(100):
+            writer.write(data)
+        writer.close()
+
+    async def connect():
+        return await asyncio.open_connection(*proxy.address.split(":"))
+
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    async with server, proxies.Proxy(f"127.0.0.1:{port}") as proxy:
+        yield proxy, connect
+
+
+async def exchange(reader, writer, data: bytes) -> bytes:
+    writer.write(data)
+    async with asyncio.timeout(0.3):
+        return await reader.readexactly(len(data))
+
+
+@pytest.mark.parametrize(
+    ("shape", "on_open", "on_new"),
+    [
+        (proxies.CutShape.HANG, TimeoutError, TimeoutError),
+        (
+            proxies.CutShape.RESET,
+            ConnectionResetError,
+            ConnectionRefusedError,
+        ),
+        (proxies.CutShape.REFUSE, None, ConnectionRefusedError),
+    ],
+)
+def test_proxy_cuts_link_in_each_shape(shape, on_open, on_new):
+    async def run():
+        async with connect_to_echo() as (proxy, connect):
+            reader, writer = await connect()
+            assert await exchange(reader, writer, b"before") == b"before"
+            proxy.cut(shape)
+            # Faults of the upstream may end while the entry is cut off.
+            proxy.clear_faults()
+            if on_open is None:
+                assert await exchange(reader, writer, b"during") == b"during"
+            else:
+                with pytest.raises(on_open):
+                    await exchange(reader, writer, b"during")
+            with pytest.raises(on_new):
+                async with asyncio.timeout(0.3):
+                    await connect()
+            await proxy.end_cut()
+            if shape is proxies.CutShape.HANG:
+                assert await reader.readexactly(6) == b"during"
+            new_reader, new_writer = await connect()
+            assert await exchange(new_reader, new_writer, b"after") == b"after"
+            for one in (writer, new_writer):
+                one.close()
+
+    asyncio.run(run())
+
+
+def test_proxy_delivers_all_bytes_after_silence():
+    async def run():
+        async with connect_to_echo() as (proxy, connect):
+            reader, writer = await connect()
+            proxy.is_silent = True
+            with pytest.raises(TimeoutError):
+                await exchange(reader, writer, b"first")
+            new_reader, new_writer = await connect()
+            with pytest.raises(TimeoutError):
+                await exchange(new_reader, new_writer, b"second")
+            proxy.clear_faults()
+            assert await reader.readexactly(5) == b"first"
+            assert await new_reader.readexactly(6) == b"second"
+            for one in (writer, new_writer):
+                one.close()
+
+    asyncio.run(run())
+
+
+def make_cut_history(
+    cut_served: int, cut_entries=("e1",), sent_s: float = 104.0
+) -> invariants.History:
+    """Returns requests of which the other entry served 30 of 30."""
+    history = invariants.History()
+    history.entries = {"127.3.0.1": "e1", "127.3.0.2": "e2"}
+    history.cuts.append(invariants.Cut(frozenset(cut_entries), 100.0, 110.0))
+    for number in range(30):
+        for entry, served in (("e1", cut_served), ("e2", 30)):
+            is_served = number < served
+            request_id = f"{entry}-{number}"
+            history.attempts[request_id] = invariants.Attempt(
+                request_id,
+                "read",
+                "key-1",
+                entry,
+                sent_s,
+                200 if is_served else 503,
+                True,
+                ended_s=sent_s + 0.1,
+            )
+    return history
+
+
+@pytest.mark.parametrize(
+    ("cut_served", "is_violation"), [(20, False), (19, True), (0, True)]
+)
+def test_cut_entry_that_serves_less_is_detected(cut_served, is_violation):
+    history = make_cut_history(cut_served)
+    history.check_cuts()
+    assert bool(history.violations) is is_violation
+
+
+@pytest.mark.parametrize("status", [200, None])
+def test_incomplete_answer_of_cut_entry_is_not_served(status):
+    history = make_cut_history(30)
+    for attempt in history.attempts.values():
+        if attempt.entry == "e1":
+            attempt.status, attempt.is_complete = status, False
+    history.check_cuts()
+    assert history.violations
+
+
+@pytest.mark.parametrize(
+    ("options", "disturbances"),
+    [
+        # Before three seconds of the cut have passed.
+        ({"sent_s": 102.9}, []),
+        # No entry reaches the upstreams.
+        ({"cut_entries": ("e1", "e2")}, []),
+        # The entry was killed less than three seconds before.
+        ({}, [invariants.Cut(frozenset(["e1"]), 100.0, 101.1)]),
+    ],
+)
+def test_cut_is_not_judged_where_the_rule_does_not_hold(options, disturbances):
+    history = make_cut_history(0, **options)
+    history.disturbances += disturbances
+    history.check_cuts()
+    assert history.violations == []
+
+
+def test_disturbance_of_one_entry_long_before_excuses_nothing():
+    history = make_cut_history(0, sent_s=106.0)
+    history.disturbances.append(invariants.Cut(frozenset(["e1"]), 100.0, 102.9))
+    history.check_cuts()
+    assert history.violations
+
+
+def test_run_through_another_entry_is_counted():
+    history = make_cut_history(30)
+    history.record_run("e1-0", "desk", 104.1, "127.3.0.1")
+    assert history.helped_count == 0
+    history.record_run("e1-1", "desk", 104.1, "127.3.0.2")
+    assert history.helped_count == 1
