--- a/src/fuchsiabarrow/platform/tests/test_process.py
+++ b/src/fuchsiabarrow/platform/tests/test_process.py
@@ -1,4 +1,5 @@
 import asyncio
+from collections.abc import Collection
 import contextlib
 import pathlib
 import signal
@@ -8,6 +9,7 @@
 import aiohttp
 
 from fuchsiabarrow.entry.tests import process_fleets
+from fuchsiabarrow.platform import wire_names
 from fuchsiabarrow.platform.tests import entry_harness
 from fuchsiabarrow.platform.tests import fake_stores
 from fuchsiabarrow.platform.tests import fake_upstreams
@@ -22,13 +24,16 @@
 
 @contextlib.asynccontextmanager
 async def run_entry(
-    path: pathlib.Path, startup_signal: signal.Signals | None = None
+    path: pathlib.Path,
+    startup_signal: signal.Signals | None = None,
+    engines: Collection[fake_upstreams.FakeUpstream] = (),
 ):
     """Runs an entry as a process with a fake store and a fake upstream.
 
     Args:
         path: Directory for the settings file and the log.
         startup_signal: Signal that is sent while the process starts.
+        engines: Further upstreams, which are running.
     """
     async with (
         fake_stores.FakeStore() as store,
@@ -41,6 +46,8 @@
             sample_objects.make_config(routes=entry_harness.ROUTES),
         )
         await store.put("servers", "desk-1", desk.make_entry())
+        for engine in engines:
+            await store.put("servers", engine.name, engine.make_entry())
         host = "127.0.0.1"
         inner = free_ports.find_ports(1)[0]
         entry = processes.EntryProcess("entry-1", host, inner, path)
@@ -138,3 +145,38 @@
             assert entry.get_exit_status() is None
 
     asyncio.run(test())
+
+
+# Guards against an exit up to four seconds after the time limit of a shutdown.
+def test_process_exits_within_its_grace_period_while_a_stream_hangs(tmp_path):
+    async def test():
+        async with (
+            fake_upstreams.FakeUpstream("first", "model", "a100") as first,
+            fake_upstreams.FakeUpstream("last", "model", "a100") as last,
+            aiohttp.ClientSession() as session,
+        ):
+            first.layers, last.layers = (0, 40), (40, 80)
+            first.gap_s = 60.0
+            async with run_entry(tmp_path, engines=[first, last]) as entry:
+                stream = asyncio.create_task(read_stream(session, entry.front))
+                async with asyncio.timeout(10.0):
+                    while not first.runs:
+                        await asyncio.sleep(0.05)
+                entry.send(signal.SIGTERM)
+                status = await entry.wait_exit(processes.GRACE_S)
+                stream.cancel()
+                assert status == 0
+
+    async def read_stream(session, port):
+        headers = {
+            "Host": entry_harness.HOST,
+            wire_names.ATTEMPT_ID: "r1",
+            wire_names.AUTHORIZATION: "Token key-1",
+            wire_names.DEADLINE_MS: "20000",
+            wire_names.TOKEN_COUNTS: "800,60",
+        }
+        url = f"http://127.0.0.1:{port}/draft/x"
+        async with session.post(url, headers=headers, data=b"x") as response:
+            await response.read()
+
+    asyncio.run(test())
