--- a/src/fuchsiabarrow/entry/tests/test_process_failures.py
+++ b/src/fuchsiabarrow/entry/tests/test_process_failures.py
@@ -95,6 +95,35 @@
     run(fleet, check)
 
 
+@pytest.mark.parametrize("silence_s", [1.0, 2.5])
+def test_attempt_waits_for_a_frozen_engine_without_another_holder(
+    fleet, silence_s
+):
+    # It was given up after 0.4 s, although no other chain existed.
+    profiles = PROFILES[::REPLICAS]
+
+    async def check(session, caller):
+        prompts = [f"caller {number}" for number in range(16)]
+        chats = await entries_module.chat_all(caller, prompts, 200)
+        await asyncio.sleep(0.2)
+        frozen = fleet.processes["s4-0"]
+        frozen.send(signal.SIGSTOP)
+        await asyncio.sleep(silence_s)
+        frozen.send(signal.SIGCONT)
+        answers = await entries_module.check_answers(prompts, chats, 200)
+        assert not any(answer.errors for answer in answers)
+        entry = fleet.processes["entry-1"]
+        async with session.get(
+            f"http://{entry.operator_address}/metrics"
+        ) as response:
+            metrics = await response.text()
+        assert "attempts_total{" not in metrics
+        assert 'event="silent_engine"' in metrics
+        assert 'event="silent_connection"' not in metrics
+
+    run(fleet, check, entries=ENTRIES[:1], profiles=profiles)
+
+
 def test_paused_entry_continues_its_streams_on_the_same_connections(fleet):
     async def check(session, caller):
         caller.entries = caller.entries[:1]
