--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -333,7 +333,9 @@
         except exceptions.UpstreamUnreachableError as error:
             upstream = kernel.get("directory").find_by_address(address)
             if upstream is not None:
-                kernel.get("forwarding").record_unreachable(upstream, error)
+                kernel.get("forwarding").record_failure(
+                    upstream, f"connect: {error}"
+                )
             if not is_sound:
                 raise exceptions.NoHelperError(str(error)) from error
             raise
--- a/src/fuchsiabarrow/exceptions.py
+++ b/src/fuchsiabarrow/exceptions.py
@@ -30,7 +30,6 @@
     "StoreUnavailableError",
     "StreamFailedError",
     "UpstreamError",
-    "UpstreamRefusedError",
     "UpstreamResponseLostError",
     "UpstreamUnreachableError",
     "VersionMismatchError",
@@ -185,13 +184,6 @@
     """No byte of the request was sent, so it did not run."""
 
 
-class UpstreamRefusedError(UpstreamUnreachableError):
-    """The connection was refused, as by an upstream that has ended.
-
-    Use another upstream.
-    """
-
-
 class NoHelperError(UpstreamUnreachableError):
     """An upstream was not reached, and no entry could tell whether it is dead.
 
--- a/src/fuchsiabarrow/fleet/directory.py
+++ b/src/fuchsiabarrow/fleet/directory.py
@@ -19,9 +19,6 @@
 MAX_AVOID_S = 6.0
 # Time without failures after which the avoidance starts from its minimum again.
 FAILURE_RESET_S = 10.0
-# An upstream that refused a connection counts as ended this long, unless it
-# answers. An avoidance may end before, without the upstream being tried again.
-END_EXPIRY_S = 10.0
 # Number of consecutive requests without a successful answer that counts as a
 # failure.
 MAX_UNSUCCESSFUL_REQUESTS = 3
@@ -35,7 +32,6 @@
 class _Health:
     failures: int = 0
     failed_at_s: float = 0.0
-    refused_at_s: float = float("-inf")
     avoid_until_s: float = 0.0
     is_shared: bool = False
     unsuccessful_requests: int = 0
@@ -143,10 +139,7 @@
         ]
 
     def record_failure(
-        self,
-        upstream: upstreams.Upstream,
-        is_shared: bool = False,
-        is_refused: bool = False,
+        self, upstream: upstreams.Upstream, is_shared: bool = False
     ) -> float:
         """Records a failure of an upstream, which is then avoided for a while.
 
@@ -155,9 +148,6 @@
             is_shared: Whether the failure is reported to other entries. Only a
                 failure that another upstream observed should be: an entry that
                 is itself disconnected would report all upstreams as failed.
-            is_refused: Whether it refused a connection, as one that has ended
-                does. Other failures may be those of a sound upstream that is
-                silent for seconds.
 
         Returns:
             Time for which the upstream is avoided, in seconds.
@@ -170,8 +160,6 @@
             health.failures += 1
         health.failed_at_s = now_s
         health.is_shared = is_shared
-        if is_refused:
-            health.refused_at_s = now_s
         avoid_s = min(MAX_AVOID_S, MIN_AVOID_S * 2 ** (health.failures - 1))
         health.avoid_until_s = now_s + avoid_s
         return avoid_s
@@ -202,20 +190,6 @@
         """Clears the failures of an upstream that answered successfully."""
         self._health.pop(upstream.key, None)
 
-    def record_answer(self, upstream: upstreams.Upstream) -> None:
-        """Records an answer, of any kind, which shows that it has not ended."""
-        health = self._health.get(upstream.key)
-        if health is not None:
-            health.refused_at_s = float("-inf")
-
-    def has_ended(self, upstream: upstreams.Upstream) -> bool:
-        """Returns whether an upstream has lately refused a connection."""
-        health = self._health.get(upstream.key)
-        return (
-            health is not None
-            and self._read_time_s() < health.refused_at_s + END_EXPIRY_S
-        )
-
     def count_avoided(self) -> int:
         """Returns the number of upstreams that are avoided at present."""
         return sum(map(self.is_avoided, self._upstreams.values()))
--- a/src/fuchsiabarrow/forwarding/connections.py
+++ b/src/fuchsiabarrow/forwarding/connections.py
@@ -441,8 +441,7 @@
             timeout_s: Timeout; that of the pool applies if it is shorter.
 
         Raises:
-            UpstreamRefusedError: The connection was refused.
-            UpstreamUnreachableError: It could not be opened otherwise.
+            UpstreamUnreachableError: The connection could not be opened.
         """
         loop = asyncio.get_running_loop()
         timeout_s = min(max(0.0, timeout_s), self._connect_timeout_s)
@@ -454,12 +453,7 @@
                 )
         except (OSError, TimeoutError) as error:
             self._links.record_unreachable(address)
-            error_type = (
-                exceptions.UpstreamRefusedError
-                if isinstance(error, ConnectionRefusedError)
-                else exceptions.UpstreamUnreachableError
-            )
-            raise error_type(
+            raise exceptions.UpstreamUnreachableError(
                 f"{address}: cannot connect ({_describe_error(error)});"
                 " use another upstream"
             ) from error
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -273,7 +273,6 @@
         """
         head = self.codec.decode_head(await connection.read_head())
         messages.verify_response(head, request, upstream.address)
-        self.directory.record_answer(upstream)
         if head.is_success or head.rate_limit_per_s is not None:
             self.upstream_limits.record(upstream.key, head.rate_limit_per_s)
         return head
@@ -335,11 +334,7 @@
         return self.random_source.uniform(0.5 * mean_s, 1.5 * mean_s)
 
     def record_failure(
-        self,
-        upstream: upstreams.Upstream,
-        why: str,
-        is_shared: bool = False,
-        is_refused: bool = False,
+        self, upstream: upstreams.Upstream, why: str, is_shared: bool = False
     ) -> None:
         """Avoids an upstream for a time and reroutes the streams through it.
 
@@ -347,10 +342,9 @@
             upstream: The upstream.
             why: Observed failure, for the log.
             is_shared: Whether the failure is reported to other entries.
-            is_refused: Whether it refused a connection.
         """
         was_avoided = self.directory.is_avoided(upstream)
-        avoid_s = self.directory.record_failure(upstream, is_shared, is_refused)
+        avoid_s = self.directory.record_failure(upstream, is_shared)
         if was_avoided:
             return
         self._forget_failure(upstream)
@@ -387,9 +381,7 @@
         Not if only the links of this entry are known to be at fault.
         """
         if not isinstance(error, exceptions.NoHelperError):
-            self.record_failure(
-                upstream, f"connect: {error}", is_refused=_is_refusal(error)
-            )
+            self.record_failure(upstream, f"connect: {error}")
             self._forget_failure(upstream)
             self._unreachable.add(upstream.key)
 
@@ -488,11 +480,7 @@
             return  # The links of this entry are at fault.
         except exceptions.UpstreamError as error:
             self._probe_results.pop(upstream.key, None)
-            self.record_failure(
-                upstream,
-                f"{cause}; probe failed: {error}",
-                is_refused=_is_refusal(error),
-            )
+            self.record_failure(upstream, f"{cause}; probe failed: {error}")
             self._forget_failure(upstream)
             if isinstance(error, exceptions.UpstreamUnreachableError):
                 self._unreachable.add(upstream.key)
@@ -500,7 +488,6 @@
                 self._silent.add(upstream.key)
             return
         self._forget_failure(upstream)
-        self.directory.record_answer(upstream)
         now_s = asyncio.get_running_loop().time()
         previous = self._probe_results.get(upstream.key)
         min_interval_s = MIN_PROBE_INTERVAL_S
@@ -571,10 +558,6 @@
             self.metrics.running.set(self.running)
 
 
-def _is_refusal(error: exceptions.UpstreamError) -> bool:
-    return isinstance(error, exceptions.UpstreamRefusedError)
-
-
 def _compute_fingerprint(request: messages.Request) -> int:
     organisation = request.organisation
     return crash_counts.compute_request_fingerprint(
--- a/src/fuchsiabarrow/placement/plans.py
+++ b/src/fuchsiabarrow/placement/plans.py
@@ -10,7 +10,6 @@
 """
 
 import collections
-from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 
@@ -114,50 +113,36 @@
     instances: Iterable[upstreams.Upstream],
     model: engines.EnginePerformance,
     pending: dict[tuple[str, int], upstreams.LayerRange],
-    silent: Collection[tuple[str, int]] = (),
 ) -> list[Assignment]:
     """Returns moves of instances to layers that nobody in their pool holds.
 
     Only instances whose layers are all held by others of the pool too are
     moved, those with the fewest layers first, as they load fastest.
-
-    Args:
-        instances: All instances that may hold layers.
-        model: Performance model of the engine.
-        pending: Layers that instances are loading, by the instances' keys.
-        silent: Keys of instances that may be dead. They are not moved, and
-            neither is another one because they hold its layers too.
     """
     moves = []
     for pool in make_pools(instances, model):
         coverage = [0] * model.layers
-        sound_coverage = [0] * model.layers
         for instance in pool:
             held = pending.get(instance.key) or instance.layers
             if held is not None:
                 _cover(coverage, held)
-                if instance.key not in silent:
-                    _cover(sound_coverage, held)
         redundant = [
             i
             for i in pool
             if i.layers is not None
             and i.key not in pending
-            and i.key not in silent
-            and _is_redundant(sound_coverage, i.layers)
+            and _is_redundant(coverage, i.layers)
         ]
         redundant.sort(key=lambda i: (len(i.layers), i.instance_id))
         for instance in redundant:
             if 0 not in coverage:
                 break
-            if not _is_redundant(sound_coverage, instance.layers):
+            if not _is_redundant(coverage, instance.layers):
                 continue
             count = count_target_layers(model, instance.kind)
             _cover(coverage, instance.layers, -1)
             layers = find_window(coverage, count)
             _cover(coverage, layers)
-            _cover(sound_coverage, instance.layers, -1)
-            _cover(sound_coverage, layers)
             moves.append(Assignment(instance, layers))
     return moves
 
--- a/src/fuchsiabarrow/placement/service.py
+++ b/src/fuchsiabarrow/placement/service.py
@@ -5,11 +5,6 @@
 some time on which one leads; two that send orders at the same time do no harm,
 since an order states how many orders the instance has accepted before and is
 rejected if that number has changed.
-
-Instances that are dead are left out of the plan. One that refuses connections
-is dead. One that is avoided for another reason may be sound: the leader asks it
-for its report, and takes it for dead only after it has been silent for longer
-than a sound one may be.
 """
 
 import asyncio
@@ -59,7 +54,6 @@
     [upstreams.Upstream, float], Awaitable[pipelines.EngineReport]
 ]
 REPORT_TIMEOUT_S = 0.5
-PROBE_TIMEOUT_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,8 +71,6 @@
             the list is planned again, in seconds.
         lost_pending_s: The same for an order without an answer, in seconds.
         parallel_orders: Maximum number of orders sent at the same time.
-        longest_silence_s: Maximum time for which a sound instance is silent,
-            in seconds.
     """
 
     period_s: float = 0.5
@@ -88,7 +80,6 @@
     pending_s: float = 20.0
     lost_pending_s: float = 3.0
     parallel_orders: int = 8
-    longest_silence_s: float = 2.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,14 +90,6 @@
     until_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Silence:
-    """When the first and the last of some unanswered probes in a row began."""
-
-    first_s: float
-    last_s: float
-
-
 class PlacementService:
     """Plans the placement and sends load orders while this entry is the leader.
 
@@ -138,8 +121,6 @@
         self._is_leader = is_leader
         self._settings = settings
         self._pending: dict[tuple[str, int], _Pending] = {}
-        # Instances that did not answer the last probe of this service.
-        self._silences: dict[tuple[str, int], _Silence] = {}
         self._known_keys: set[tuple[str, int]] = set()
         self._changed_at_s = 0.0
         self._first_run_s: float | None = None
@@ -185,97 +166,14 @@
         is_current = self._directory.get_age_s() < self._settings.list_age_s
         if not is_current or not self._is_leader():
             return
-        await self._probe_suspects(instances)
-        if not self._is_leader():
-            return
         pending = {key: p.layers for key, p in self._pending.items()}
-        silent = set(self._silences)
-        usable = [
-            i
-            for i in instances
-            if not self._is_dead(i)
-            and (i.key not in silent or i.layers or i.key in pending)
-        ]
+        usable = [i for i in instances if not self._directory.is_avoided(i)]
         assignments = plans.plan_assignments(usable, service.engine, pending)
         if not assignments:
-            assignments = plans.plan_moves(
-                usable, service.engine, pending, silent
-            )
+            assignments = plans.plan_moves(usable, service.engine, pending)
         limit = asyncio.Semaphore(self._settings.parallel_orders)
         await asyncio.gather(*(self._order(a, limit) for a in assignments))
 
-    async def _probe_suspects(
-        self, instances: list[upstreams.Upstream]
-    ) -> None:
-        """Probes instances that may be silent.
-
-        One that has refused a connection is probed only when it is not avoided
-        any more, as it would be used again then.
-        """
-        directory = self._directory
-        suspects = [
-            i
-            for i in instances
-            if directory.has_ended(i) != directory.is_avoided(i)
-            or (i.key in self._silences and not directory.has_ended(i))
-        ]
-        await asyncio.gather(*(self._probe(i) for i in suspects))
-
-    async def _probe(self, upstream: upstreams.Upstream) -> None:
-        loop = asyncio.get_running_loop()
-        started_s = loop.time()
-        try:
-            await self._read_report(upstream, PROBE_TIMEOUT_S)
-        except exceptions.NoHelperError as error:
-            # The links of this entry are at fault.
-            self._log_probe("probe_put_off", upstream, error)
-            return
-        except exceptions.UpstreamRefusedError as error:
-            self._silences.pop(upstream.key, None)
-            self._directory.record_failure(upstream, is_refused=True)
-            self._log_probe("instance_ended", upstream, error)
-            return
-        except exceptions.UpstreamError as error:
-            silence = self._silences.get(upstream.key)
-            if (
-                silence is None
-                or started_s - silence.last_s > self._settings.longest_silence_s
-            ):
-                silence = _Silence(started_s, started_s)
-            self._silences[upstream.key] = _Silence(silence.first_s, started_s)
-            self._log_probe(
-                "instance_silent",
-                upstream,
-                error,
-                silent_s=round(loop.time() - silence.first_s, 3),
-                is_dead=self._is_dead(upstream),
-            )
-            return
-        self._silences.pop(upstream.key, None)
-        self._directory.record_answer(upstream)
-
-    def _log_probe(
-        self,
-        event: str,
-        upstream: upstreams.Upstream,
-        error: exceptions.UpstreamError,
-        **fields: object,
-    ) -> None:
-        _log.info(
-            logs.format_event(
-                event, instance=upstream.instance_id, **fields, why=error
-            )
-        )
-
-    def _is_dead(self, upstream: upstreams.Upstream) -> bool:
-        """Returns whether an instance has ended, or was silent for too long."""
-        if self._directory.has_ended(upstream):
-            return True
-        silence = self._silences.get(upstream.key)
-        return silence is not None and (
-            silence.last_s - silence.first_s >= self._settings.longest_silence_s
-        )
-
     def _is_settled(
         self, instances: list[upstreams.Upstream], now_s: float
     ) -> bool:
@@ -304,10 +202,6 @@
                 del self._pending[key]
             if is_gone:
                 self._ordered.discard(key)
-        for key in list(self._silences):
-            listed = self._directory.get(key[0])
-            if listed is None or listed.key != key:
-                del self._silences[key]
 
     async def _count_orders(self, upstream: upstreams.Upstream) -> int:
         """Returns how many orders an upstream has accepted.
