--- a/src/fuchsiabarrow/platform/tests/fake_stores.py
+++ b/src/fuchsiabarrow/platform/tests/fake_stores.py
@@ -20,15 +20,25 @@
             their revision are no longer available.
         revision: Revision of the last change.
         era: Number of times that it was restored; 0 is not sent.
+        refused: Error status by IP address of the callers that it refuses.
+        delay_s: Time until it begins to answer a call, in seconds.
+
+    Args:
+        address: ``ip:port`` to listen on; port 0 picks a free port.
+        poll_s: Time after which waiting watches notice a change of `status`.
     """
 
-    def __init__(self):
+    def __init__(self, address: str = "127.0.0.1:0", poll_s: float = 0.05):
         self.calls: list[tuple[str, str]] = []
         self.status = 0
         self.is_silent = False
         self.has_lost_history = False
         self.revision = 1
         self.era = 0
+        self.refused: dict[str, int] = {}
+        self.delay_s = 0.0
+        self._poll_s = poll_s
+        self._stale_copy: tuple | None = None
         self._objects: dict[str, dict[str, dict]] = {}
         self._events: list[tuple[int, str, dict]] = []
         self._changed = asyncio.Condition()
@@ -39,7 +49,7 @@
         app.router.add_post("/objects/{kind}", self._create)
         app.router.add_put("/objects/{kind}/{name}", self._replace)
         app.router.add_delete("/objects/{kind}/{name}", self._delete)
-        self._listener = listeners.Listener(app, "127.0.0.1:0")
+        self._listener = listeners.Listener(app, address)
 
     @property
     def address(self) -> str:
@@ -94,6 +104,10 @@
         self._events = list(self._events)
         self.era += 1
 
+    def make_lists_stale(self, copied: tuple | None) -> None:
+        """Answers lists from a copied state; from the current one if None."""
+        self._stale_copy = copied
+
     def stop_watches(self, kind: str) -> None:
         """Stops events to the watches of a kind that are currently waiting."""
         self._stop_counts[kind] = self._stop_counts.get(kind, 0) + 1
@@ -107,17 +121,23 @@
         self.calls.append((request.method, request.match_info["kind"]))
         while self.is_silent:
             await asyncio.sleep(0.05)
-        if self.status:
-            raise _make_error(self.status)
+        status = self.refused.get(request.remote, self.status)
+        if status:
+            raise _make_error(status)
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
 
     async def _read(self, request: aiohttp.web.Request):
         await self._check_availability(request)
         kind = request.match_info["kind"]
         if "watch" in request.query:
             return await self._watch(request, kind)
+        listed, revision = self._objects, self.revision
+        if self._stale_copy is not None:
+            listed, revision, _ = self._stale_copy
         entries = [
-            self._objects[kind][name]
-            for name in sorted(self._objects.get(kind, {}))
+            listed[kind][name]
+            for name in sorted(listed.get(kind, {}))
             if name > request.query.get("after", "")
         ]
         page = entries[:20]
@@ -125,7 +145,7 @@
             {
                 "entries": page,
                 "more": len(entries) > len(page),
-                "store_revision": self.revision,
+                "store_revision": revision,
             }
         )
 
@@ -139,8 +159,8 @@
         loop = asyncio.get_running_loop()
         until_s = loop.time() + int(request.query["wait_ms"]) / 1000
         while True:
-            if self.status:
-                raise _make_error(self.status)
+            if status := self.refused.get(request.remote, self.status):
+                raise _make_error(status)
             events = [
                 event
                 for revision, of_kind, event in self._events
@@ -155,7 +175,8 @@
                     {"events": events, "store_revision": self.revision}
                 )
             try:
-                async with asyncio.timeout(min(left_s, 0.05)), self._changed:
+                timeout_s = min(left_s, self._poll_s)
+                async with asyncio.timeout(timeout_s), self._changed:
                     await self._changed.wait()
             except TimeoutError:
                 continue
--- a/src/fuchsiabarrow/platform/tests/simulated_network.py
+++ b/src/fuchsiabarrow/platform/tests/simulated_network.py
@@ -2,8 +2,10 @@
 
 An event loop connects the protocols of simulated hosts without sockets, so that
 the code under test opens and accepts connections and sends datagrams as in
-production. Data arrives in order, after the delay of the link. Pairs of hosts
-can be cut off from each other; hosts can be killed or frozen.
+production. Data arrives in order, after the delay of the link and the time that
+the links of both hosts take for it. Pairs of hosts can be cut off from each
+other, also in one direction or on their open connections only; hosts can be
+killed or frozen.
 
 Code runs on the host that is set in its context (`Host.start`); tasks, timers
 and accepted connections inherit it.
@@ -16,7 +18,9 @@
 import contextvars
 import dataclasses
 import enum
+import math
 import socket
+from unittest import mock
 
 from fuchsiabarrow.utils.tests import virtual_time
 
@@ -27,6 +31,9 @@
 WINDOW_BYTES = 262_144
 HIGH_WATER_BYTES = 65_536
 MIN_TIMER_S = 1e-6
+# Data is sent in pieces of at most this size, one after another.
+SEGMENT_BYTES = 16_384
+BITS_PER_BYTE = 8
 
 _host: contextvars.ContextVar["Host"] = contextvars.ContextVar("host")
 
@@ -94,6 +101,7 @@
         domain: Its failure domain.
         is_alive: Whether it was not killed.
         is_frozen: Whether nothing is delivered to it or sent by it.
+        link_mbps: Rate of its link in each direction, in Mbit/s.
     """
 
     def __init__(self, address: str, domain: str):
@@ -101,6 +109,25 @@
         self.domain = domain
         self.is_alive = True
         self.is_frozen = False
+        self.link_mbps = math.inf
+        # Loop times until which its link is busy.
+        self._sending_until_s = 0.0
+        self._receiving_until_s = 0.0
+
+    def reserve_sending(self, size: int, from_s: float) -> float:
+        """Returns when its link has sent some bytes, after earlier ones."""
+        begin_s = max(from_s, self._sending_until_s)
+        self._sending_until_s = begin_s + self._compute_transfer_s(size)
+        return self._sending_until_s
+
+    def reserve_receiving(self, size: int, from_s: float) -> float:
+        """Returns when its link has received some bytes, after earlier ones."""
+        begin_s = max(from_s, self._receiving_until_s)
+        self._receiving_until_s = begin_s + self._compute_transfer_s(size)
+        return self._receiving_until_s
+
+    def _compute_transfer_s(self, size: int) -> float:
+        return size * BITS_PER_BYTE / (self.link_mbps * 1e6)
 
     def start(self, coroutine) -> asyncio.Task:
         """Runs a coroutine as a task on this host."""
@@ -209,6 +236,46 @@
         is_near = first.domain == second.domain
         return WITHIN_DOMAIN_DELAY_S if is_near else BETWEEN_DOMAINS_DELAY_S
 
+    def compute_arrival_delay_s(
+        self, sender: Host, receiver: Host, size: int
+    ) -> float:
+        """Returns the time until data sent now has arrived on both links."""
+        now_s = asyncio.get_running_loop().time()
+        delay_s = self.compute_delay_s(sender, receiver)
+        sent_s = sender.reserve_sending(size, now_s)
+        received_s = receiver.reserve_receiving(size, now_s + delay_s)
+        return max(received_s, sent_s + delay_s) - now_s
+
+    def silence_connections(
+        self, hosts: Collection[str], others: Collection[str]
+    ) -> int:
+        """Drops all packets of the open connections between hosts for good.
+
+        New connections work.
+
+        Returns:
+            The number of connections.
+        """
+        silenced = [
+            transport
+            for transport in self._transports
+            if transport.pair[0] in hosts and transport.pair[1] in others
+        ]
+        for transport in silenced:
+            transport.is_silenced = transport.peer.is_silenced = True
+        return len(silenced)
+
+    def reset_connections(
+        self, hosts: Collection[str], others: Collection[str]
+    ) -> None:
+        """Resets the open connections between hosts."""
+        for transport in list(self._transports):
+            first, second = transport.pair
+            if (first in hosts and second in others) or (
+                second in hosts and first in others
+            ):
+                transport.lose(ConnectionResetError())
+
     def count_bytes(self, first: Host, second: Host, size: int) -> None:
         self.domain_bytes[tuple(sorted((first.domain, second.domain)))] += size
 
@@ -340,7 +407,7 @@
         elif not self.is_dark(own.address, peer.address):
             self.count_bytes(own, peer, len(data))
             asyncio.get_running_loop().call_later(
-                self.compute_delay_s(own, peer),
+                self.compute_arrival_delay_s(own, peer, len(data)),
                 self._deliver_datagram,
                 sender,
                 data,
@@ -472,6 +539,8 @@
         self.peer: _Transport | None = None
         self.host = host
         self.pair = (local[0], remote[0])
+        # Whether all that it sends is lost.
+        self.is_silenced = False
         self._network = network
         self._context = context
         self._record = record
@@ -499,7 +568,8 @@
         data = bytes(data)
         self._unread_bytes += len(data)
         self._record.sent_bytes += len(data)
-        self._send(data)
+        for begin in range(0, len(data), SEGMENT_BYTES):
+            self._send(data[begin : begin + SEGMENT_BYTES])
         if (
             not self._is_writing_paused
             and self.get_write_buffer_size() > self._high_water_bytes
@@ -590,7 +660,11 @@
         self._read()
 
     def _must_hold(self) -> bool:
-        return self.host.is_frozen or self._network.is_dark(*self.pair)
+        return (
+            self.host.is_frozen
+            or self.is_silenced
+            or self._network.is_dark(*self.pair)
+        )
 
     def _send(self, item) -> None:
         if self._held or self._must_hold():
@@ -613,11 +687,12 @@
 
     def _transmit(self, item) -> None:
         network, own, peer = self._network, self.host, self.peer.host
-        if isinstance(item, bytes):
-            network.count_bytes(own, peer, len(item))
+        size = len(item) if isinstance(item, bytes) else 0
+        if size:
+            network.count_bytes(own, peer, size)
         self._in_flight.append(item)
         asyncio.get_running_loop().call_later(
-            network.compute_delay_s(own, peer), self._land
+            network.compute_arrival_delay_s(own, peer, size), self._land
         )
 
     def _land(self) -> None:
@@ -705,8 +780,10 @@
         return super().call_at(when, callback, *args, context=context)
 
     async def create_connection(
-        self, protocol_factory, host=None, port=None, **options
+        self, protocol_factory, host=None, port=None, sock=None, **options
     ):
+        if sock is not None:
+            host, port = sock.getpeername()
         return await self.network.connect(protocol_factory, host, port)
 
     async def create_server(
@@ -720,9 +797,17 @@
         return self.network.open_datagram_endpoint(protocol_factory, local_addr)
 
 
+async def _open_socket(*, addr_infos, **options) -> _Socket:
+    """Replaces the function with which HTTP clients connect their sockets."""
+    del options
+    return _Socket(("", 0), addr_infos[0][4][:2])
+
+
 def run(main):
     """Runs a coroutine function on virtual time and returns its result.
 
+    HTTP clients use the simulated network as well.
+
     Args:
         main: The coroutine function; its argument is the network.
 
@@ -731,7 +816,10 @@
     """
     loop = Loop()
     try:
-        result = loop.run_until_complete(main(loop.network))
+        with mock.patch(
+            "aiohttp.connector.aiohappyeyeballs.start_connection", _open_socket
+        ):
+            result = loop.run_until_complete(main(loop.network))
         if loop.errors:
             raise RuntimeError(f"unhandled: {loop.errors[0]}")
         return result
