--- a/src/fuchsiabarrow/platform/store.py
+++ b/src/fuchsiabarrow/platform/store.py
@@ -1,5 +1,12 @@
-"""HTTP client of the platform's object store."""
+"""HTTP client of the platform's object store.
 
+A response has to begin within a time limit, and then to make progress. There is
+no limit on the whole response: the history of a collection that keeps changing
+grows while it is being transferred, so that a second attempt would take longer
+than the first one.
+"""
+
+import asyncio
 import urllib.parse
 
 import aiohttp
@@ -9,6 +16,7 @@
 from fuchsiabarrow.platform import wire
 from fuchsiabarrow.platform import wire_names
 from fuchsiabarrow.ports import collections
+from fuchsiabarrow.utils import bodies
 
 __all__ = ["StoreClient"]
 
@@ -18,8 +26,11 @@
 HTTP_GONE = 410
 MS_PER_S = 1000
 MAX_ERA_DIGITS = 5
-# Time beyond the wait time of a watch within which its response must arrive.
+# Time beyond the wait time of a watch within which its response must begin.
 WATCH_RESPONSE_SLACK_S = 0.4
+# After failures calls get more time, as a busy link delays each of them: this
+# often the time is doubled.
+MAX_DOUBLINGS = 2
 
 
 class StoreClient:
@@ -28,7 +39,8 @@
     Args:
         session: HTTP session; the creator of this object closes it.
         address: ``ip:port`` of the store.
-        timeout_s: Time-out of all calls but watches.
+        timeout_s: Time within which the response to a call other than a watch
+            must begin.
     """
 
     def __init__(
@@ -40,6 +52,8 @@
         # Era of the latest answer, and of the latest list by kind.
         self._era = 0
         self._listed_eras: dict[str, int] = {}
+        # Consecutive calls without a response, by kind.
+        self._failures: dict[str, int] = {}
 
     async def list(
         self, kind: str, allow_stale: bool = False
@@ -83,8 +97,10 @@
             "watch": str(own_revision),
             "wait_ms": str(int(wait_s * MS_PER_S)),
         }
+        doublings = min(self._failures.get(kind, 0), MAX_DOUBLINGS)
+        slack_s = WATCH_RESPONSE_SLACK_S * 2**doublings
         answer, era = await self._read(
-            kind, query, wire.WatchAnswer, wait_s + WATCH_RESPONSE_SLACK_S
+            kind, query, wire.WatchAnswer, wait_s + slack_s
         )
         if era != known_era:
             raise _make_restored_error(kind, known_era, era)
@@ -117,9 +133,14 @@
         await self._call("DELETE", path, {}, None, self._timeout_s)
 
     async def _read(self, kind, query, answer_type, timeout_s=None):
-        status, body, era = await self._call_with_era(
-            "GET", kind, query, None, timeout_s or self._timeout_s
-        )
+        try:
+            status, body, era = await self._call_with_era(
+                "GET", kind, query, None, timeout_s or self._timeout_s
+            )
+        except exceptions.StoreError:
+            self._failures[kind] = self._failures.get(kind, 0) + 1
+            raise
+        self._failures[kind] = 0
         if era < self._era:
             raise exceptions.StoreUnavailableError(
                 f"{kind}: response from before the store was restored;"
@@ -154,15 +175,16 @@
         """Returns the status and the body of the response, and the era."""
         headers = {"Content-Type": "application/json"} if body else None
         try:
-            async with self._session.request(
-                method,
-                f"{self._base}/{path}",
-                params=query,
-                data=body,
-                headers=headers,
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
-            ) as response:
-                content = await response.read()
+            async with asyncio.timeout(timeout_s) as limit:
+                async with self._session.request(
+                    method,
+                    f"{self._base}/{path}",
+                    params=query,
+                    data=body,
+                    headers=headers,
+                    timeout=aiohttp.ClientTimeout(total=None),
+                ) as response:
+                    content = await bodies.read_body(response, limit)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             error_type = exceptions.StoreUnavailableError
             if method != "GET":
--- a/src/fuchsiabarrow/platform/tests/configuration_days.py
+++ b/src/fuchsiabarrow/platform/tests/configuration_days.py
@@ -185,9 +185,7 @@
             )
             for number in range(filler_routes)
         ]
-        self._routes = {
-            f"/r{number}/": "desk" for number in range(ROUTES // 5)
-        }
+        self._routes = {f"/r{number}/": "desk" for number in range(ROUTES // 5)}
         self._timeout_ms = 20_000
         self._keys = {
             f"org{org}-key{number}": f"org{org}"
@@ -220,9 +218,7 @@
         await host.start(self.store.__aexit__(None, None, None))
 
     def _start(self, coroutine: Coroutine) -> None:
-        self._tasks.append(
-            asyncio.get_running_loop().create_task(coroutine)
-        )
+        self._tasks.append(asyncio.get_running_loop().create_task(coroutine))
 
     # Entries.
 
@@ -518,9 +514,7 @@
                         )
 
     def _is_disturbed(self, name: str) -> bool:
-        return self.hosts[name].is_frozen or self._is_excused(
-            name, self._now()
-        )
+        return self.hosts[name].is_frozen or self._is_excused(name, self._now())
 
     def _find_kept_paths(self, now_s: float) -> list[str]:
         """Returns routes of all versions that may be in force."""
--- a/src/fuchsiabarrow/platform/tests/simulated_network.py
+++ b/src/fuchsiabarrow/platform/tests/simulated_network.py
@@ -697,7 +697,9 @@
 
     def _land(self) -> None:
         if self._in_flight:
-            self.peer.receive(self._in_flight.popleft())
+            item = self._in_flight.popleft()
+            if not self.is_silenced:
+                self.peer.receive(item)
 
     def receive(self, item) -> None:
         """Takes in what the other side has sent."""
--- a/src/fuchsiabarrow/platform/tests/test_store.py
+++ b/src/fuchsiabarrow/platform/tests/test_store.py
@@ -15,6 +15,9 @@
 from fuchsiabarrow.platform import wire
 from fuchsiabarrow.platform.tests import fake_stores
 from fuchsiabarrow.platform.tests import sample_objects
+from fuchsiabarrow.platform.tests import simulated_network
+
+STORE_IP, CLIENT_IP = "10.9.9.9", "10.0.0.1"
 
 
 @contextlib.asynccontextmanager
@@ -84,6 +87,73 @@
         asyncio.run(run())
 
 
+def call_over_slow_link(call, silent_after_s: float | None = None):
+    """Returns the result and the duration of a call over 1 Mbit/s.
+
+    The object of the store takes 1.6 s to transfer.
+
+    Args:
+        call: Coroutine function that uses a client.
+        silent_after_s: Time after which the connection is silent, None for
+            never.
+    """
+
+    async def main(network):
+        loop = asyncio.get_running_loop()
+        store_host = network.add_host(STORE_IP, "store")
+        client_host = network.add_host(CLIENT_IP, "a")
+        client_host.link_mbps = 1.0
+        store = fake_stores.FakeStore(f"{STORE_IP}:80", 5.0)
+        await store_host.start(store.__aenter__())
+        await store.put("config", "main", {"text": "x" * 200_000})
+
+        async def run_client():
+            async with aiohttp.ClientSession() as session:
+                client = store_module.StoreClient(session, store.address, 1.0)
+                began_s = loop.time()
+                try:
+                    return await call(client), loop.time() - began_s
+                except exceptions.StoreUnavailableError as error:
+                    return error, loop.time() - began_s
+
+        if silent_after_s is not None:
+            loop.call_later(
+                silent_after_s,
+                network.silence_connections,
+                {STORE_IP},
+                {CLIENT_IP},
+            )
+        result = await client_host.start(run_client())
+        await store_host.start(store.__aexit__(None, None, None))
+        return result
+
+    return simulated_network.run(main)
+
+
+# Guards against the incident CONFIG: over a slow link the answers that transfer
+# a large configuration ran into a limit on the whole answer, each time.
+@pytest.mark.parametrize(
+    "call",
+    [
+        lambda client: client.list("config"),
+        lambda client: client.watch("config", 1, 0.0),
+    ],
+    ids=["list", "watch"],
+)
+def test_large_answer_over_a_slow_link_is_received(call):
+    result, took_s = call_over_slow_link(call)
+    assert not isinstance(result, Exception)
+    assert took_s > 1.5
+
+
+def test_answer_that_falls_silent_in_its_middle_is_given_up_soon():
+    result, took_s = call_over_slow_link(
+        lambda client: client.list("config"), silent_after_s=0.5
+    )
+    assert isinstance(result, exceptions.StoreUnavailableError)
+    assert took_s < 1.5
+
+
 def test_unanswered_write_raises_uncertain_error():
     async def run():
         async with open_client() as (store, client):
