List the configuration after a change instead of watching its history (CONFIG)

What callers saw: requests handled by an old version while versions follow each other. Cause: an answer to a watch contains all versions since the last answer. The longer one takes, the more the next one contains; if versions come faster than the link carries them, nothing but the end of the store's history ends this. Change: after an answer with changes, and after a failure, the object is listed: one version, whatever happened meanwhile; again as long as it keeps changing. An object that is in force already is not decoded again.

--- a/src/fuchsiabarrow/catalogs/service.py
+++ b/src/fuchsiabarrow/catalogs/service.py
@@ -81,6 +81,8 @@
     def _update(self, stored: objects.VersionedObject) -> None:
         if stored.name != self._name:
             return
+        if self._stored is not None and stored.version == self._stored.version:
+            return
         try:
             decoded = self._decode(stored)
         except exceptions.InvalidObjectError as error:
--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -139,6 +139,7 @@
                 self._source,
                 lists.OUTAGE_EFFECT_S,
                 count_entries=self._count_entries,
+                has_one_object=True,
             ),
         )
         upstream_watcher = await kernel.add(
--- a/src/fuchsiabarrow/fleet/watchers.py
+++ b/src/fuchsiabarrow/fleet/watchers.py
@@ -76,6 +76,9 @@
             may still be caused by it, in seconds.
         wait_s: Time that a watch waits for a change, in seconds.
         count_entries: Returns the number of entries that watch this store.
+        has_one_object: Whether the collection consists of a single object. It
+            is listed after a change: that transfers one version, whereas a
+            watch transfers all since the last answer.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         outage_effect_s: float,
         wait_s: float = WATCH_WAIT_S,
         count_entries: Callable[[], int] = lambda: 1,
+        has_one_object: bool = False,
     ):
         self._store = store
         self._kind = kind
@@ -95,6 +99,9 @@
         self._outage_effect_s = outage_effect_s
         self._wait_s = wait_s
         self._count_entries = count_entries
+        self._has_one_object = has_one_object
+        # Whether to list the collection instead of watching it.
+        self._must_list = False
         self._confirmed_watchers: list[CollectionWatcher] = []
         self._is_confirmed_by_other = False
         self._watch_task: asyncio.Task | None = None
@@ -179,12 +186,8 @@
     async def _step(self) -> None:
         loop = asyncio.get_running_loop()
         sent_s = loop.time()
-        if self._revision is None:
-            snapshot = await self._store.list(self._kind)
-            self._handle_answer()
-            self._sink.apply_snapshot(snapshot, self._is_after_outage())
-            self._revision = snapshot.revision
-            self._sink.confirm(sent_s)
+        if self._revision is None or self._must_list:
+            await self._list(sent_s)
             return
         changes = await self._watch()
         if changes is None:
@@ -198,16 +201,36 @@
         current_s = loop.time() - ANSWER_DELAY_S
         if changes.changes or current_s < sent_s:
             current_s = sent_s
-        self._sink.confirm(current_s)
-        for other in self._confirmed_watchers:
-            other.observe_revision(changes.revision, current_s)
+        self._confirm(changes.revision, current_s)
         if changes.changes:
+            self._must_list = self._has_one_object
             await asyncio.sleep(compute_batch_s(self._count_entries()))
             # An answer with changes confirms the state only as of its request,
             # which may be old. The next watch does not wait, as the time of the
             # pause and of another wait would be added to that.
             self._must_ask_now |= not self._is_confirmed_by_other
 
+    async def _list(self, sent_s: float) -> None:
+        """Lists the collection, and again while it keeps changing."""
+        snapshot = await self._store.list(self._kind)
+        self._handle_answer()
+        self._sink.apply_snapshot(snapshot, self._is_after_outage())
+        known_revision, self._revision = self._revision, snapshot.revision
+        self._confirm(snapshot.revision, sent_s)
+        self._must_list = (
+            self._must_list
+            and known_revision is not None
+            and any(o.version > known_revision for o in snapshot.objects)
+        )
+        if self._must_list:
+            await asyncio.sleep(compute_batch_s(self._count_entries()))
+
+    def _confirm(self, revision: int, at_s: float) -> None:
+        """Confirms this collection, and those of the watchers told of it."""
+        self._sink.confirm(at_s)
+        for other in self._confirmed_watchers:
+            other.observe_revision(revision, at_s)
+
     def _handle_answer(self) -> None:
         """Resets the failures; ends an outage of the store."""
         self._failures = 0
@@ -229,6 +252,7 @@
         # The next watch does not wait, so that its answer shows at once that
         # the store is reachable again.
         self._must_ask_now = True
+        self._must_list = self._has_one_object
         batch_s = compute_batch_s(self._count_entries())
         pause_s = jitter.compute_backoff_s(
             self._failures,
