Relays: spread requests over holders, one copy at a time, limits on progress (CONFIG)

What callers saw: requests handled by an old version at an entry whose own connection to the store was sound. Cause: reports name at most four holders of a recent copy, and all entries asked the freshest one. After an outage of 4 s, 72 entries asked the first entry that had the configuration (0.34 MB) for its copy: 20 s of its link. Its own calls waited behind them and ran into their limits of 1.0 and 1.6 s, the relays into theirs of 0.5 s on the whole copy. Change: each entry draws one of the holders; a holder refuses a second copy while it sends one, for at most 2 s; a copy that arrives is read to its end.

--- a/src/fuchsiabarrow/peers/relays.py
+++ b/src/fuchsiabarrow/peers/relays.py
@@ -3,6 +3,10 @@
 An entry whose copy of a collection is no longer current fetches it from an
 entry whose copy is. The age of the copy is sent with it and added to its age at
 the receiver, so that limits on the age of a copy hold there too.
+
+Many entries may lose the store at the same time, and reports name the same few
+holders to all of them. Each chooses one at random, and a holder sends one copy
+at a time, so that its own requests do not wait behind copies on its link.
 """
 
 import asyncio
@@ -21,6 +25,7 @@
 from fuchsiabarrow.ports import collections
 from fuchsiabarrow.ports import objects
 from fuchsiabarrow.telemetry import logs
+from fuchsiabarrow.utils import bodies
 from fuchsiabarrow.utils import jitter
 from fuchsiabarrow.utils import tasks
 
@@ -34,7 +39,11 @@
 # Copies older than this are neither requested from other entries nor served.
 MAX_SHARED_AGE_S = 2.3
 CHECK_PERIOD_S = 0.4
+# Time within which the response of a holder must begin.
 CALL_TIMEOUT_S = 0.5
+# Time after which a copy that was not sent to its end is given up, so that a
+# receiver that fell silent does not keep others from getting one.
+SEND_TIMEOUT_S = 2.0
 MAX_UINT32 = 2**32 - 1
 
 _schema = capnp.load(str(pathlib.Path(__file__).with_name("collection.capnp")))
@@ -68,7 +77,8 @@
         find_holders: Takes a kind and a maximal age in seconds; returns the
             addresses of live entries with a copy younger than that, the most
             recent first.
-        random_source: Random number generator, to spread the periods.
+        random_source: Random number generator, to spread the periods and to
+            choose among holders.
     """
 
     def __init__(
@@ -82,6 +92,7 @@
         self._relayed_collections = {s.kind: s for s in relayed_collections}
         self._find_holders = find_holders
         self._random_source = random_source
+        self._is_sending = False
         self._task: asyncio.Task | None = None
 
     async def __aenter__(self) -> "Relay":
@@ -117,6 +128,8 @@
         stored_objects = collection.get_objects()
         digest = compute_digest(stored_objects)
         is_known = request.query.get("mark") == str(digest)
+        if not is_known and self._is_sending:
+            raise aiohttp.web.HTTPServiceUnavailable
         message = _schema.Collection.new_message(
             mark=digest,
             revision=max((o.version for o in stored_objects), default=0),
@@ -129,7 +142,31 @@
             slot.name = stored.name
             slot.value = stored.value
             slot.version = stored.version
-        return aiohttp.web.Response(body=message.to_bytes_packed())
+        response = aiohttp.web.Response(body=message.to_bytes_packed())
+        if not is_known:
+            await self._send(request, response)
+        return response
+
+    async def _send(
+        self, request: aiohttp.web.Request, response: aiohttp.web.Response
+    ) -> None:
+        """Sends a copy; others are refused meanwhile."""
+        self._is_sending = True
+        try:
+            async with asyncio.timeout(SEND_TIMEOUT_S):
+                await response.prepare(request)
+                await response.write_eof()
+        except TimeoutError:
+            _log.info(
+                logs.format_event(
+                    "relay_not_read",
+                    address=request.remote,
+                    limit_s=SEND_TIMEOUT_S,
+                )
+            )
+            raise asyncio.CancelledError from None
+        finally:
+            self._is_sending = False
 
     async def refresh(self) -> None:
         """Fetches the collections whose local copy is too old."""
@@ -141,18 +178,19 @@
         holder_addresses = self._find_holders(collection.kind, MAX_SHARED_AGE_S)
         if not holder_addresses:
             return
-        address = holder_addresses[0]
+        address = self._random_source.choice(holder_addresses)
         own_digest = compute_digest(collection.get_objects())
         requested_at_s = asyncio.get_running_loop().time()
         try:
-            async with self._session.get(
-                f"http://{address}/collections/{collection.kind}",
-                params={"mark": str(own_digest)},
-                timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
-            ) as response:
-                body = await response.read()
-                if response.status != HTTP_OK:
-                    return
+            async with asyncio.timeout(CALL_TIMEOUT_S) as limit:
+                async with self._session.get(
+                    f"http://{address}/collections/{collection.kind}",
+                    params={"mark": str(own_digest)},
+                    timeout=aiohttp.ClientTimeout(total=None),
+                ) as response:
+                    body = await bodies.read_body(response, limit)
+                    if response.status != HTTP_OK:
+                        return
             message = _schema.Collection.from_bytes_packed(body)
         except (aiohttp.ClientError, TimeoutError, capnp.KjException) as error:
             _log.info(
--- a/src/fuchsiabarrow/platform/tests/test_configuration_days.py
+++ b/src/fuchsiabarrow/platform/tests/test_configuration_days.py
@@ -32,3 +32,15 @@
 
     result = configuration_days.play(script, entries, **BIG)
     assert result.violations == []
+
+
+# After an outage all entries asked the first one that had the configuration
+# again for its copy. Its own requests to the store waited behind them.
+def test_entry_that_holds_a_copy_first_is_not_overloaded():
+    async def script(deployment):
+        outage = asyncio.create_task(deployment.disturb_store(4.0, status=503))
+        await deployment.change_repeatedly(16, 0.6)
+        await outage
+
+    result = configuration_days.play(script, 76, **BIG)
+    assert result.violations == []
