Confirm a collection as of the end of the watch, not of its handling (CONFIG)

What callers saw: nothing known; found by reading (the same class: a time that nothing bounds between the store and the entry). Cause: an answer without changes confirmed the configuration as of its handling less 0.3 s. A process that was frozen, or whose link was full, handles it seconds later; keys that were revoked meanwhile were trusted, copies passed on as recent. Change: it confirms the state at the end of its wait, when the store answered. test_answer_that_is_handled_late_confirms_nothing_after_the_wait failed before.

--- a/src/fuchsiabarrow/fleet/tests/test_watchers.py
+++ b/src/fuchsiabarrow/fleet/tests/test_watchers.py
@@ -120,6 +120,28 @@
         )
 
 
+# An entry that was frozen or whose link was full handled an answer late, and took
+# what it knew for current at that time. Keys were trusted for too long.
+def test_answer_that_is_handled_late_confirms_nothing_after_the_wait():
+    class HeldUpStore(RarelyChangingStore):
+        async def watch(self, kind, revision, wait_s):
+            await asyncio.sleep(wait_s + 1.5)
+            return collections.Changes((), revision)
+
+    async def run():
+        confirmed_at_s = []
+        sink = watchers.Sink(
+            lambda *_: None, lambda *_: None, confirmed_at_s.append
+        )
+        async with watchers.CollectionWatcher(
+            HeldUpStore(100.0), "one", sink, random.Random(1), 1.0
+        ):
+            await asyncio.sleep(watchers.WATCH_WAIT_S + 2.0)
+        return confirmed_at_s[-1]
+
+    assert 0.0 < virtual_time.run(run()) <= watchers.WATCH_WAIT_S
+
+
 # Guards against the incident SHORT: entries among many refused requests with
 # keys after each change, as their configuration was not confirmed in time.
 @pytest.mark.parametrize("entry_count", [1, 9, 76, 400])
--- a/src/fuchsiabarrow/fleet/watchers.py
+++ b/src/fuchsiabarrow/fleet/watchers.py
@@ -38,10 +38,9 @@
 RETRY_BATCHES = 1.5
 # Number of consecutive failures after which the store counts as unreachable.
 OUTAGE_FAILURES = 2
-# Assumed maximum delay of an answer without changes between the store and this
-# process. If the watch took less than that, the time of its request is used
-# instead.
-ANSWER_DELAY_S = 0.3
+
+# Time by which the store may answer a watch before the end of its wait.
+TIMER_TOLERANCE_S = 0.05
 
 _log = logbook.Logger(__name__)
 
@@ -148,12 +147,8 @@
             self._must_ask_now = True
             self._watch_task.cancel()
 
-    async def _watch(self) -> collections.Changes | None:
+    async def _watch(self, wait_s: float) -> collections.Changes | None:
         """Waits for changes; returns None if cancelled to ask again at once."""
-        wait_s = self._wait_s
-        if self._must_ask_now:
-            self._must_ask_now = False
-            wait_s = 0.0
         self._watch_task = asyncio.create_task(
             self._store.watch(self._kind, self._revision, wait_s)
         )
@@ -189,7 +184,11 @@
         if self._revision is None or self._must_list:
             await self._list(sent_s)
             return
-        changes = await self._watch()
+        wait_s = self._wait_s
+        if self._must_ask_now:
+            self._must_ask_now = False
+            wait_s = 0.0
+        changes = await self._watch(wait_s)
         if changes is None:
             return
         self._handle_answer()
@@ -197,11 +196,13 @@
         for change in changes.changes:
             self._sink.apply_change(change, is_after_outage)
         self._revision = changes.revision
-        # An answer without changes was sent at the end of the wait.
-        current_s = loop.time() - ANSWER_DELAY_S
-        if changes.changes or current_s < sent_s:
-            current_s = sent_s
-        self._confirm(changes.revision, current_s)
+        # The store sends an answer without changes at the end of the wait. When
+        # it is handled says nothing: this process or its link may have been
+        # held up since.
+        waited_s = min(loop.time() - sent_s, wait_s) - TIMER_TOLERANCE_S
+        if changes.changes or waited_s < wait_s - 2 * TIMER_TOLERANCE_S:
+            waited_s = 0.0
+        self._confirm(changes.revision, sent_s + max(0.0, waited_s))
         if changes.changes:
             self._must_list = self._has_one_object
             await asyncio.sleep(compute_batch_s(self._count_entries()))
