Derive the wait of watches and the ages of relays from the bound (CONFIG)

What callers saw: requests handled by an old version for up to 0.8 s after the bound once connections to the store had died silently. Cause: a watch waited for 2.2 s whatever the bound is. The sum from the commit to the request, on the small deployments (bound 2.0 s): 2.2 s wait + 0.4 s until the answer is overdue + 0.2 s pause + 0.28 s transfer = 3.1 s. Change: the wait is the bound less 1.0 s (1.0 s and 2.0 s instead of 2.2 s). A copy is asked for 0.3 s after the end of a wait instead of at 2.5 s. Price: 2.2 times the idle calls to the store of a small deployment (one a second per entry instead of 0.45), 1.1 times those of a grown one. test_silent_connections_delay_a_version_by_less_than_the_bound failed before, both cases.

--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -138,6 +138,7 @@
                 current_catalog.make_sink(),
                 self._source,
                 lists.OUTAGE_EFFECT_S,
+                watchers.compute_wait_s(settings.apply_s),
                 count_entries=self._count_entries,
                 has_one_object=True,
             ),
@@ -274,6 +275,7 @@
             ],
             lambda kind, limit_s: find_holders_by_kind[kind](limit_s),
             self._source,
+            watchers.compute_wait_s(settings.apply_s),
         )
         await kernel.add("relay", relay)
         await kernel.add(
--- a/src/fuchsiabarrow/fleet/tests/test_watchers.py
+++ b/src/fuchsiabarrow/fleet/tests/test_watchers.py
@@ -120,8 +120,8 @@
         )
 
 
-# An entry that was frozen or whose link was full handled an answer late, and took
-# what it knew for current at that time. Keys were trusted for too long.
+# An entry that was frozen or whose link was full handled an answer late, and
+# took what it knew for current at that time. Keys were trusted for too long.
 def test_answer_that_is_handled_late_confirms_nothing_after_the_wait():
     class HeldUpStore(RarelyChangingStore):
         async def watch(self, kind, revision, wait_s):
--- a/src/fuchsiabarrow/fleet/watchers.py
+++ b/src/fuchsiabarrow/fleet/watchers.py
@@ -17,10 +17,21 @@
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import jitter
 
-__all__ = ["CollectionWatcher", "Sink", "compute_batch_s"]
-
-# Time that a watch waits for a change; a lost connection is detected after it.
+__all__ = [
+    "CollectionWatcher",
+    "Sink",
+    "compute_batch_s",
+    "compute_wait_s",
+]
+
+# Longest time that a watch waits for a change; a lost connection is detected
+# after it.
 WATCH_WAIT_S = 2.2
+MIN_WATCH_WAIT_S = 0.5
+# Time from the end of the wait of a watch whose connection was lost until a
+# change made meanwhile is in force: 0.4 s until the response is overdue, a
+# pause of up to 0.2 s, and 0.4 s for a new connection and the transfer.
+RECOVERY_S = 1.0
 # The same for a watch whose collection is also confirmed by another watcher.
 CONFIRMED_WATCH_WAIT_S = 15.0
 # Pause after changes, so that those in quick succession come in one answer.
@@ -271,6 +282,16 @@
         )
 
 
+def compute_wait_s(apply_s: float) -> float:
+    """Returns how long a watch waits for changes.
+
+    Args:
+        apply_s: Time within which a change must be in force, in seconds, also
+            if the connection of the watch was lost without being closed.
+    """
+    return min(WATCH_WAIT_S, max(MIN_WATCH_WAIT_S, apply_s - RECOVERY_S))
+
+
 def compute_batch_s(entry_count: int) -> float:
     """Returns how long each of `entry_count` entries pauses after changes."""
     shared_s = entry_count / BATCHED_CALLS_PER_S
--- a/src/fuchsiabarrow/peers/relays.py
+++ b/src/fuchsiabarrow/peers/relays.py
@@ -33,11 +33,12 @@
 
 MS_PER_S = 1000.0
 HTTP_OK = 200
-# A copy older than this is fetched from another entry. While the store answers,
-# the watcher confirms the local copy more often than that.
-REFRESH_AGE_S = 2.5
-# Copies older than this are neither requested from other entries nor served.
-MAX_SHARED_AGE_S = 2.3
+# While the store answers, a watch confirms the local copy at the end of each
+# wait. A copy that is older by more than the first time is fetched from another
+# entry; one that is older by more than the second is neither requested nor
+# served.
+REFRESH_DELAY_S = 0.3
+SHARED_DELAY_S = 0.1
 CHECK_PERIOD_S = 0.4
 # Time within which the response of a holder must begin.
 CALL_TIMEOUT_S = 0.5
@@ -79,6 +80,7 @@
             recent first.
         random_source: Random number generator, to spread the periods and to
             choose among holders.
+        watch_wait_s: Time that watches of the store wait, in seconds.
     """
 
     def __init__(
@@ -87,7 +89,10 @@
         relayed_collections: list[RelayedCollection],
         find_holders: Callable[[str, float], list[str]],
         random_source: random.Random,
+        watch_wait_s: float = watchers.WATCH_WAIT_S,
     ):
+        self._refresh_age_s = watch_wait_s + REFRESH_DELAY_S
+        self._max_shared_age_s = watch_wait_s + SHARED_DELAY_S
         self._session = session
         self._relayed_collections = {s.kind: s for s in relayed_collections}
         self._find_holders = find_holders
@@ -123,7 +128,7 @@
     ) -> aiohttp.web.Response:
         collection = self._relayed_collections.get(request.match_info["kind"])
         age_s = float("inf") if collection is None else collection.get_age_s()
-        if age_s > MAX_SHARED_AGE_S:
+        if age_s > self._max_shared_age_s:
             raise aiohttp.web.HTTPNotFound
         stored_objects = collection.get_objects()
         digest = compute_digest(stored_objects)
@@ -171,11 +176,13 @@
     async def refresh(self) -> None:
         """Fetches the collections whose local copy is too old."""
         for collection in self._relayed_collections.values():
-            if collection.get_age_s() > REFRESH_AGE_S:
+            if collection.get_age_s() > self._refresh_age_s:
                 await self._fetch(collection)
 
     async def _fetch(self, collection: RelayedCollection) -> None:
-        holder_addresses = self._find_holders(collection.kind, MAX_SHARED_AGE_S)
+        holder_addresses = self._find_holders(
+            collection.kind, self._max_shared_age_s
+        )
         if not holder_addresses:
             return
         address = self._random_source.choice(holder_addresses)
--- a/src/fuchsiabarrow/platform/tests/test_configuration_days.py
+++ b/src/fuchsiabarrow/platform/tests/test_configuration_days.py
@@ -44,3 +44,23 @@
 
     result = configuration_days.play(script, 76, **BIG)
     assert result.violations == []
+
+
+# Connections that died silently were noticed after 2.2 s in all deployments, so
+# that the time until the next answer added up to more than the bound.
+@pytest.mark.parametrize("filler_routes", [50, 1450])
+def test_silent_connections_delay_a_version_by_less_than_the_bound(
+    filler_routes,
+):
+    async def script(deployment):
+        for _ in range(8):
+            await asyncio.sleep(deployment.random.uniform(1.0, 3.0))
+            deployment.silence_connections()
+            # They are not in touch; the bound is kept all the same.
+            deployment.excuses.clear()
+            await deployment.change_repeatedly(2, 0.3)
+
+    result = configuration_days.play(
+        script, 9, link_mbps=10.0, filler_routes=filler_routes
+    )
+    assert result.violations == []
