Deny routes and keys only within the time in which versions apply (CONFIG)

What callers saw: 401 or 404 for a route or key that had been added more than the bound before. Possible on the small deployments; not seen. Cause: a constant of 2.8 s, above their bound of 2.0 s. Change: the limit is the bound of the settings, also when they are reloaded. The two cases of test_age_of_the_configuration_limits_what_it_may_decide just above the bound failed with the constant.

--- a/src/fuchsiabarrow/catalogs/access.py
+++ b/src/fuchsiabarrow/catalogs/access.py
@@ -11,15 +11,12 @@
 
 from fuchsiabarrow.catalogs import documents
 
-__all__ = ["Access", "Verdict", "decide_access"]
+__all__ = ["Access", "Limits", "Verdict", "decide_access"]
 
 # Fraction of the time limit for revoked keys after which an unconfirmed
 # configuration no longer grants access by a key. It is less than 1 because a
 # request takes time to reach an upstream.
 KEY_TRUST_FRACTION = 0.9
-# Maximum time since a configuration was last confirmed as the newest for it to
-# deny an unknown route or key.
-DENIAL_AGE_S = 2.8
 
 
 class Verdict(enum.Enum):
@@ -47,10 +44,26 @@
     organisation: documents.Organisation | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Limits on the age of a configuration that decides on a request.
+
+    Attributes:
+        apply_s: Time after which a new version must be in force, in seconds. An
+            older configuration may lack a route or key that was added, and
+            denies none.
+        revoke_s: Time after which a revoked key must no longer be accepted, in
+            seconds.
+    """
+
+    apply_s: float
+    revoke_s: float
+
+
 def decide_access(
     catalog: documents.Catalog,
     age_s: float,
-    revoke_s: float,
+    limits: Limits,
     host: str,
     path: str,
     key: str,
@@ -61,19 +74,18 @@
         catalog: Configuration in force.
         age_s: Time since the configuration was last confirmed to be the
             newest, in seconds.
-        revoke_s: Time after which a revoked key must no longer be accepted,
-            in seconds.
+        limits: Limits on the age.
         host: Host of the request, without a port.
         path: Path of the request.
         key: API key of the caller; empty for none.
     """
-    may_deny = age_s <= DENIAL_AGE_S
+    may_deny = age_s <= limits.apply_s
     route = catalog.find_route(host, path)
     if route is None:
         return Access(Verdict.NO_ROUTE if may_deny else Verdict.UNCONFIRMED)
     if not catalog.requires_keys or route.is_anonymous:
         return Access(Verdict.ALLOWED, route)
-    if age_s > revoke_s * KEY_TRUST_FRACTION:
+    if age_s > limits.revoke_s * KEY_TRUST_FRACTION:
         return Access(Verdict.UNCONFIRMED, route)
     organisation = catalog.find_organisation(key)
     if organisation is None:
--- a/src/fuchsiabarrow/catalogs/tests/test_access.py
+++ b/src/fuchsiabarrow/catalogs/tests/test_access.py
@@ -4,9 +4,10 @@
 from fuchsiabarrow.catalogs import documents
 
 FRESH_S = 0.1
-STALE_S = access.DENIAL_AGE_S + 0.1
-REVOKE_S = 5.0
-UNTRUSTED_S = REVOKE_S * access.KEY_TRUST_FRACTION + 0.1
+LIMITS = access.Limits(apply_s=2.0, revoke_s=5.0)
+# May be older than a version that added the route or key.
+STALE_S = LIMITS.apply_s + 0.1
+UNTRUSTED_S = LIMITS.revoke_s * access.KEY_TRUST_FRACTION + 0.1
 
 
 def make_route(name: str, prefix: str, is_anonymous: bool = False):
@@ -35,7 +36,7 @@
         organisations if with_keys else [],
         documents.RequestLimits(),
     )
-    return access.decide_access(catalog, age_s, REVOKE_S, host, path, key)
+    return access.decide_access(catalog, age_s, LIMITS, host, path, key)
 
 
 @pytest.mark.parametrize(
--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -9,6 +9,7 @@
 import logbook
 
 from fuchsiabarrow import exceptions
+from fuchsiabarrow.catalogs import access
 from fuchsiabarrow.catalogs import service as catalog_service
 from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet import lists
@@ -377,7 +378,7 @@
         frontend = frontend_module.Frontend(
             kernel.get("current_catalog"),
             kernel.get("forwarding"),
-            settings.revoke_s,
+            access.Limits(settings.apply_s, settings.revoke_s),
             lambda: bool(
                 reports.find_configuration_holders(RECENT_CONFIRMATION_S)
             ),
@@ -450,11 +451,14 @@
     def reload(self, settings: settings_module.PlatformSettings) -> None:
         """Applies changes of settings that need no restart.
 
-        These are the age from which keys are not trusted, the ratio and the
-        extra retries of the retry budget, and the time limit of a shutdown.
+        These are the ages from which keys are not trusted and unknown routes
+        not denied, the ratio and the extra retries of the retry budget, and the
+        time limit of a shutdown.
         """
         self._settings = settings
-        self.kernel.get("frontend").set_revoke_s(settings.revoke_s)
+        self.kernel.get("frontend").set_limits(
+            access.Limits(settings.apply_s, settings.revoke_s)
+        )
         self.kernel.get("forwarding").set_retry_budget(
             settings.budget_ratio, settings.budget_extra
         )
--- a/src/fuchsiabarrow/platform/frontend.py
+++ b/src/fuchsiabarrow/platform/frontend.py
@@ -53,7 +53,7 @@
     Args:
         current_catalog: Holds the configuration in force.
         forwarding: Sends requests to upstreams.
-        revoke_s: Time after which a revoked key must no longer be accepted.
+        limits: Limits on the age of the configuration.
         has_confirmed_peer: Returns whether another entry has a configuration
             that was confirmed recently.
         source: Random number generator.
@@ -63,7 +63,7 @@
         self,
         current_catalog: catalog_service.CurrentCatalog,
         forwarding: forwarding_service.ForwardingService,
-        revoke_s: float,
+        limits: access.Limits,
         has_confirmed_peer: Callable[[], bool],
         source: random.Random,
     ):
@@ -75,11 +75,11 @@
         self._forwarding = forwarding
         self.busy_connections: set[asyncio.BaseProtocol] = set()
         self._rate_limiter = writers.RateLimiter(SERVED_LINES_PER_S)
-        self.set_revoke_s(revoke_s)
+        self.set_limits(limits)
 
-    def set_revoke_s(self, revoke_s: float) -> None:
-        """Sets the time after which a revoked key must not be accepted."""
-        self._revoke_s = revoke_s
+    def set_limits(self, limits: access.Limits) -> None:
+        """Sets the limits on the age of the configuration."""
+        self._limits = limits
 
     def make_server(self) -> listeners.Server:
         """Returns the HTTP server; needs a running event loop."""
@@ -239,7 +239,7 @@
         decision = access.decide_access(
             catalog,
             age_s,
-            self._revoke_s,
+            self._limits,
             requests.get_host(http_request),
             requests.get_path(http_request),
             requests.get_key(http_request),
--- a/src/fuchsiabarrow/platform/tests/configuration_days.py
+++ b/src/fuchsiabarrow/platform/tests/configuration_days.py
@@ -491,7 +491,7 @@
                     return access.decide_access(
                         current.catalog,
                         current.get_age_s(),
-                        REVOKE_S,
+                        access.Limits(self.bound_s, REVOKE_S),
                         HOST,
                         path,
                         key,
