Take no list for current that is older than what was received before (CONFIG)

What callers saw: nothing known; found by reading. Cause: after a lost history the collection is listed. A list that lags set the watcher's revision back, and confirmed the older state as of its request, so that the limits on the age (keys, denials, relays) did not act. Change: such a list counts as a failed call; it is repeated after a pause. The revisions of a restored store are higher, as they begin with its era. From the second lost history in a row on there is a pause. test_list_that_is_older_than_an_earlier_answer_confirms_nothing: before, its run did not end, as no time passed between the calls.

--- a/src/fuchsiabarrow/fleet/tests/test_watchers.py
+++ b/src/fuchsiabarrow/fleet/tests/test_watchers.py
@@ -120,6 +120,39 @@
         )
 
 
+# A list that was older than what had been received before set the watcher back,
+# and confirmed the older state as current.
+def test_list_that_is_older_than_an_earlier_answer_confirms_nothing():
+    class StaleStore(ChangingStore):
+        async def list(self, kind):
+            revision = self.get_revision()
+            is_stale = asyncio.get_running_loop().time() > 3.0
+            return collections.Snapshot((), revision - 60 * is_stale)
+
+        async def watch(self, kind, revision, wait_s):
+            if asyncio.get_running_loop().time() > 3.0:
+                raise exceptions.StoreHistoryExpiredError("gone")
+            return await super().watch(kind, revision, wait_s)
+
+    async def run():
+        confirmed_at_s = []
+        sink = watchers.Sink(
+            lambda *_: None, lambda *_: None, confirmed_at_s.append
+        )
+        async with watchers.CollectionWatcher(
+            StaleStore(), "one", sink, random.Random(1), 1.0
+        ):
+            await asyncio.sleep(3.0 + 60 * CHANGE_PERIOD_S - 0.5)
+            is_confirmed = confirmed_at_s[-1] > 3.0
+            await asyncio.sleep(2.0)
+        return is_confirmed, confirmed_at_s[-1]
+
+    is_confirmed, last_s = virtual_time.run(run())
+    assert not is_confirmed
+    # It is listed again until the list is as recent.
+    assert last_s > 3.0 + 60 * CHANGE_PERIOD_S - 0.5
+
+
 # An entry that was frozen or whose link was full handled an answer late, and
 # took what it knew for current at that time. Keys were trusted for too long.
 def test_answer_that_is_handled_late_confirms_nothing_after_the_wait():
--- a/src/fuchsiabarrow/fleet/watchers.py
+++ b/src/fuchsiabarrow/fleet/watchers.py
@@ -116,8 +116,13 @@
         self._is_confirmed_by_other = False
         self._watch_task: asyncio.Task | None = None
         self._must_ask_now = False
+        # Revision from which to watch, None to list the collection.
         self._revision: int | None = None
+        # Highest revision received so far; that of a restored store is higher.
+        self._newest_revision = 0
         self._failures = 0
+        # Consecutive watches whose history the store no longer had.
+        self._lost_histories = 0
         self._is_unreachable = False
         self._recovered_at_s = float("-inf")
         self._task: asyncio.Task | None = None
@@ -181,6 +186,7 @@
             except exceptions.StoreHistoryExpiredError as error:
                 self._log("history_gone", why=error)
                 self._revision = None
+                await self._pause_after_lost_history()
             except exceptions.StoreError as error:
                 await self._handle_failure(error)
             except Exception as error:
@@ -202,6 +208,7 @@
         changes = await self._watch(wait_s)
         if changes is None:
             return
+        self._lost_histories = 0
         self._handle_answer()
         is_after_outage = self._is_after_outage()
         for change in changes.changes:
@@ -225,6 +232,11 @@
     async def _list(self, sent_s: float) -> None:
         """Lists the collection, and again while it keeps changing."""
         snapshot = await self._store.list(self._kind)
+        if snapshot.revision < self._newest_revision:
+            raise exceptions.StoreUnavailableError(
+                f"{self._kind}: listed as of revision {snapshot.revision}, but"
+                f" {self._newest_revision} was received before; list again"
+            )
         self._handle_answer()
         self._sink.apply_snapshot(snapshot, self._is_after_outage())
         known_revision, self._revision = self._revision, snapshot.revision
@@ -239,6 +251,7 @@
 
     def _confirm(self, revision: int, at_s: float) -> None:
         """Confirms this collection, and those of the watchers told of it."""
+        self._newest_revision = max(self._newest_revision, revision)
         self._sink.confirm(at_s)
         for other in self._confirmed_watchers:
             other.observe_revision(revision, at_s)
@@ -256,6 +269,15 @@
         now_s = asyncio.get_running_loop().time()
         return now_s - self._recovered_at_s < self._outage_effect_s
 
+    async def _pause_after_lost_history(self) -> None:
+        """Pauses, except if a watch was answered since the last lost history.
+
+        A store that keeps no history at all would be asked without a pause.
+        """
+        self._lost_histories += 1
+        if self._lost_histories > 1:
+            await asyncio.sleep(compute_batch_s(self._count_entries()))
+
     async def _handle_failure(self, error: Exception) -> None:
         self._failures += 1
         if self._failures >= OUTAGE_FAILURES and not self._is_unreachable:
