--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -9,6 +9,7 @@
 import logbook
 
 from fuchsiabarrow import exceptions
+from fuchsiabarrow.catalogs import access
 from fuchsiabarrow.catalogs import service as catalog_service
 from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet import lists
@@ -138,7 +139,9 @@
                 current_catalog.make_sink(),
                 self._source,
                 lists.OUTAGE_EFFECT_S,
+                watchers.compute_wait_s(settings.apply_s),
                 count_entries=self._count_entries,
+                has_one_object=True,
             ),
         )
         upstream_watcher = await kernel.add(
@@ -273,6 +276,7 @@
             ],
             lambda kind, limit_s: find_holders_by_kind[kind](limit_s),
             self._source,
+            watchers.compute_wait_s(settings.apply_s),
         )
         await kernel.add("relay", relay)
         await kernel.add(
@@ -374,7 +378,7 @@
         frontend = frontend_module.Frontend(
             kernel.get("current_catalog"),
             kernel.get("forwarding"),
-            settings.revoke_s,
+            access.Limits(settings.apply_s, settings.revoke_s),
             lambda: bool(
                 reports.find_configuration_holders(RECENT_CONFIRMATION_S)
             ),
@@ -447,11 +451,14 @@
     def reload(self, settings: settings_module.PlatformSettings) -> None:
         """Applies changes of settings that need no restart.
 
-        These are the age from which keys are not trusted, the ratio and the
-        extra retries of the retry budget, and the time limit of a shutdown.
+        These are the ages from which keys are not trusted and unknown routes
+        not denied, the ratio and the extra retries of the retry budget, and the
+        time limit of a shutdown.
         """
         self._settings = settings
-        self.kernel.get("frontend").set_revoke_s(settings.revoke_s)
+        self.kernel.get("frontend").set_limits(
+            access.Limits(settings.apply_s, settings.revoke_s)
+        )
         self.kernel.get("forwarding").set_retry_budget(
             settings.budget_ratio, settings.budget_extra
         )
--- a/src/fuchsiabarrow/fleet/watchers.py
+++ b/src/fuchsiabarrow/fleet/watchers.py
@@ -17,10 +17,21 @@
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import jitter
 
-__all__ = ["CollectionWatcher", "Sink", "compute_batch_s"]
+__all__ = [
+    "CollectionWatcher",
+    "Sink",
+    "compute_batch_s",
+    "compute_wait_s",
+]
 
-# Time that a watch waits for a change; a lost connection is detected after it.
+# Longest time that a watch waits for a change; a lost connection is detected
+# after it.
 WATCH_WAIT_S = 2.2
+MIN_WATCH_WAIT_S = 0.5
+# Time from the end of the wait of a watch whose connection was lost until a
+# change made meanwhile is in force: 0.4 s until the response is overdue, a
+# pause of up to 0.2 s, and 0.4 s for a new connection and the transfer.
+RECOVERY_S = 1.0
 # The same for a watch whose collection is also confirmed by another watcher.
 CONFIRMED_WATCH_WAIT_S = 15.0
 # Pause after changes, so that those in quick succession come in one answer.
@@ -38,10 +49,9 @@
 RETRY_BATCHES = 1.5
 # Number of consecutive failures after which the store counts as unreachable.
 OUTAGE_FAILURES = 2
-# Assumed maximum delay of an answer without changes between the store and this
-# process. If the watch took less than that, the time of its request is used
-# instead.
-ANSWER_DELAY_S = 0.3
+
+# Time by which the store may answer a watch before the end of its wait.
+TIMER_TOLERANCE_S = 0.05
 
 _log = logbook.Logger(__name__)
 
@@ -76,6 +86,9 @@
             may still be caused by it, in seconds.
         wait_s: Time that a watch waits for a change, in seconds.
         count_entries: Returns the number of entries that watch this store.
+        has_one_object: Whether the collection consists of a single object. It
+            is listed after a change: that transfers one version, whereas a
+            watch transfers all since the last answer.
     """
 
     def __init__(
@@ -87,6 +100,7 @@
         outage_effect_s: float,
         wait_s: float = WATCH_WAIT_S,
         count_entries: Callable[[], int] = lambda: 1,
+        has_one_object: bool = False,
     ):
         self._store = store
         self._kind = kind
@@ -95,12 +109,20 @@
         self._outage_effect_s = outage_effect_s
         self._wait_s = wait_s
         self._count_entries = count_entries
+        self._has_one_object = has_one_object
+        # Whether to list the collection instead of watching it.
+        self._must_list = False
         self._confirmed_watchers: list[CollectionWatcher] = []
         self._is_confirmed_by_other = False
         self._watch_task: asyncio.Task | None = None
         self._must_ask_now = False
+        # Revision from which to watch, None to list the collection.
         self._revision: int | None = None
+        # Highest revision received so far; that of a restored store is higher.
+        self._newest_revision = 0
         self._failures = 0
+        # Consecutive watches whose history the store no longer had.
+        self._lost_histories = 0
         self._is_unreachable = False
         self._recovered_at_s = float("-inf")
         self._task: asyncio.Task | None = None
@@ -141,12 +163,8 @@
             self._must_ask_now = True
             self._watch_task.cancel()
 
-    async def _watch(self) -> collections.Changes | None:
+    async def _watch(self, wait_s: float) -> collections.Changes | None:
         """Waits for changes; returns None if cancelled to ask again at once."""
-        wait_s = self._wait_s
-        if self._must_ask_now:
-            self._must_ask_now = False
-            wait_s = 0.0
         self._watch_task = asyncio.create_task(
             self._store.watch(self._kind, self._revision, wait_s)
         )
@@ -168,6 +186,7 @@
             except exceptions.StoreHistoryExpiredError as error:
                 self._log("history_gone", why=error)
                 self._revision = None
+                await self._pause_after_lost_history()
             except exceptions.StoreError as error:
                 await self._handle_failure(error)
             except Exception as error:
@@ -179,35 +198,64 @@
     async def _step(self) -> None:
         loop = asyncio.get_running_loop()
         sent_s = loop.time()
-        if self._revision is None:
-            snapshot = await self._store.list(self._kind)
-            self._handle_answer()
-            self._sink.apply_snapshot(snapshot, self._is_after_outage())
-            self._revision = snapshot.revision
-            self._sink.confirm(sent_s)
+        if self._revision is None or self._must_list:
+            await self._list(sent_s)
             return
-        changes = await self._watch()
+        wait_s = self._wait_s
+        if self._must_ask_now:
+            self._must_ask_now = False
+            wait_s = 0.0
+        changes = await self._watch(wait_s)
         if changes is None:
             return
+        self._lost_histories = 0
         self._handle_answer()
         is_after_outage = self._is_after_outage()
         for change in changes.changes:
             self._sink.apply_change(change, is_after_outage)
         self._revision = changes.revision
-        # An answer without changes was sent at the end of the wait.
-        current_s = loop.time() - ANSWER_DELAY_S
-        if changes.changes or current_s < sent_s:
-            current_s = sent_s
-        self._sink.confirm(current_s)
-        for other in self._confirmed_watchers:
-            other.observe_revision(changes.revision, current_s)
+        # The store sends an answer without changes at the end of the wait. When
+        # it is handled says nothing: this process or its link may have been
+        # held up since.
+        waited_s = min(loop.time() - sent_s, wait_s) - TIMER_TOLERANCE_S
+        if changes.changes or waited_s < wait_s - 2 * TIMER_TOLERANCE_S:
+            waited_s = 0.0
+        self._confirm(changes.revision, sent_s + max(0.0, waited_s))
         if changes.changes:
+            self._must_list = self._has_one_object
             await asyncio.sleep(compute_batch_s(self._count_entries()))
             # An answer with changes confirms the state only as of its request,
             # which may be old. The next watch does not wait, as the time of the
             # pause and of another wait would be added to that.
             self._must_ask_now |= not self._is_confirmed_by_other
 
+    async def _list(self, sent_s: float) -> None:
+        """Lists the collection, and again while it keeps changing."""
+        snapshot = await self._store.list(self._kind)
+        if snapshot.revision < self._newest_revision:
+            raise exceptions.StoreUnavailableError(
+                f"{self._kind}: listed as of revision {snapshot.revision}, but"
+                f" {self._newest_revision} was received before; list again"
+            )
+        self._handle_answer()
+        self._sink.apply_snapshot(snapshot, self._is_after_outage())
+        known_revision, self._revision = self._revision, snapshot.revision
+        self._confirm(snapshot.revision, sent_s)
+        self._must_list = (
+            self._must_list
+            and known_revision is not None
+            and any(o.version > known_revision for o in snapshot.objects)
+        )
+        if self._must_list:
+            await asyncio.sleep(compute_batch_s(self._count_entries()))
+
+    def _confirm(self, revision: int, at_s: float) -> None:
+        """Confirms this collection, and those of the watchers told of it."""
+        self._newest_revision = max(self._newest_revision, revision)
+        self._sink.confirm(at_s)
+        for other in self._confirmed_watchers:
+            other.observe_revision(revision, at_s)
+
     def _handle_answer(self) -> None:
         """Resets the failures; ends an outage of the store."""
         self._failures = 0
@@ -221,6 +269,15 @@
         now_s = asyncio.get_running_loop().time()
         return now_s - self._recovered_at_s < self._outage_effect_s
 
+    async def _pause_after_lost_history(self) -> None:
+        """Pauses, except if a watch was answered since the last lost history.
+
+        A store that keeps no history at all would be asked without a pause.
+        """
+        self._lost_histories += 1
+        if self._lost_histories > 1:
+            await asyncio.sleep(compute_batch_s(self._count_entries()))
+
     async def _handle_failure(self, error: Exception) -> None:
         self._failures += 1
         if self._failures >= OUTAGE_FAILURES and not self._is_unreachable:
@@ -229,6 +286,7 @@
         # The next watch does not wait, so that its answer shows at once that
         # the store is reachable again.
         self._must_ask_now = True
+        self._must_list = self._has_one_object
         batch_s = compute_batch_s(self._count_entries())
         pause_s = jitter.compute_backoff_s(
             self._failures,
@@ -246,6 +304,16 @@
         )
 
 
+def compute_wait_s(apply_s: float) -> float:
+    """Returns how long a watch waits for changes.
+
+    Args:
+        apply_s: Time within which a change must be in force, in seconds, also
+            if the connection of the watch was lost without being closed.
+    """
+    return min(WATCH_WAIT_S, max(MIN_WATCH_WAIT_S, apply_s - RECOVERY_S))
+
+
 def compute_batch_s(entry_count: int) -> float:
     """Returns how long each of `entry_count` entries pauses after changes."""
     shared_s = entry_count / BATCHED_CALLS_PER_S
