Count the time of suspensions in the ages of the configuration and the list (CONFIG)

What callers saw: nothing known; found by reading. Keys that were revoked while an instance was suspended were trusted right after it. Cause: ages were measured with the event loop's clock, which stands still during a suspension. Change: the clock since boot. An answer that leaves the state older than one wait makes the entry ask again at once. test_keys_are_not_trusted_after_a_suspension_until_confirmed_again fails with the loop's clock: 200 instead of 503 after 6 s of suspension.

--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -35,6 +35,7 @@
 from fuchsiabarrow.platform import wire_names
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.telemetry import metrics as metrics_module
+from fuchsiabarrow.utils import clocks
 from fuchsiabarrow.utils import listeners
 
 __all__ = ["ForwardingEntry"]
@@ -66,13 +67,18 @@
         settings: Settings that the platform wrote for this process.
         seed: Seed of the random number generator, None to take one from the
             system.
+        read_time_s: Clock of the ages of what the store holds. It also counts
+            time for which the instance is suspended, as keys may be revoked
+            meanwhile.
     """
 
     def __init__(
         self,
         settings: settings_module.PlatformSettings,
         seed: int | None = None,
+        read_time_s: clocks.Clock = clocks.read_boot_time_s,
     ):
+        self._read_time_s = read_time_s
         self.kernel = registry.Kernel()
         self._settings = settings
         self._source = random.Random(seed)
@@ -105,7 +111,7 @@
 
     async def _add_replicated_state(self) -> None:
         kernel, settings = self.kernel, self._settings
-        read_time_s = asyncio.get_running_loop().time
+        read_time_s = self._read_time_s
         session = await kernel.add(
             "session",
             aiohttp.ClientSession(
@@ -142,6 +148,7 @@
                 watchers.compute_wait_s(settings.apply_s),
                 count_entries=self._count_entries,
                 has_one_object=True,
+                read_time_s=read_time_s,
             ),
         )
         upstream_watcher = await kernel.add(
@@ -154,6 +161,7 @@
                 lists.OUTAGE_EFFECT_S,
                 watchers.CONFIRMED_WATCH_WAIT_S,
                 self._count_entries,
+                read_time_s=read_time_s,
             ),
         )
         catalog_watcher.share_revisions_with(upstream_watcher)
@@ -277,6 +285,7 @@
             lambda kind, limit_s: find_holders_by_kind[kind](limit_s),
             self._source,
             watchers.compute_wait_s(settings.apply_s),
+            self._read_time_s,
         )
         await kernel.add("relay", relay)
         await kernel.add(
--- a/src/fuchsiabarrow/fleet/watchers.py
+++ b/src/fuchsiabarrow/fleet/watchers.py
@@ -15,6 +15,7 @@
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.ports import collections
 from fuchsiabarrow.telemetry import logs
+from fuchsiabarrow.utils import clocks
 from fuchsiabarrow.utils import jitter
 
 __all__ = [
@@ -65,8 +66,8 @@
             was unreachable shortly before.
         apply_change: Called with one change and whether the store was
             unreachable shortly before.
-        confirm: Called with a loop time at which the received state was
-            current.
+        confirm: Called with the time, of the watcher's clock, at which the
+            received state was current.
     """
 
     apply_snapshot: Callable[[collections.Snapshot, bool], None]
@@ -89,6 +90,8 @@
         has_one_object: Whether the collection consists of a single object. It
             is listed after a change: that transfers one version, whereas a
             watch transfers all since the last answer.
+        read_time_s: Clock of the times passed to the sink, None for that of
+            the event loop.
     """
 
     def __init__(
@@ -101,6 +104,7 @@
         wait_s: float = WATCH_WAIT_S,
         count_entries: Callable[[], int] = lambda: 1,
         has_one_object: bool = False,
+        read_time_s: clocks.Clock | None = None,
     ):
         self._store = store
         self._kind = kind
@@ -110,6 +114,7 @@
         self._wait_s = wait_s
         self._count_entries = count_entries
         self._has_one_object = has_one_object
+        self._read_time_s = read_time_s or asyncio.get_running_loop().time
         # Whether to list the collection instead of watching it.
         self._must_list = False
         self._confirmed_watchers: list[CollectionWatcher] = []
@@ -151,7 +156,7 @@
 
         Args:
             revision: Revision of the whole store.
-            at_s: Loop time at which the store had this revision.
+            at_s: Time at which the store had this revision.
         """
         if self._revision is None:
             return
@@ -196,8 +201,7 @@
                 await self._handle_failure(error)
 
     async def _step(self) -> None:
-        loop = asyncio.get_running_loop()
-        sent_s = loop.time()
+        sent_s = self._read_time_s()
         if self._revision is None or self._must_list:
             await self._list(sent_s)
             return
@@ -217,10 +221,15 @@
         # The store sends an answer without changes at the end of the wait. When
         # it is handled says nothing: this process or its link may have been
         # held up since.
-        waited_s = min(loop.time() - sent_s, wait_s) - TIMER_TOLERANCE_S
+        now_s = self._read_time_s()
+        waited_s = min(now_s - sent_s, wait_s) - TIMER_TOLERANCE_S
         if changes.changes or waited_s < wait_s - 2 * TIMER_TOLERANCE_S:
             waited_s = 0.0
-        self._confirm(changes.revision, sent_s + max(0.0, waited_s))
+        current_s = sent_s + max(0.0, waited_s)
+        self._confirm(changes.revision, current_s)
+        if now_s - current_s > self._wait_s + TIMER_TOLERANCE_S:
+            # This instance was suspended, or the answer was held up.
+            self._must_ask_now = not self._is_confirmed_by_other
         if changes.changes:
             self._must_list = self._has_one_object
             await asyncio.sleep(compute_batch_s(self._count_entries()))
@@ -261,13 +270,13 @@
         self._failures = 0
         if self._is_unreachable:
             self._is_unreachable = False
-            self._recovered_at_s = asyncio.get_running_loop().time()
+            self._recovered_at_s = self._read_time_s()
             self._log("store_regained")
 
     def _is_after_outage(self) -> bool:
         """Returns whether the store was unreachable shortly before."""
-        now_s = asyncio.get_running_loop().time()
-        return now_s - self._recovered_at_s < self._outage_effect_s
+        after_s = self._read_time_s() - self._recovered_at_s
+        return after_s < self._outage_effect_s
 
     async def _pause_after_lost_history(self) -> None:
         """Pauses, except if a watch was answered since the last lost history.
--- a/src/fuchsiabarrow/peers/relays.py
+++ b/src/fuchsiabarrow/peers/relays.py
@@ -26,6 +26,7 @@
 from fuchsiabarrow.ports import objects
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import bodies
+from fuchsiabarrow.utils import clocks
 from fuchsiabarrow.utils import jitter
 from fuchsiabarrow.utils import tasks
 
@@ -81,6 +82,8 @@
         random_source: Random number generator, to spread the periods and to
             choose among holders.
         watch_wait_s: Time that watches of the store wait, in seconds.
+        read_time_s: Clock of the times passed to the sinks, None for that of
+            the event loop.
     """
 
     def __init__(
@@ -90,7 +93,9 @@
         find_holders: Callable[[str, float], list[str]],
         random_source: random.Random,
         watch_wait_s: float = watchers.WATCH_WAIT_S,
+        read_time_s: clocks.Clock | None = None,
     ):
+        self._read_time_s = read_time_s or asyncio.get_running_loop().time
         self._refresh_age_s = watch_wait_s + REFRESH_DELAY_S
         self._max_shared_age_s = watch_wait_s + SHARED_DELAY_S
         self._session = session
@@ -187,7 +192,7 @@
             return
         address = self._random_source.choice(holder_addresses)
         own_digest = compute_digest(collection.get_objects())
-        requested_at_s = asyncio.get_running_loop().time()
+        requested_at_s = self._read_time_s()
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S) as limit:
                 async with self._session.get(
--- a/src/fuchsiabarrow/platform/tests/configuration_days.py
+++ b/src/fuchsiabarrow/platform/tests/configuration_days.py
@@ -239,7 +239,7 @@
         host = self.network.add_host(ip, domain)
         host.link_mbps = 100.0 if index % 9 == 0 else self._link_mbps
         entry = forwarding_entry.ForwardingEntry(
-            settings, self.random.randrange(2**32)
+            settings, self.random.randrange(2**32), self._now
         )
         trace = Trace(name, self._now())
         self.traces.append(trace)
--- a/src/fuchsiabarrow/platform/tests/entry_harness.py
+++ b/src/fuchsiabarrow/platform/tests/entry_harness.py
@@ -11,6 +11,7 @@
 from fuchsiabarrow.platform.tests import fake_stores
 from fuchsiabarrow.platform.tests import fake_upstreams
 from fuchsiabarrow.platform.tests import sample_objects
+from fuchsiabarrow.utils import clocks
 from fuchsiabarrow.utils.tests import free_ports
 
 HOST = "shop.example"
@@ -82,9 +83,15 @@
 
     Args:
         grace_s: Time from SIGTERM to SIGKILL in the settings.
+        read_time_s: Clock of the ages of what the store holds.
     """
 
-    def __init__(self, grace_s: float = 8.0):
+    def __init__(
+        self,
+        grace_s: float = 8.0,
+        read_time_s: clocks.Clock = clocks.read_boot_time_s,
+    ):
+        self._read_time_s = read_time_s
         self.upstreams: dict[str, fake_upstreams.FakeUpstream] = {}
         self.store: fake_stores.FakeStore | None = None
         self.entry: forwarding_entry.ForwardingEntry | None = None
@@ -116,7 +123,9 @@
         )
         self.entry = await enter(
             forwarding_entry.ForwardingEntry(
-                settings_module.parse(self.settings_text), 1
+                settings_module.parse(self.settings_text),
+                1,
+                self._read_time_s,
             )
         )
         await self.wait(self.entry.is_ready)
--- a/src/fuchsiabarrow/platform/tests/test_frontend.py
+++ b/src/fuchsiabarrow/platform/tests/test_frontend.py
@@ -1,6 +1,7 @@
 import asyncio
 import socket
 import struct
+import time
 
 import aiohttp
 import logbook
@@ -533,3 +534,24 @@
         assert 0 < order["to"] - order["start_key"] <= 12
 
     run(test)
+
+
+# The clock of the event loop stands still while an instance is suspended: after
+# it, keys that had been revoked meanwhile were still trusted.
+def test_keys_are_not_trusted_after_a_suspension_until_confirmed_again():
+    suspended_s = 0.0
+
+    def read_time_s() -> float:
+        return time.monotonic() + suspended_s
+
+    async def test(harness):
+        nonlocal suspended_s
+        before, _, _ = await harness.fetch("/read/x")
+        suspended_s = 6.0
+        after, _, _ = await harness.fetch("/read/x")
+        current = harness.entry.kernel.get("current_catalog")
+        await harness.wait(lambda: current.get_age_s() < 2.0, 3.0)
+        confirmed, _, _ = await harness.fetch("/read/x")
+        return before, after, confirmed
+
+    assert run(test, read_time_s=read_time_s) == (200, 503, 200)
