Log each failed call of a watcher, and the size and age of a new configuration (CONFIG)

Single failures left no line, so that logs did not show the time-outs behind a late version. After a list the next watch waits: the list has confirmed the collection, and a call without a wait confirmed it once more after each change.

--- a/src/fuchsiabarrow/catalogs/service.py
+++ b/src/fuchsiabarrow/catalogs/service.py
@@ -13,6 +13,9 @@
 
 __all__ = ["CurrentCatalog"]
 
+# Logged as the age of a configuration that was never confirmed.
+MAX_LOGGED_AGE_S = 1e6
+
 _log = logbook.Logger(__name__)
 
 
@@ -111,6 +114,8 @@
                     {o.name for o in decoded.organisations_by_key.values()}
                 ),
                 revision=stored.version,
+                bytes=len(stored.value),
+                age_s=round(min(self.get_age_s(), MAX_LOGGED_AGE_S), 3),
             )
         )
         for listener in self._listeners:
--- a/src/fuchsiabarrow/fleet/watchers.py
+++ b/src/fuchsiabarrow/fleet/watchers.py
@@ -249,6 +249,7 @@
         self._handle_answer()
         self._sink.apply_snapshot(snapshot, self._is_after_outage())
         known_revision, self._revision = self._revision, snapshot.revision
+        self._must_ask_now = False
         self._confirm(snapshot.revision, sent_s)
         self._must_list = (
             self._must_list
@@ -289,6 +290,7 @@
 
     async def _handle_failure(self, error: Exception) -> None:
         self._failures += 1
+        self._log("store_call_failed", failures=self._failures, why=error)
         if self._failures >= OUTAGE_FAILURES and not self._is_unreachable:
             self._is_unreachable = True
             self._log("store_lost", why=error)
