Soak: routes are added, moved and dropped while faults are on (CONFIG)

The soak changed keys only, and no check ran on the version that served a request. Routes now change every 0.2 to 1.5 s; each answer on them must agree with a version that may be in force: the bound for entries without a fault in the last 3 s, and never an older version than one seen in force at the entry before.

--- a/src/fuchsiabarrow/platform/tests/soak/__main__.py
+++ b/src/fuchsiabarrow/platform/tests/soak/__main__.py
@@ -61,6 +61,7 @@
                 f" served during cuts {_describe(cut_counts)} at cut entries,"
                 f" {_describe(other_counts)} at others,"
                 f" {soak.history.helped_count} runs through other entries,"
+                f" {soak.versions.count} requests checked for their version,"
                 f" {time.monotonic() - began_s:.0f} s",
                 flush=True,
             )
--- a/src/fuchsiabarrow/platform/tests/soak/invariants.py
+++ b/src/fuchsiabarrow/platform/tests/soak/invariants.py
@@ -1,6 +1,7 @@
 """Requests as callers and upstreams saw them, and checks of invariants."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import contextlib
 import dataclasses
 
@@ -80,6 +81,8 @@
         entries: Names of all entries, by the source of their runs.
         cuts: Cuts of entries from all upstreams.
         disturbances: Entries that were killed, paused or stopped, with times.
+        store_faults: Entries whose connection to the store had a fault, with
+            times; those of the store itself concern all entries.
         helped_count: Number of runs that came through another entry than that
             of the caller.
     """
@@ -94,6 +97,7 @@
         self.entries: dict[str, str] = {}
         self.cuts: list[Cut] = []
         self.disturbances: list[Cut] = []
+        self.store_faults: list[Cut] = []
         self.helped_count = 0
 
     @contextlib.contextmanager
@@ -112,6 +116,25 @@
         yield
         disturbance.ended_s = read_time_s()
 
+    @contextlib.contextmanager
+    def record_store_fault(
+        self, names: Iterable[str], read_time_s: Callable[[], float]
+    ):
+        """Records that entries may not reach the store."""
+        fault = Cut(frozenset(names), read_time_s())
+        self.store_faults.append(fault)
+        yield
+        fault.ended_s = read_time_s()
+
+    def was_disturbed(self, entry: str, begin_s: float, end_s: float) -> bool:
+        """Returns whether an entry, or its way to the store, had a fault."""
+        return any(
+            entry in fault.entries
+            and fault.began_s < end_s
+            and begin_s < fault.ended_s
+            for fault in [*self.disturbances, *self.store_faults]
+        )
+
     def record_run(
         self,
         request_id: str,
--- a/src/fuchsiabarrow/platform/tests/soak/scenario.py
+++ b/src/fuchsiabarrow/platform/tests/soak/scenario.py
@@ -20,6 +20,7 @@
 from fuchsiabarrow.platform.tests.soak import invariants
 from fuchsiabarrow.platform.tests.soak import proxies
 from fuchsiabarrow.platform.tests.soak import redirected_entry
+from fuchsiabarrow.platform.tests.soak import versions
 from fuchsiabarrow.utils.tests import free_ports
 
 __all__ = ["SoakRun", "run_seed"]
@@ -34,6 +35,13 @@
 REQUEST_TIMEOUT_S = 5.0
 EVENTS = 12
 KINDS = ("read", "book", "draft")
+# Upstream of a service to which only routes are moved; it has no faults.
+ANNEX = "annex-1"
+SERVICES = ("desk", "annex")
+# Paths of the routes that are added, moved and dropped, and the time between
+# two such changes.
+CHANGING_PATHS = ("/moved/", "/added/")
+ROUTE_CHANGE_INTERVAL_S = (0.2, 1.5)
 # Service, accelerator kind and layers by name.
 UPSTREAMS = {
     "desk-1": ("desk", None, None),
@@ -43,6 +51,7 @@
     "first-b": ("model", "a100", (0, 40)),
     "last-a": ("model", "a100", (40, 80)),
     "last-b": ("model", "a100", (40, 80)),
+    ANNEX: ("annex", None, None),
 }
 # Duration of a fault, and the pause before the next fault is injected.
 FAULT_DURATION_RANGE_S = (0.1, 2.5)
@@ -138,6 +147,13 @@
             source_host = entry.host.replace(ENTRY_HOSTS, SOURCE_HOSTS)
             self.history.entries[source_host] = entry.name
         self._upstreams: list[SoakUpstream] = []
+        self._annex: SoakUpstream | None = None
+        # Its draws leave the faults of a seed as they are.
+        self._route_source = random.Random(seed)
+        self._routes = {path: "desk" for path in CHANGING_PATHS}
+        self.versions = versions.Versions(
+            self.history.violations.append, self.history.was_disturbed
+        )
         self._store_proxies: list[proxies.Proxy] = []
         self._store = fake_stores.FakeStore()
         self._version = 7
@@ -163,7 +179,11 @@
             ports, UPSTREAMS.items(), strict=True
         ):
             upstream = SoakUpstream(self.history, name, service, kind)
-            self._upstreams.append(await enter(upstream))
+            await enter(upstream)
+            if name == ANNEX:
+                self._annex = upstream
+            else:
+                self._upstreams.append(upstream)
             upstream.layers = layers
             upstream.port = port
             for host, source_host in zip(
@@ -199,11 +219,67 @@
     async def _write_configuration(self) -> None:
         self._version += 1
         tenants = [{"name": "org", "api_keys": self._keys, "priority": 1}]
+        changing = [
+            sample_objects.make_route(
+                name=f"route{path}",
+                path_prefix=path,
+                kind="idempotent",
+                service=service,
+                timeout_ms=600,
+                resumable=False,
+            )
+            for path, service in self._routes.items()
+        ]
         config = sample_objects.make_config(
-            self._version, routes=entry_harness.ROUTES, tenants=tenants
+            self._version,
+            routes=[*entry_harness.ROUTES, *changing],
+            tenants=tenants,
         )
+        config["services"].append({**config["services"][-1], "name": "annex"})
+        # The store has the version before any entry learns of it.
+        self.versions.commit(self._routes, self._read_time_s())
         await self._store.put("config", "main", config)
 
+    async def _change_routes(self) -> None:
+        """Adds, moves and drops routes, again and again."""
+        while True:
+            await asyncio.sleep(
+                self._route_source.uniform(*ROUTE_CHANGE_INTERVAL_S)
+            )
+            path = self._route_source.choice(CHANGING_PATHS)
+            service = self._routes.get(path)
+            if path == "/added/" and service is not None:
+                del self._routes[path]
+            else:
+                self._routes[path] = SERVICES[service == SERVICES[0]]
+            await self._write_configuration()
+
+    async def _send_to_changing_routes(self) -> None:
+        async with aiohttp.ClientSession() as session:
+            while True:
+                await asyncio.sleep(self._route_source.uniform(0.0, 0.1))
+                entry = self._route_source.choice(self._entries)
+                path = self._route_source.choice(CHANGING_PATHS)
+                attempt = await self._call(
+                    session, entry, path.strip("/"), "key-1"
+                )
+                if attempt.status == 200 and attempt.is_complete:
+                    name = attempt.body.partition(b":")[0].decode()
+                    service = UPSTREAMS[name][0]
+                elif attempt.status == 404:
+                    service = ""
+                else:
+                    continue
+                self.versions.check(
+                    versions.Outcome(
+                        entry.name,
+                        path,
+                        attempt.sent_s,
+                        attempt.ended_s,
+                        service,
+                    )
+                )
+
     # Requests of callers.
 
     async def run(self, duration_s: float) -> list[str]:
@@ -212,6 +288,11 @@
             callers = [
                 group.create_task(self._send_requests()) for _ in range(CALLERS)
             ]
+            callers += [
+                group.create_task(self._send_to_changing_routes())
+                for _ in range(CALLERS // 2)
+            ]
+            callers.append(group.create_task(self._change_routes()))
             await self._draw_faults(duration_s)
             await self._check_recovery()
             for caller in callers:
@@ -354,6 +435,7 @@
             if entry is not None:
                 entry.send(signal.SIGKILL)
                 await entry.wait_exit(5.0)
+                self.versions.forget_entry(entry.name)
                 await self._start_entry(entry)
 
     async def _pause_entry(self) -> None:
@@ -374,6 +456,7 @@
                     f"{entry.name} exited with status {status} after SIGTERM"
                 )
                 entry.close()
+            self.versions.forget_entry(entry.name)
             await self._start_entry(entry)
 
     async def _start_entry(self, entry: processes.EntryProcess) -> None:
@@ -396,7 +479,11 @@
         free = sorted(set(range(count)) - self._cut_numbers)
         wanted = self._source.choice([1, (count + 1) // 2, count])
         numbers = self._source.sample(free, min(wanted, len(free)))
-        links = [u.proxies[n] for u in self._upstreams for n in numbers]
+        links = [
+            u.proxies[n]
+            for u in [*self._upstreams, self._annex]
+            for n in numbers
+        ]
         duration_s = self._source.uniform(*CUT_DURATION_RANGE_S)
         self._cut_numbers.update(numbers)
         names = frozenset(self._entries[n].name for n in numbers)
@@ -425,11 +512,13 @@
             span = [self._read_time_s(), float("inf")]
             self.history.disturbed_store_s.append(span)
             before = {name: getattr(store, name) for name in changes}
-            for name, value in changes.items():
-                setattr(store, name, value)
-            await asyncio.sleep(self._draw_duration_s())
-            for name, value in before.items():
-                setattr(store, name, value)
+            everyone = [entry.name for entry in self._entries]
+            with self.history.record_store_fault(everyone, self._read_time_s):
+                for name, value in changes.items():
+                    setattr(store, name, value)
+                await asyncio.sleep(self._draw_duration_s())
+                for name, value in before.items():
+                    setattr(store, name, value)
             span[1] = self._read_time_s() + FAULT_MARGIN_S
 
     async def _disturb_link(self, how: str) -> None:
@@ -438,7 +527,11 @@
             if proxy is not None:
                 span = [self._read_time_s(), float("inf")]
                 self.history.disturbed_store_s.append(span)
-                await self._disturb_proxies([proxy], how)
+                number = self._store_proxies.index(proxy)
+                with self.history.record_store_fault(
+                    [self._entries[number].name], self._read_time_s
+                ):
+                    await self._disturb_proxies([proxy], how)
                 span[1] = self._read_time_s() + FAULT_MARGIN_S
 
     async def _disturb_upstream(self, how: str) -> None:
--- a/src/fuchsiabarrow/platform/tests/soak/test_soak.py
+++ b/src/fuchsiabarrow/platform/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
 from fuchsiabarrow.platform.tests.soak import invariants
 from fuchsiabarrow.platform.tests.soak import proxies
 from fuchsiabarrow.platform.tests.soak import scenario
+from fuchsiabarrow.platform.tests.soak import versions
 
 # Seeds to run. A seed that once failed is added, with the cause of the failure.
 SEEDS = [1]
@@ -30,6 +31,7 @@
     assert violations == []
     assert statuses.count(200) > 50
     assert len(soak.faults) > 3
+    assert soak.versions.count > 20
 
 
 def test_invariants_hold_while_entries_are_cut_off(tmp_path):
@@ -350,3 +352,45 @@
     assert history.helped_count == 0
     history.record_run("e1-1", "desk", 104.1, "127.3.0.2")
     assert history.helped_count == 1
+
+
+def check_version(
+    sent_s: float, service: str, is_disturbed=False, earlier_s=None
+) -> list[str]:
+    """Returns the violations of a request after a route was moved at 10 s."""
+    violations: list[str] = []
+    checked = versions.Versions(violations.append, lambda *_: is_disturbed)
+    checked.commit({"/moved/": "desk"}, 0.0)
+    checked.commit({"/moved/": "annex"}, 10.0)
+    for at_s, name in ((earlier_s, "annex"), (sent_s, service)):
+        if at_s is not None:
+            checked.check(
+                versions.Outcome("e", "/moved/", at_s, at_s + 0.1, name)
+            )
+    return violations
+
+
+@pytest.mark.parametrize(
+    ("sent_s", "service", "is_violation"),
+    [
+        (11.9, "desk", False),
+        (12.1, "desk", True),
+        (12.1, "annex", False),
+        (9.0, "annex", True),
+        (5.0, "", True),
+    ],
+)
+def test_request_handled_by_an_old_version_is_detected(
+    sent_s, service, is_violation
+):
+    assert bool(check_version(sent_s, service)) is is_violation
+
+
+def test_entry_with_a_fault_may_be_late():
+    assert not check_version(20.0, "desk", is_disturbed=True)
+
+
+def test_version_that_goes_back_is_detected():
+    # Also at an entry with a fault.
+    assert check_version(10.9, "desk", is_disturbed=True, earlier_s=10.5)
+    assert not check_version(10.7, "desk", is_disturbed=True, earlier_s=10.5)
