--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -4,8 +4,16 @@
 # code there, and a start that compiles the modules takes twice as long.
 set -e
 requirements=deploy/requirements.txt
-if ! [ target/deps -nt "$requirements" ]; then
+# Compiled dependencies fit one architecture and one version of Python. A target
+# folder may have been carried over from an instance with others.
+interpreter=$(python3 -c \
+  'import sysconfig, sys; print(sysconfig.get_platform(), sys.implementation.cache_tag)')
+mark=target/deps/.built-for
+if ! [ target/deps -nt "$requirements" ] \
+    || [ "$(cat "$mark" 2>/dev/null)" != "$interpreter" ]; then
+  rm -rf target/deps
   python3 -m pip install -q -U --target target/deps -r "$requirements"
+  echo "$interpreter" > "$mark"
 fi
 rm -rf target/app
 mkdir -p target/app
