Give lists more time after failures, as watches (CONFIG)

What callers saw: an old version for 10 s and more while the store answers, but slower than the limit. Cause: a limit that is the same at each attempt, so that a slow answer is never received. test_list_of_a_slow_store_succeeds_after_failures failed before.

--- a/src/fuchsiabarrow/platform/store.py
+++ b/src/fuchsiabarrow/platform/store.py
@@ -40,7 +40,7 @@
         session: HTTP session; the creator of this object closes it.
         address: ``ip:port`` of the store.
         timeout_s: Time within which the response to a call other than a watch
-            must begin.
+            must begin. After failures it is doubled, up to twice.
     """
 
     def __init__(
@@ -63,7 +63,9 @@
         query = {"serializable": "1"} if allow_stale else {}
         revision = first_era = None
         while True:
-            listing, era = await self._read(kind, query, wire.Listing)
+            listing, era = await self._read(
+                kind, query, wire.Listing, self._timeout_s
+            )
             if first_era is None:
                 first_era = era
             elif era != first_era:
@@ -97,10 +99,8 @@
             "watch": str(own_revision),
             "wait_ms": str(int(wait_s * MS_PER_S)),
         }
-        doublings = min(self._failures.get(kind, 0), MAX_DOUBLINGS)
-        slack_s = WATCH_RESPONSE_SLACK_S * 2**doublings
         answer, era = await self._read(
-            kind, query, wire.WatchAnswer, wait_s + slack_s
+            kind, query, wire.WatchAnswer, WATCH_RESPONSE_SLACK_S, wait_s
         )
         if era != known_era:
             raise _make_restored_error(kind, known_era, era)
@@ -132,10 +132,12 @@
         path = f"{kind}/{urllib.parse.quote(name, safe='')}"
         await self._call("DELETE", path, {}, None, self._timeout_s)
 
-    async def _read(self, kind, query, answer_type, timeout_s=None):
+    async def _read(self, kind, query, answer_type, response_s, wait_s=0.0):
+        doublings = min(self._failures.get(kind, 0), MAX_DOUBLINGS)
+        timeout_s = wait_s + response_s * 2**doublings
         try:
             status, body, era = await self._call_with_era(
-                "GET", kind, query, None, timeout_s or self._timeout_s
+                "GET", kind, query, None, timeout_s
             )
         except exceptions.StoreError:
             self._failures[kind] = self._failures.get(kind, 0) + 1
--- a/src/fuchsiabarrow/platform/tests/test_store.py
+++ b/src/fuchsiabarrow/platform/tests/test_store.py
@@ -87,7 +87,9 @@
         asyncio.run(run())
 
 
-def call_over_slow_link(call, silent_after_s: float | None = None):
+def call_over_slow_link(
+    call, silent_after_s: float | None = None, delay_s: float = 0.0
+):
     """Returns the result and the duration of a call over 1 Mbit/s.
 
     The object of the store takes 1.6 s to transfer.
@@ -96,6 +98,7 @@
         call: Coroutine function that uses a client.
         silent_after_s: Time after which the connection is silent, None for
             never.
+        delay_s: Time until the store begins to answer.
     """
 
     async def main(network):
@@ -106,6 +109,7 @@
         store = fake_stores.FakeStore(f"{STORE_IP}:80", 5.0)
         await store_host.start(store.__aenter__())
         await store.put("config", "main", {"text": "x" * 200_000})
+        store.delay_s = delay_s
 
         async def run_client():
             async with aiohttp.ClientSession() as session:
@@ -146,6 +150,21 @@
     assert took_s > 1.5
 
 
+# Each call to a store or over a link that took longer than the limit of a list
+# failed in the same way, also after other calls had succeeded.
+def test_list_of_a_slow_store_succeeds_after_failures():
+    async def call(client):
+        for _ in range(3):
+            try:
+                return await client.list("config")
+            except exceptions.StoreUnavailableError:
+                continue
+        raise AssertionError("all lists failed")
+
+    result, _ = call_over_slow_link(call, delay_s=1.5)
+    assert result.objects
+
+
 def test_answer_that_falls_silent_in_its_middle_is_given_up_soon():
     result, took_s = call_over_slow_link(
         lambda client: client.list("config"), silent_after_s=0.5
