--- a/src/fuchsiabarrow/platform/store.py
+++ b/src/fuchsiabarrow/platform/store.py
@@ -1,9 +1,9 @@
 """HTTP client of the platform's object store.
 
-A response has to begin within a time limit, and then to make progress. There is
-no limit on the whole response: the history of a collection that keeps changing
-grows while it is being transferred, so that a second attempt would take longer
-than the first one.
+A response has to begin within a time limit, and then to make progress. A short
+limit on the whole response would fail again and again: the history of a
+collection that keeps changing grows while it is being transferred, so that a
+second attempt takes longer than the first one.
 """
 
 import asyncio
