--- a/src/fuchsiabarrow/platform/tests/entry_simulation.py
+++ b/src/fuchsiabarrow/platform/tests/entry_simulation.py
@@ -25,6 +25,7 @@
 import multidict
 
 from fuchsiabarrow import exceptions
+from fuchsiabarrow.catalogs import access
 from fuchsiabarrow.catalogs import documents
 from fuchsiabarrow.catalogs import service as catalog_service
 from fuchsiabarrow.entry import forwarding_entry
@@ -817,7 +818,7 @@
         self._frontends[name] = frontend_module.Frontend(
             catalog,
             kernel.get("forwarding"),
-            settings.revoke_s,
+            access.Limits(settings.apply_s, settings.revoke_s),
             lambda: True,
             random.Random(index),
         )
