Tunnels: notice a closed tunnel that is not being read

What callers saw: nothing. The upstream went on working for a caller that had left, while it had not read a long body.

Cause: the entry that helps stops reading the tunnel while the upstream does not read. The end of file of the other entry waits behind the unread bytes, and the event loop does not report errors of a socket that it neither reads nor writes.

Change: aborting a tunnel resets its connection, which needs no room in the receive window, and the state of a paused connection is checked each 0.1 s.

Result: test_caller_that_leaves_during_an_upload_is_noticed, known to fail so far, passes; it fails without the change.

--- a/src/fuchsiabarrow/peers/tunnels.py
+++ b/src/fuchsiabarrow/peers/tunnels.py
@@ -40,6 +40,11 @@
 # Bytes waiting for a slow reader after which its sender is paused.
 WRITE_LIMIT_BYTES = 32_768
 TCP_USER_TIMEOUT_MS = 3000
+# Period at which a connection that is not read is checked for a reset, which
+# the event loop does not report then.
+RESET_CHECK_PERIOD_S = 0.1
+# State of a connection after a reset, the first byte of ``TCP_INFO``.
+TCP_CLOSE = 7
 # Part of the time to open a tunnel that the other entry leaves for its answer.
 ANSWER_MARGIN_S = 0.02
 # Number of helpers that are asked one after another for one connection.
@@ -95,6 +100,29 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def _reset(transport: asyncio.Transport) -> None:
+    """Closes a connection so that the peer learns of it at once.
+
+    An end of file would wait behind bytes that the peer does not read.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+    transport.abort()
+
+
+def _is_reset(transport: asyncio.Transport) -> bool:
+    """Returns whether the kernel has ended a connection."""
+    sock = transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == (
+        TCP_CLOSE
+    )
+
+
 def _has_pending_error(transport: asyncio.Transport) -> bool:
     """Returns whether a connection that reports an end of file was reset.
 
@@ -135,11 +163,11 @@
 
     def pause_writing(self) -> None:
         """Implements `asyncio.Protocol.pause_writing`."""
-        self._entry_side.transport.pause_reading()
+        self._entry_side.pause_reading()
 
     def resume_writing(self) -> None:
         """Implements `asyncio.Protocol.resume_writing`."""
-        self._entry_side.transport.resume_reading()
+        self._entry_side.resume_reading()
 
 
 class _EntrySide(asyncio.Protocol):
@@ -151,6 +179,7 @@
         self._task: asyncio.Task | None = None
         self._upstream_side: _UpstreamSide | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._reset_check: asyncio.TimerHandle | None = None
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -197,6 +226,36 @@
         if upstream_side is None:
             self.transport.close()
 
+    def pause_reading(self) -> None:
+        """Stops reading from the entry, while the upstream does not read."""
+        self.transport.pause_reading()
+        self._schedule_reset_check()
+
+    def resume_reading(self) -> None:
+        """Reads from the entry again."""
+        self._stop_reset_checks()
+        self.transport.resume_reading()
+
+    def _schedule_reset_check(self) -> None:
+        self._reset_check = asyncio.get_running_loop().call_later(
+            RESET_CHECK_PERIOD_S, self._check_reset
+        )
+
+    def _stop_reset_checks(self) -> None:
+        if self._reset_check is not None:
+            self._reset_check.cancel()
+            self._reset_check = None
+
+    def _check_reset(self) -> None:
+        """Ends the tunnel if the entry that opened it has closed it."""
+        self._reset_check = None
+        if self.transport.is_closing():
+            return
+        if _is_reset(self.transport):
+            self.transport.abort()
+        else:
+            self._schedule_reset_check()
+
     def send_frame(self, data: bytes) -> None:
         """Sends bytes of the upstream."""
         if not self.transport.is_closing():
@@ -219,6 +278,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Implements `asyncio.Protocol.connection_lost`."""
         self._timer.cancel()
+        self._stop_reset_checks()
         self._server.remove(self)
         if self._task is not None:
             self._task.cancel()
@@ -363,7 +423,7 @@
         self._transport.close()
 
     def abort(self) -> None:
-        self._transport.abort()
+        _reset(self._transport)
 
     def write(self, data: bytes) -> None:
         self._transport.write(data)
