--- a/src/fuchsiabarrow/fleet/directory.py
+++ b/src/fuchsiabarrow/fleet/directory.py
@@ -138,6 +138,19 @@
             and not self.is_avoided(u)
         ]
 
+    def record_leaving(self, upstream: upstreams.Upstream) -> bool:
+        """Records that an upstream has announced that it is leaving.
+
+        Returns:
+            Whether that is new. One that is not listed any more gets no work
+            anyway, and a newer instance of its id is not leaving.
+        """
+        known = self._upstreams.get(upstream.instance_id)
+        if known is None or known.key != upstream.key or known.is_leaving:
+            return False
+        self.put(dataclasses.replace(known, is_leaving=True))
+        return True
+
     def record_failure(
         self, upstream: upstreams.Upstream, is_shared: bool = False
     ) -> float:
--- a/src/fuchsiabarrow/forwarding/messages.py
+++ b/src/fuchsiabarrow/forwarding/messages.py
@@ -119,6 +119,7 @@
             the body is complete.
         rate_limit_per_s: Requests per second that the upstream takes from all
             entries together; None if it announces no limit.
+        is_leaving: Whether the upstream announces that it is leaving.
     """
 
     status: int
@@ -131,6 +132,7 @@
     content_length: int | None
     ends_with_connection: bool = False
     rate_limit_per_s: float | None = None
+    is_leaving: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -275,6 +275,15 @@
         messages.verify_response(head, request, upstream.address)
         if head.is_success or head.rate_limit_per_s is not None:
             self.upstream_limits.record(upstream.key, head.rate_limit_per_s)
+        if head.is_leaving and self.directory.record_leaving(upstream):
+            _log.info(
+                logs.format_event(
+                    "upstream_leaving",
+                    instance=upstream.instance_id,
+                    address=upstream.address,
+                    list_age_s=round(self.directory.get_age_s(), 3),
+                )
+            )
         return head
 
     def try_take_retry(self, service: str) -> bool:
--- a/src/fuchsiabarrow/platform/tests/fake_upstreams.py
+++ b/src/fuchsiabarrow/platform/tests/fake_upstreams.py
@@ -27,6 +27,7 @@
         event_count: Number of events in a stream.
         gap_s: Time between events.
         padding: Extra bytes in each event.
+        extra_headers: Headers added to its responses.
         closes: Whether responses close their connections.
         layers: Layers that it holds, as (first, end), or None.
         cancelled: Number of requests whose connection was closed while they
@@ -45,6 +46,7 @@
         self.event_count = 5
         self.gap_s = 0.01
         self.padding = 0
+        self.extra_headers: dict[str, str] = {}
         self.closes = False
         self.layers: tuple[int, int] | None = None
         self.cancelled = 0
@@ -114,6 +116,7 @@
         headers = {
             wire_names.ATTEMPT_ID: request.headers[wire_names.ATTEMPT_ID],
             wire_names.SEAL: SEAL,
+            **self.extra_headers,
         }
         try:
             await asyncio.sleep(self.delay_s)
--- a/src/fuchsiabarrow/platform/upstream_codec.py
+++ b/src/fuchsiabarrow/platform/upstream_codec.py
@@ -113,6 +113,9 @@
             rate_limit_per_s=_parse_rate(
                 headers.get(wire_names.RATE_LIMIT, "")
             ),
+            # A misdirected request may have reached another upstream.
+            is_leaving=headers.get(wire_names.SERVER_LEAVING, "").strip() == "1"
+            and message.code not in NOT_RUN_STATUSES,
         )
 
 
--- a/src/fuchsiabarrow/platform/wire_names.py
+++ b/src/fuchsiabarrow/platform/wire_names.py
@@ -20,6 +20,7 @@
     "REPORT_PATH",
     "RETRY_AFTER",
     "SEAL",
+    "SERVER_LEAVING",
     "STORE_ERA",
     "SYSTEM_HEADERS",
     "TOKEN_COUNTS",
@@ -51,6 +52,8 @@
 RETRY_AFTER = "Retry-After"
 # Shows that a response was produced by the upstream.
 SEAL = "Response-Seal"
+# "1" if the upstream that answers is leaving.
+SERVER_LEAVING = "Server-Leaving"
 # Number in the store's answers that rises when it returns to an earlier state.
 STORE_ERA = "Store-Era"
 # Prompt tokens and maximum output tokens, separated by a comma.
