Pauses: count the layers of the model only

An instance may hold layers that the model of the configuration does not have; the time until a path is possible again would have ended in an IndexError.

--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -248,8 +248,9 @@
             ):
                 continue
             pause_s = directory.get_pause_s(upstream)
-            for layer in range(upstream.layers.first, upstream.layers.end):
-                waits_s[layer] = min(waits_s[layer], pause_s)
+            for layer, wait_s in enumerate(waits_s):
+                if upstream.layers.covers(layer, layer + 1):
+                    waits_s[layer] = min(wait_s, pause_s)
         longest_s = max(waits_s)
         return longest_s if math.isfinite(longest_s) else 0.0
 
