Send whole answers of plain services past the time limit (LOST)

A caller that read a large answer of a plain service slowly got the whole answer and then, on the same connection, a 504 of the entry. It took these bytes for the answer to its next request, and that one's answer for the one after it.

The answer was written inside the time limit of the request. Writing waits for the caller, so the limit ended the write, whose bytes had all been handed over, and a refusal was sent. The write also held the reserved load and the connection of the upstream, which was free.

The limit now bounds the upstreams only. The answer is kept and written after the limit, the reservation and the connection have been left.

--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -56,11 +56,16 @@
         # Last upstream that was tried, for the detail of a refusal.
         self._last_tried = "no upstream tried"
         self._lost_upstream: upstreams.Upstream | None = None
-        self._failed_answer: tuple[messages.ResponseHead, bytes] | None = None
+        # Last whole answer; that of a failure is kept while others are tried.
+        self._answer: tuple[messages.ResponseHead, bytes] | None = None
         self._failed_upstream: upstreams.Upstream | None = None
 
     async def serve(self) -> None:
-        """Forwards the request until the caller has a final answer."""
+        """Forwards the request until the caller has a final answer.
+
+        The time limit is that of the upstreams: a caller may take longer to
+        read a whole answer.
+        """
         request = self._request
         loop = asyncio.get_running_loop()
         remaining_s = request.answer_deadline_s - loop.time() - REFUSAL_MARGIN_S
@@ -79,10 +84,8 @@
         finally:
             if self._has_retry:
                 self._forwarding.return_retry(self._service.name)
-        if refusal is None:
-            return
-        if self._failed_answer is not None:
-            await self._writer.answer(*self._failed_answer)
+        if self._answer is not None:
+            await self._writer.answer(*self._answer)
         else:
             await self._writer.refuse(refusal)
 
@@ -253,15 +256,13 @@
                 forwarding.directory.record_unsuccessful_request(
                     self._failed_upstream
                 )
+        self._answer = (head, body)
         may_retry = (
             head.status >= HTTP_SERVER_ERROR
             and request.route.may_repeat
             and self._run_count < request.route.max_attempts
         )
         if may_retry:
-            self._failed_answer = (head, body)
             self._failed_upstream = upstream
             return f"status {head.status}"
-        self._failed_answer = None
-        await self._writer.answer(head, body)
         return None
