--- a/src/fuchsiabarrow/platform/tests/test_slow_callers.py
+++ b/src/fuchsiabarrow/platform/tests/test_slow_callers.py
@@ -1,21 +1,46 @@
 import asyncio
+import socket
 
+import logbook
 import pytest
 
+from fuchsiabarrow.platform import wire_names
 from fuchsiabarrow.platform.tests import entry_harness
 from fuchsiabarrow.platform.tests import slow_callers
+from fuchsiabarrow.utils import listeners
+from fuchsiabarrow.utils import loops
 
+GENERATION = (
+    f"{wire_names.TOKEN_COUNTS}: 800,60",
+    f"{wire_names.LENGTH_HINT}: 60",
+)
 # Longer than the time limit of the plain routes.
 LATE_S = 1.0
+SEND_BUFFER_BYTES = 65_536
 
 
-def run(test, **options):
+def run(test, make_loop=asyncio.new_event_loop):
     async def main():
-        async with entry_harness.EntryHarness(**options) as harness:
+        async with entry_harness.EntryHarness() as harness:
             async with slow_callers.connect(harness) as caller:
                 return await test(harness, caller)
 
-    return asyncio.run(main())
+    with asyncio.Runner(loop_factory=make_loop) as runner:
+        return runner.run(main())
+
+
+def run_logged(test, **options) -> list[str]:
+    """Runs a test; returns the logged ends of requests."""
+    with logbook.TestHandler() as handler:
+        run(test, **options)
+    ends = ("connection_closed", "caller_left", "stream_aborted", "refused")
+    lines = [record.message for record in handler.records]
+    return [x for x in lines if x.removeprefix("event=").startswith(ends)]
+
+
+def count_incomplete(harness, cause: str) -> float:
+    metrics = harness.entry.kernel.get("metrics")
+    return metrics.incomplete_answers.labels(cause)._value.get()
 
 
 def make_desks_answer(harness, status: int, padding: int) -> None:
@@ -24,6 +49,14 @@
         harness.upstreams[name].padding = padding
 
 
+def shrink_send_buffer(harness) -> None:
+    """Has less than a whole stream fit into the buffers of the sockets."""
+    (connection,) = harness.entry.kernel.get("frontend").busy_connections
+    connection.transport.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+    )
+
+
 # Guards against an error of the entry after a whole answer, on the same
 # connection: the caller took it for the answer to its next request.
 @pytest.mark.parametrize("status", [200, 404, 500])
@@ -77,3 +110,31 @@
         assert loads == [0, 0]
 
     run(test)
+
+
+# Guards against callers that hold an answer's memory and socket for ever, and
+# against cuts without a line.
+@pytest.mark.parametrize("make_loop", [asyncio.new_event_loop, loops.make_loop])
+@pytest.mark.parametrize("target", ["/open/x", "/draft/x"])
+def test_caller_that_stops_reading_is_cut_off_and_logged(
+    target, make_loop, monkeypatch
+):
+    monkeypatch.setattr(listeners, "STALLED_WRITE_S", 0.5)
+
+    async def test(harness, caller):
+        make_desks_answer(harness, 200, slow_callers.LARGE_BYTES)
+        left = harness.upstreams["left"]
+        left.event_count, left.gap_s, left.padding = 1000, 0.001, 16_000
+        caller.send("r1", target, *GENERATION)
+        forwarding = harness.entry.kernel.get("forwarding")
+        await harness.wait(lambda: forwarding.running == 1)
+        shrink_send_buffer(harness)
+        await harness.wait(lambda: forwarding.running == 0)
+        assert count_incomplete(harness, "slow_caller") == 1
+        with pytest.raises((EOFError, ConnectionError)):
+            await caller.read_response()
+
+    (line,) = run_logged(test, make_loop=make_loop)
+    assert line.startswith("event=connection_closed request_id=r1 ")
+    assert "cause=slow_caller" in line
+    assert "is_started=True" in line
--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 import enum
+import math
 
 from aiohttp import web_protocol
 import aiohttp.web
@@ -17,6 +18,10 @@
 LISTEN_BACKLOG = 1024
 # A connection counts as idle once no data has arrived for this long.
 IDLE_AFTER_S = 0.04
+# Time after which a caller that takes no bytes of its answer is cut off. The
+# kernel passes on data in steps of up to a megabyte, for which a slow link
+# needs some time.
+STALLED_WRITE_S = 30.0
 
 
 class Listener:
@@ -67,6 +72,8 @@
         SHUTDOWN: The server was shut down while the connection was idle.
         SHUTDOWN_LIMIT: The server was shut down and did not wait any longer for
             the response to its request.
+        SLOW_CALLER: The caller took no bytes of its answer for
+            `STALLED_WRITE_S`.
         SERVER: The server closed it for another reason, such as an error.
     """
 
@@ -74,6 +81,7 @@
     IDLE_LIMIT = "idle_limit"
     SHUTDOWN = "shutdown"
     SHUTDOWN_LIMIT = "shutdown_limit"
+    SLOW_CALLER = "slow_caller"
     SERVER = "server"
 
 
@@ -143,6 +151,32 @@
             self.close_error = type(exc).__name__
         super().connection_lost(exc)
 
+    async def _drain_helper(self) -> None:
+        """Waits until the caller has taken data; cuts off one that stalls."""
+        timer = None
+
+        def check_progress(previous_bytes: int) -> None:
+            nonlocal timer
+            if self.transport is None:
+                return
+            # Nothing is written meanwhile.
+            unsent_bytes = self.transport.get_write_buffer_size()
+            if unsent_bytes < previous_bytes:
+                timer = self._loop.call_later(
+                    STALLED_WRITE_S, check_progress, unsent_bytes
+                )
+                return
+            # Closing alone would wait for the caller to take the rest.
+            self.transport.abort()
+            self.close_as(CloseCause.SLOW_CALLER)
+
+        check_progress(math.inf)
+        try:
+            await super()._drain_helper()
+        finally:
+            if timer is not None:
+                timer.cancel()
+
     def _process_keepalive(self) -> None:
         was_open = self.close_cause is None
         if was_open:
