Make a second answer to a request impossible (LOST)

A caller could get a part of an answer and then the head and body of another one on the same connection: a streamed answer and a refusal, or a BadRequest raised after the head. The writer of responses did not look whether an answer had begun; each part that answers had to, and one did not (the time limit of plain requests).

A request now has one answer. Once its head was given to the HTTP library, even if its write was cancelled, another answer is not sent: the line second_answer says which one, the first is cut off (counted as second_answer) unless it is complete, and an answer that was cut off cannot be finished any more.

--- a/src/fuchsiabarrow/platform/response_writers.py
+++ b/src/fuchsiabarrow/platform/response_writers.py
@@ -29,6 +29,10 @@
 class HttpResponseWriter:
     """Implements `fuchsiabarrow.forwarding.messages.ResponseWriter`.
 
+    A request has one answer: once one has begun, it can only be continued,
+    finished or aborted. Another one is not sent; the first is aborted then
+    unless it is complete.
+
     Attributes:
         response: Response whose head was sent, None before that.
         is_aborted: Whether the response was cut off.
@@ -53,6 +57,7 @@
         self.is_aborted = False
         self.outcome = ""
         self.request: messages.Request | None = None
+        self._is_complete = False
         self._http_request = http_request
         self._request_id = request_id
         self._is_last = is_last
@@ -64,7 +69,15 @@
         return self.response is not None
 
     async def start(self, head: messages.ResponseHead) -> None:
-        """Sends the head of a streamed response."""
+        """Sends the head of a streamed response.
+
+        Raises:
+            ConnectionAbortedError: An answer has begun.
+        """
+        if self._has_begun(head.status):
+            raise ConnectionAbortedError(
+                "a second answer was begun; see the line second_answer"
+            )
         response = aiohttp.web.StreamResponse(
             status=head.status, reason=head.reason
         )
@@ -80,12 +93,17 @@
         await self.response.write(data)
 
     async def finish(self) -> None:
-        """Marks the end of a complete body."""
+        """Marks the end of a complete body, unless it was cut off."""
+        if self.is_aborted:
+            return
         self.outcome = str(self.response.status)
         await self.response.write_eof()
+        self._is_complete = True
 
     async def answer(self, head: messages.ResponseHead, body: bytes) -> None:
         """Sends a complete response."""
+        if self._has_begun(head.status):
+            return
         response = aiohttp.web.Response(
             status=head.status, reason=head.reason, body=body
         )
@@ -104,6 +122,8 @@
             status = HTTP_TIMEOUT
         else:
             status = HTTP_BAD_GATEWAY
+        if self._has_begun(status, refusal.detail):
+            return
         self.outcome = refusal.reason.value
         self._metrics.refusals.labels(refusal.reason.value).inc()
         _log.info(
@@ -126,6 +146,8 @@
 
     async def deny(self, status: int, message: str) -> None:
         """Rejects the request with a client error."""
+        if self._has_begun(status, message):
+            return
         self.outcome = str(status)
         _log.info(
             logs.format_event(
@@ -186,12 +208,39 @@
             )
         )
 
+    def _has_begun(self, status: int, why: str = "") -> bool:
+        """Returns whether an answer has begun; aborts an incomplete one.
+
+        Args:
+            status: Status of the other answer that was to be sent.
+            why: Its reason.
+        """
+        if self.response is None:
+            return False
+        request = self.request
+        _log.info(
+            logs.format_event(
+                "second_answer",
+                request_id=self._request_id,
+                route=request.route.name if request else "",
+                is_complete=self._is_complete,
+                sent_status=self.response.status,
+                status=status,
+                why=why,
+            )
+        )
+        if not self._is_complete:
+            self._metrics.incomplete_answers.labels("second_answer").inc()
+            self.abort()
+        return True
+
     async def _send(self, response: aiohttp.web.Response) -> None:
         if self._is_last():
             response.force_close()
         self.response = response
         await response.prepare(self._http_request)
         await response.write_eof()
+        self._is_complete = True
 
 
 def _make_error(status: int, message: str) -> aiohttp.web.Response:
