An entry with requests that hang exits within its grace period

What callers saw: a request that still ran at the time limit of a shutdown ended when SIGKILL came, with neither an answer nor a line in the log.

Cause: draining ended 0.5 s before SIGKILL. Leaving the listener then waited up to 2 s for the handlers and up to 2 s more after cancelling them, and the other listeners did so one after another.

Leaving the listener for callers now cancels the handlers at once: the owner has waited for them before. They log what was cut and release what they hold, within 20 ms; drain() does this before the line `stopped`, which counts them. The other listeners wait for 10 ms instead of 2 s. The margin is an eighth of grace periods under 4 s, so that the time limit stays in their last sixth.

--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -47,9 +47,14 @@
 # After SIGTERM the platform keeps sending new connections until two readiness
 # checks have failed: the first comes within 1 s, the second 1 s later.
 DEREGISTRATION_DELAY_S = 3.1
-# Draining ends this long before SIGKILL so that the process can exit.
-SIGKILL_MARGIN_S = 0.5
+# Requests that still run this long before SIGKILL are ended, so that the
+# process can exit: a part of the grace period, up to a maximum.
+SIGKILL_MARGIN_FRACTION = 0.125
+MAX_SIGKILL_MARGIN_S = 0.5
 DRAIN_POLL_S = 0.05
+# What the listeners beside that for callers serve is small, or can be had from
+# another entry.
+LISTENER_SHUTDOWN_TIMEOUT_S = 0.01
 # Another entry whose configuration was confirmed within this time will trust
 # keys for a while yet, so a caller that is refused here can retry there.
 RECENT_CONFIRMATION_S = 3.0
@@ -291,7 +296,9 @@
         await kernel.add(
             "relay_listener",
             listeners.Listener(
-                relay.make_app(), f"{settings.ip}:{settings.entry_port}"
+                relay.make_app(),
+                f"{settings.ip}:{settings.entry_port}",
+                LISTENER_SHUTDOWN_TIMEOUT_S,
             ),
         )
 
@@ -403,7 +410,10 @@
         app = aiohttp.web.Application()
         app.router.add_get(wire_names.READY_PATH, self._answer_ready)
         await kernel.add(
-            "ready_listener", listeners.Listener(app, settings.ready_address)
+            "ready_listener",
+            listeners.Listener(
+                app, settings.ready_address, LISTENER_SHUTDOWN_TIMEOUT_S
+            ),
         )
 
         if settings.operator_address:
@@ -411,7 +421,9 @@
             app.router.add_get("/metrics", self._answer_metrics)
             await kernel.add(
                 "operator_listener",
-                listeners.Listener(app, settings.operator_address),
+                listeners.Listener(
+                    app, settings.operator_address, LISTENER_SHUTDOWN_TIMEOUT_S
+                ),
             )
 
     async def _answer_metrics(self, _) -> aiohttp.web.Response:
@@ -485,29 +497,32 @@
         """Shuts down gracefully: stops accepting and finishes running work.
 
         New connections are accepted for `DEREGISTRATION_DELAY_S`, as the
-        platform still sends them. Draining ends at the time limit even if
-        work still runs.
+        platform still sends them. Work that still runs at the time limit is
+        cut.
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        limit_s = self._settings.grace_s - SIGKILL_MARGIN_S
+        grace_s = self._settings.grace_s
+        limit_s = grace_s - min(
+            MAX_SIGKILL_MARGIN_S, SIGKILL_MARGIN_FRACTION * grace_s
+        )
         kernel = self.kernel
-        forwarding = kernel.get("forwarding")
+        forwarding, frontend, listener, reports = (
+            kernel.get("forwarding"),
+            kernel.get("frontend"),
+            kernel.get("frontend_listener"),
+            kernel.get("load_reports"),
+        )
         _log.info(
             logs.format_event(
                 "stopping", limit_s=limit_s, running=forwarding.running
             )
         )
-        kernel.get("frontend").stop()
-        reports = kernel.get("load_reports")
+        frontend.stop()
         reports.is_stopping = True
         count_tunnels = self._stop_tunnels()
         await reports.send_now()
-        await asyncio.sleep(min(DEREGISTRATION_DELAY_S, limit_s))
-        listener, frontend = (
-            kernel.get("frontend_listener"),
-            kernel.get("frontend"),
-        )
+        await asyncio.sleep(min(DEREGISTRATION_DELAY_S, limit_s - DRAIN_POLL_S))
         listener.stop_accepting()
         while True:
             # Lets requests on connections accepted just now be read first.
@@ -516,10 +531,10 @@
             is_busy = frontend.busy_connections or count_tunnels()
             if not is_busy or loop.time() - started_s > limit_s:
                 break
+        cut = len(frontend.busy_connections)
+        await listener.cut()
         _log.info(
             logs.format_event(
-                "stopped",
-                took_s=round(loop.time() - started_s, 2),
-                running=forwarding.running,
+                "stopped", took_s=round(loop.time() - started_s, 2), cut=cut
             )
         )
--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -14,6 +14,8 @@
 __all__ = ["CloseCause", "Connection", "Listener", "Server", "ServerListener"]
 
 SHUTDOWN_TIMEOUT_S = 2.0
+# Time for the handler of a request that is cut to release what it holds.
+CUT_TIMEOUT_S = 0.02
 LISTEN_BACKLOG = 1024
 # A connection counts as idle once no data has arrived for this long.
 IDLE_AFTER_S = 0.04
@@ -28,15 +30,22 @@
     Args:
         app: Application to serve.
         address: ``ip:port`` to bind; port 0 picks a free port.
+        shutdown_timeout_s: Time for responses on leaving, and again for the
+            end of their handlers.
 
     Raises:
         SettingsError: On entering, if the address cannot be bound.
     """
 
-    def __init__(self, app: aiohttp.web.Application, address: str):
+    def __init__(
+        self,
+        app: aiohttp.web.Application,
+        address: str,
+        shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S,
+    ):
         self.address = address
         self._runner = aiohttp.web.AppRunner(
-            app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+            app, access_log=None, shutdown_timeout=shutdown_timeout_s
         )
 
     async def __aenter__(self) -> "Listener":
@@ -129,11 +138,19 @@
             self.close_cause = cause
         self.force_close()
 
-    async def shutdown(self, timeout: float | None = 15.0) -> None:
-        """Closes the connection after its response or at the time limit."""
+    async def shutdown(self, timeout: float | None = CUT_TIMEOUT_S) -> None:
+        """Closes the connection without waiting for its response.
+
+        Args:
+            timeout: Time for the handler to end, in seconds.
+        """
         if self.close_cause is None:
             self.close_cause = CloseCause.SHUTDOWN_LIMIT
-        await super().shutdown(timeout)
+        handler_task = self._task_handler
+        if handler_task is not None:
+            handler_task.cancel()
+            await asyncio.wait({handler_task}, timeout=timeout)
+        self.force_close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Implements `asyncio.Protocol.connection_lost`."""
@@ -184,6 +201,8 @@
 class ServerListener:
     """Owns the listening socket of a low-level server without routes.
 
+    Leaving it cuts the requests that are still served.
+
     Args:
         server: Creates the protocol object of each connection.
         address: ``ip:port`` to bind.
@@ -232,6 +251,16 @@
             if connection not in busy and is_idle:
                 connection.close_as(CloseCause.SHUTDOWN)
 
+    def pause_reading(self) -> None:
+        """Leaves further requests on the open connections unread."""
+        for connection in self._server.connections:
+            if connection.transport is not None:
+                connection.transport.pause_reading()
+
+    async def cut(self) -> None:
+        """Closes all connections, also those with a request in progress."""
+        await self._server.shutdown(CUT_TIMEOUT_S)
+
     async def __aexit__(self, *exc_info) -> None:
         self.stop_accepting()
-        await self._server.shutdown(SHUTDOWN_TIMEOUT_S)
+        await self.cut()
--- a/src/fuchsiabarrow/utils/tests/test_listeners.py
+++ b/src/fuchsiabarrow/utils/tests/test_listeners.py
@@ -61,3 +61,46 @@
         return causes
 
     assert asyncio.run(run()) == []
+
+
+# Guards against seconds of waiting for handlers that do not end by themselves.
+def test_listener_with_hanging_requests_is_left_at_once():
+    async def run():
+        causes = []
+
+        async def handle(request):
+            try:
+                await asyncio.sleep(60.0)
+            except asyncio.CancelledError:
+                if isinstance(request.protocol, listeners.Connection):
+                    causes.append(request.protocol.close_cause)
+                raise
+
+        app = aiohttp.web.Application()
+        app.router.add_get("/", handle)
+        loop = asyncio.get_running_loop()
+        (port,) = free_ports.find_ports(1)
+        server = listeners.Server(handle, handler_cancellation=True)
+        other = listeners.Listener(app, "127.0.0.1:0", 0.01)
+        async with (
+            listeners.ServerListener(server, f"127.0.0.1:{port}"),
+            other,
+        ):
+            readers = []
+            for address in [f"127.0.0.1:{port}", other.address] * 3:
+                reader, writer = await asyncio.open_connection(
+                    *address.split(":")
+                )
+                writer.write(REQUEST)
+                readers.append((reader, writer))
+            await asyncio.sleep(0.1)
+            left_at_s = loop.time()
+        took_s = loop.time() - left_at_s
+        for reader, writer in readers:
+            assert await reader.read() == b""
+            writer.close()
+        return took_s, causes
+
+    took_s, causes = asyncio.run(run())
+    assert took_s < 0.5
+    assert causes.count(listeners.CloseCause.SHUTDOWN_LIMIT) == 3
