Idle connections of callers: close at the configured limit

What callers saw: the entry closed connections that had been idle for 15 s, whatever `idle_timeout_ms` said. Callers reuse connections that have been idle for up to four fifths of it: with a limit above 18.75 s their requests crossed the close and had neither an answer nor a refusal. A lower limit had no effect. A head that began just before the limit was cut in the middle.

Cause: `Frontend.make_server` passed the default of `RequestLimits` to the HTTP library, which keeps the value that a connection began with. Class: a copy of a part of the configuration that no change reaches.

Fix: the connection asks for the limits in force whenever its timer expires. The limit that was in force when it became idle still holds if it was longer, as the caller may know only that one; a raised limit holds at once. A head that has begun may take `header_timeout_ms`. A connection with a request in progress is never closed by the timer.

In test_listeners the limit is passed as the new argument instead of the library's option; its value is the same.

--- a/src/fuchsiabarrow/platform/frontend.py
+++ b/src/fuchsiabarrow/platform/frontend.py
@@ -85,16 +85,24 @@
         """Returns the HTTP server; needs a running event loop."""
         return listeners.Server(
             self.handle,
+            self._get_time_limits,
             handler_cancellation=True,
             auto_decompress=False,
             access_log=None,
-            keepalive_timeout=documents.RequestLimits().idle_timeout_s,
             max_line_size=MAX_PARSED_HEADER_BYTES,
             max_field_size=MAX_PARSED_HEADER_BYTES,
             lingering_time=0.5,
             on_cut=self._record_cut,
         )
 
+    def _get_time_limits(self) -> listeners.TimeLimits:
+        """Returns the limits of the configuration in force."""
+        catalog = self._current_catalog.catalog
+        limits = catalog.limits if catalog else documents.RequestLimits()
+        return listeners.TimeLimits(
+            limits.idle_timeout_s, limits.header_timeout_s
+        )
+
     def stop(self) -> None:
         """Closes kept-alive connections after their next response."""
         self.is_stopping = True
--- a/src/fuchsiabarrow/platform/tests/fake_upstreams.py
+++ b/src/fuchsiabarrow/platform/tests/fake_upstreams.py
@@ -32,9 +32,21 @@
         cancelled: Number of requests whose connection was closed while they
             ran.
         born: Unix time in ms of its start.
+
+    Args:
+        name: Instance id.
+        service: Service that it registers for.
+        kind: Accelerator kind, or None.
+        address: ``ip:port`` to listen on; port 0 picks a free port.
     """
 
-    def __init__(self, name: str, service: str, kind: str | None = None):
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        kind: str | None = None,
+        address: str = "127.0.0.1:0",
+    ):
         self.name = name
         self.service = service
         self.kind = kind
@@ -55,7 +67,7 @@
         app.router.add_get(wire_names.REPORT_PATH, self._report)
         app.router.add_post(wire_names.ORDER_PATH, self._order)
         app.router.add_route("*", "/{path:.*}", self._run)
-        self._listener = listeners.Listener(app, "127.0.0.1:0")
+        self._listener = listeners.Listener(app, address)
 
     @property
     def address(self) -> str:
--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Collection
+import dataclasses
 import enum
 
 from aiohttp import web_protocol
@@ -11,7 +12,14 @@
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.utils import addresses
 
-__all__ = ["CloseCause", "Connection", "Listener", "Server", "ServerListener"]
+__all__ = [
+    "CloseCause",
+    "Connection",
+    "Listener",
+    "Server",
+    "ServerListener",
+    "TimeLimits",
+]
 
 SHUTDOWN_TIMEOUT_S = 2.0
 LISTEN_BACKLOG = 1024
@@ -77,9 +85,25 @@
     SERVER = "server"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimeLimits:
+    """Time limits of a server's connections.
+
+    Attributes:
+        idle_s: Time without a request after which a connection is closed.
+        head_s: Time for the rest of a head after its first part.
+    """
+
+    idle_s: float
+    head_s: float
+
+
 class Connection(web_protocol.RequestHandler):
     """Server connection that records its last data and what ended it.
 
+    It is closed once it has been idle for the limit in force, but not before
+    the limit that was in force when it became idle, which its caller may know.
+
     Attributes:
         last_received_s: Loop time at which data last arrived.
         has_partial_request: Whether the last data was a part of the head of a
@@ -89,6 +113,9 @@
     """
 
     __slots__ = (
+        "_close_s",
+        "_head_began_s",
+        "_idle_since_s",
         "close_cause",
         "close_error",
         "has_partial_request",
@@ -96,9 +123,15 @@
     )
 
     def __init__(self, manager, *, loop: asyncio.AbstractEventLoop, **options):
-        super().__init__(manager, loop=loop, **options)
+        # The library's timer only starts `_process_keepalive`, which sets the
+        # next one: the library keeps the limit that a connection began with.
+        super().__init__(
+            manager, loop=loop, keepalive_timeout=IDLE_AFTER_S, **options
+        )
         self.last_received_s = loop.time()
         self.has_partial_request = False
+        self._head_began_s = 0.0
+        self._become_idle()
         self.close_cause: CloseCause | None = None
         self.close_error = ""
 
@@ -106,9 +139,12 @@
         """Implements `asyncio.Protocol.data_received`."""
         self.last_received_s = self._loop.time()
         super().data_received(data)
+        was_partial = self.has_partial_request
         self.has_partial_request = (
             self._waiter is not None and not self._messages
         )
+        if self.has_partial_request and not was_partial:
+            self._head_began_s = self.last_received_s
 
     def force_close(self) -> None:
         """Closes the connection."""
@@ -143,13 +179,42 @@
             self.close_error = type(exc).__name__
         super().connection_lost(exc)
 
+    def _become_idle(self) -> None:
+        self._idle_since_s = self._loop.time()
+        self._close_s = self._idle_since_s
+        self._update_close_s()
+
+    def _update_close_s(self) -> None:
+        """Applies the limits in force to the time of the close."""
+        if self._manager is None:
+            return  # The connection was lost.
+        limits = self._manager.get_time_limits()
+        self._close_s = max(self._close_s, self._idle_since_s + limits.idle_s)
+        if self.has_partial_request:
+            self._close_s = max(
+                self._close_s, self._head_began_s + limits.head_s
+            )
+
+    async def _handle_request(self, *details):
+        try:
+            return await super()._handle_request(*details)
+        finally:
+            self._become_idle()
+
     def _process_keepalive(self) -> None:
-        was_open = self.close_cause is None
-        if was_open:
-            self.close_cause = CloseCause.IDLE_LIMIT
-        super()._process_keepalive()
-        if was_open and not self._force_close:
-            self.close_cause = None
+        """Closes the connection at its limit, or sets the next timer."""
+        self._keepalive_handle = None
+        if self._force_close or self._request_in_progress:
+            return  # The library sets the timer again after the response.
+        self._update_close_s()
+        now_s = self._loop.time()
+        is_waiting = self._waiter is not None and not self._waiter.done()
+        if is_waiting and now_s >= self._close_s:
+            self.close_as(CloseCause.IDLE_LIMIT)
+            return
+        self._keepalive_handle = self._loop.call_at(
+            max(self._close_s, now_s + IDLE_AFTER_S), self._process_keepalive
+        )
 
 
 class Server(aiohttp.web.Server):
@@ -157,6 +222,7 @@
 
     Args:
         handler: Serves one request.
+        get_time_limits: Returns the limits in force.
         on_cut: Called with each connection that the server closes after only a
             part of a request's head has arrived.
         options: Options of `aiohttp.web.Server`.
@@ -165,10 +231,12 @@
     def __init__(
         self,
         handler: Callable,
+        get_time_limits: Callable[[], TimeLimits],
         on_cut: Callable[[Connection], None] | None = None,
         **options,
     ):
         super().__init__(handler, **options)
+        self.get_time_limits = get_time_limits
         self._on_cut = on_cut
 
     def report_cut(self, connection: Connection) -> None:
--- a/src/fuchsiabarrow/utils/tests/test_listeners.py
+++ b/src/fuchsiabarrow/utils/tests/test_listeners.py
@@ -27,9 +27,9 @@
         causes = []
         server = listeners.Server(
             handle,
+            lambda: listeners.TimeLimits(idle_s=0.3, head_s=0.2),
             on_cut=lambda connection: causes.append(connection.close_cause),
             access_log=None,
-            keepalive_timeout=0.3,
         )
         (port,) = free_ports.find_ports(1)
         async with listeners.ServerListener(server, f"127.0.0.1:{port}"):
@@ -49,7 +49,9 @@
     async def run():
         causes = []
         server = listeners.Server(
-            None, on_cut=lambda c: causes.append(c.close_cause)
+            None,
+            lambda: listeners.TimeLimits(idle_s=15.0, head_s=3.0),
+            on_cut=lambda c: causes.append(c.close_cause),
         )
         (port,) = free_ports.find_ports(1)
         async with listeners.ServerListener(server, f"127.0.0.1:{port}"):
