Shutdown: keep a connection whose request was read but not yet handled

What callers saw: during a shutdown a connection was closed although its request had been read, and was then even passed on: neither an answer nor a refusal.

Cause: `close_idle` knows the connections whose handler runs. Between the bytes of a request and its handler lie two turns of the event loop; a connection was spared for 0.04 s after its last data instead, and an event loop that was held up for longer closed it. The handler still started and was cancelled.

Fix: only a connection whose server task waits for a request is idle.

Evidence: the new test fails without the fix, the connection ends without a byte. Reached by a real stop: not seen, by reading only.

--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -135,6 +135,11 @@
         self.close_cause: CloseCause | None = None
         self.close_error = ""
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether it waits for a request, and has read none without answer."""
+        return self._waiter is not None and not self._waiter.done()
+
     def data_received(self, data: bytes) -> None:
         """Implements `asyncio.Protocol.data_received`."""
         self.last_received_s = self._loop.time()
@@ -208,8 +213,7 @@
             return  # The library sets the timer again after the response.
         self._update_close_s()
         now_s = self._loop.time()
-        is_waiting = self._waiter is not None and not self._waiter.done()
-        if is_waiting and now_s >= self._close_s:
+        if self.is_waiting and now_s >= self._close_s:
             self.close_as(CloseCause.IDLE_LIMIT)
             return
         self._keepalive_handle = self._loop.call_at(
@@ -297,7 +301,7 @@
         now_s = asyncio.get_running_loop().time()
         for connection in self._server.connections:
             is_idle = now_s - connection.last_received_s > IDLE_AFTER_S
-            if connection not in busy and is_idle:
+            if connection not in busy and connection.is_waiting and is_idle:
                 connection.close_as(CloseCause.SHUTDOWN)
 
     async def __aexit__(self, *exc_info) -> None:
--- a/src/fuchsiabarrow/utils/tests/test_listeners.py
+++ b/src/fuchsiabarrow/utils/tests/test_listeners.py
@@ -1,4 +1,5 @@
 import asyncio
+import time
 
 import aiohttp.web
 import pytest
@@ -63,3 +64,32 @@
         return causes
 
     assert asyncio.run(run()) == []
+
+
+# Guards against a shutdown that closes a connection whose request was read, but
+# had not reached its handler, as the event loop was held up.
+def test_connection_with_an_unhandled_request_is_not_closed_as_idle():
+    async def handle(_):
+        return aiohttp.web.Response(text="answer")
+
+    async def run():
+        server = listeners.Server(
+            handle,
+            lambda: listeners.TimeLimits(idle_s=15.0, head_s=3.0),
+            access_log=None,
+        )
+        (port,) = free_ports.find_ports(1)
+        listener = listeners.ServerListener(server, f"127.0.0.1:{port}")
+        async with listener:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            await asyncio.sleep(0.05)
+            (connection,) = server.connections
+            connection.data_received(REQUEST)
+            time.sleep(2 * listeners.IDLE_AFTER_S)
+            listener.close_idle(())
+            async with asyncio.timeout(5.0):
+                answer = await reader.readuntil(b"answer")
+            writer.close()
+        return answer
+
+    assert asyncio.run(run()).startswith(b"HTTP/1.1 200")
