Shutdown: answer pipelined requests that were read

What callers saw: of several requests sent at once on a connection, only the first was answered during a shutdown; the others had been read and ended with neither an answer nor a refusal, without a line in the log.

Cause: each answer of a stopping entry said `Connection: close`, and the HTTP library drops what it has read behind it.

Fix: the answer to the last request that was read says it.

Evidence: the new test on virtual time gets one answer of three without the fix (200, and two ends of the connection without a byte).

--- a/src/fuchsiabarrow/platform/frontend.py
+++ b/src/fuchsiabarrow/platform/frontend.py
@@ -116,7 +116,9 @@
         writer = response_writers.HttpResponseWriter(
             http_request,
             request_id,
-            lambda: self.is_stopping,
+            lambda: (
+                self.is_stopping and not http_request.protocol.has_next_request
+            ),
             self._forwarding.metrics,
         )
         arrived_s = asyncio.get_running_loop().time()
--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -140,6 +140,11 @@
         """Whether it waits for a request, and has read none without answer."""
         return self._waiter is not None and not self._waiter.done()
 
+    @property
+    def has_next_request(self) -> bool:
+        """Whether a request was read that follows the one being served."""
+        return bool(self._messages)
+
     def data_received(self, data: bytes) -> None:
         """Implements `asyncio.Protocol.data_received`."""
         self.last_received_s = self._loop.time()
