Upstream list: ignore objects with an address nobody can connect to

What callers saw: 500 and a closed connection for each request that was to be sent to such an upstream (3 of 6 in the test), as a probe of it never fails.

Cause: the decoder checked only that the address has a host and digits behind a colon; the connection pool needs an IP address and a port up to 65535, and its ValueError was handled by nothing. Class: data that is checked less strictly where it is read than where it is used.

Fix: one check for both, `addresses.parse_address`.

Evidence: the three cases of the new test fail without the fix (500, then the end of the connection). Not specific to changes of the configuration.

--- a/src/fuchsiabarrow/platform/tests/test_connection_ends.py
+++ b/src/fuchsiabarrow/platform/tests/test_connection_ends.py
@@ -1,5 +1,9 @@
 """Each request that was read has one final answer, and nothing follows it."""
 
+import asyncio
+
+import pytest
+
 from fuchsiabarrow.platform import wire_names
 from fuchsiabarrow.platform.tests import caller_connections
 from fuchsiabarrow.platform.tests import sample_objects
@@ -13,7 +17,9 @@
         service="desk",
         timeout_ms=2000,
     ),
+    "draft": sample_objects.make_route(name="draft", path_prefix="/draft/"),
 }
+GENERATION = caller_connections.GENERATION
 
 
 def run(test):
@@ -44,3 +50,29 @@
         None,
         "close",
     ]
+
+
+def call_beside(name, entry, path="/draft/x", **headers):
+    """Sends requests while the list of upstreams has another object."""
+
+    async def test(deployment):
+        await deployment.store.put("servers", name, entry(deployment))
+        await asyncio.sleep(caller_connections.ADOPTION_S)
+        caller = await deployment.connect()
+        return [
+            (await caller.exchange(path, "POST", b"p", **headers)).status
+            for _ in range(6)
+        ]
+
+    return run(test)
+
+
+# Guards against requests that an address nobody can connect to ends with 500.
+@pytest.mark.parametrize("address", ["10.2.9.9:99999", "host:80", "10.2.9:80"])
+def test_upstream_with_an_unusable_address_is_ignored(address):
+    def make(_):
+        return sample_objects.make_server(
+            service="desk", address=address, kind=None, layers=None
+        )
+
+    assert call_beside("other", make, "/read/x") == [200] * 6
--- a/src/fuchsiabarrow/platform/wire.py
+++ b/src/fuchsiabarrow/platform/wire.py
@@ -9,6 +9,7 @@
 from fuchsiabarrow.catalogs import engines
 from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.ports import objects
+from fuchsiabarrow.utils import addresses
 
 __all__ = [
     "Event",
@@ -139,12 +140,16 @@
         raise exceptions.InvalidObjectError(
             f"servers/{name}: {error}"
         ) from error
-    host, _, port = server.address.rpartition(":")
-    if server.state not in STATES or not host or not port.isdecimal():
+    if server.state not in STATES:
         raise exceptions.InvalidObjectError(
-            f"servers/{name}: invalid state {server.state!r} or address"
-            f" {server.address!r}"
+            f"servers/{name}: invalid state {server.state!r}"
         )
+    try:
+        addresses.parse_address(server.address)
+    except ValueError as error:
+        raise exceptions.InvalidObjectError(
+            f"servers/{name}: invalid address ({error})"
+        ) from error
     layers = None
     if server.layers is not None and server.layers.to > server.layers.start_key:
         layers = upstreams.LayerRange(server.layers.start_key, server.layers.to)
