Paths: leave out instances whose layers fill their memory

What callers saw: 500 for every request to a language model while one usable instance had no memory beside its layers, as registered, or after a change of `layer_mb` or of a kind's memory in the configuration.

Cause: the factor for scarce memory divided zero by zero (ZeroDivisionError, handled by nothing).

Fix: such an instance has no free context, so that no path uses it; its cost does not matter.

--- a/src/fuchsiabarrow/fleet/paths.py
+++ b/src/fuchsiabarrow/fleet/paths.py
@@ -135,7 +135,8 @@
     # The time of a step hardly grows with the load. Without this factor the
     # fastest instances would be filled to the limit of their memory, and load
     # that is not reported yet would exceed it.
-    total_ms *= usable / max(free, usable * MIN_FREE_FRACTION)
+    if usable:
+        total_ms *= usable / max(free, usable * MIN_FREE_FRACTION)
     return Candidate(
         upstream,
         total_ms / model.layers,
--- a/src/fuchsiabarrow/platform/tests/test_connection_ends.py
+++ b/src/fuchsiabarrow/platform/tests/test_connection_ends.py
@@ -76,3 +76,16 @@
         )
 
     assert call_beside("other", make, "/read/x") == [200] * 6
+
+
+# Guards against requests that end with 500 while layers, as registered or after
+# a change of the configuration, fill the memory of some instance.
+def test_instance_without_memory_for_requests_is_not_used():
+    def make(_):
+        return sample_objects.make_server(
+            address="10.2.9.9:80",
+            kind="a100",
+            layers={"start_key": 0, "to": 80, "version": 1},
+        )
+
+    assert call_beside("other", make, **GENERATION) == [200] * 6
