Paths: refuse requests beside instances with unknown layers

What callers saw: 500 in place of 503 for requests without a path while some instance held layers that the model of the configuration does not have, as registered or after a version with fewer layers.

Cause: the detail of the refusal counts the holders of each layer in a list with one place for each layer of the model (IndexError, handled by nothing).

Fix: only layers of the model are counted.

Evidence: the new test gets 500 without the fix, 503 with it.

--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -241,8 +241,9 @@
             if upstream.layers is not None
         ]
         for upstream in usable:
-            for layer in range(upstream.layers.first, upstream.layers.end):
-                holder_counts[layer] += 1
+            # An instance may hold layers that the model does not have.
+            for layer in range(len(holder_counts)):
+                holder_counts[layer] += upstream.layers.covers(layer, layer + 1)
         full = sum(directory.is_full(upstream) for upstream in usable)
         limits = self._forwarding.upstream_limits
         limited = sum(not limits.has_permit(u.key) for u in usable)
--- a/src/fuchsiabarrow/platform/tests/test_connection_ends.py
+++ b/src/fuchsiabarrow/platform/tests/test_connection_ends.py
@@ -89,3 +89,14 @@
         )
 
     assert call_beside("other", make, **GENERATION) == [200] * 6
+
+
+# Guards against a 500 in place of a refusal while an instance holds layers that
+# the model of the configuration does not have.
+def test_request_without_a_path_is_refused_beside_unknown_layers():
+    def make(deployment):
+        left = deployment.upstreams["left"]
+        left.layers = (70, 90)
+        return left.make_entry()
+
+    assert call_beside("left", make, **GENERATION) == [503] * 6
