Requests: reject token counts that are too long

What callers saw: 500 for a token count of more than 308 digits, as it fits into no floating-point number, or of more than 4300, which Python does not convert.

Fix: the limit on digits that holds for `Deadline-Ms`.

Evidence: the new test fails without the fix: 500 for 400 and 5000 digits, 503 for 13 digits.

--- a/src/fuchsiabarrow/platform/requests.py
+++ b/src/fuchsiabarrow/platform/requests.py
@@ -23,6 +23,8 @@
 HTTP_HEADERS_TOO_LARGE = 431
 MS_PER_S = 1000.0
 MAX_SHARED_PARTS = 16
+# Longest number in a header.
+MAX_DIGITS = 12
 
 
 class BadRequestError(exceptions.FuchsiabarrowError):
@@ -147,19 +149,23 @@
 
 def _parse_number(headers, name: str) -> float:
     text = headers[name].strip()
-    if not text.isdecimal() or len(text) > 12:
+    if not _is_number(text):
         raise BadRequestError(
             HTTP_BAD_REQUEST, f"header {name} must be a non-negative integer"
         )
     return float(text)
 
 
+def _is_number(text: str) -> bool:
+    return text.isdecimal() and len(text) <= MAX_DIGITS
+
+
 def _parse_generation(headers) -> messages.GenerationParameters | None:
     if wire_names.TOKEN_COUNTS not in headers:
         return None
     prompt, _, answer = headers[wire_names.TOKEN_COUNTS].partition(",")
     prompt, answer = prompt.strip(), answer.strip()
-    if not (prompt.isdecimal() and answer.isdecimal()):
+    if not (_is_number(prompt) and _is_number(answer)):
         raise BadRequestError(
             HTTP_BAD_REQUEST,
             f"header {wire_names.TOKEN_COUNTS} must have the form"
@@ -169,7 +175,7 @@
     return messages.GenerationParameters(
         int(prompt),
         int(answer),
-        int(hint) if hint.isdecimal() else None,
+        int(hint) if _is_number(hint) else None,
         _parse_shared_parts(headers.get(wire_names.PROMPT_PARTS, "")),
     )
 
--- a/src/fuchsiabarrow/platform/tests/test_connection_ends.py
+++ b/src/fuchsiabarrow/platform/tests/test_connection_ends.py
@@ -100,3 +100,13 @@
         return left.make_entry()
 
     assert call_beside("left", make, **GENERATION) == [503] * 6
+
+
+# Guards against a 500 for numbers that no floating-point number can hold.
+@pytest.mark.parametrize("digits", [13, 400, 5000])
+def test_token_counts_that_are_too_long_are_rejected(digits):
+    def make(deployment):
+        return deployment.upstreams["left"].make_entry()
+
+    headers = {wire_names.TOKEN_COUNTS: "9" * digits + ",1"}
+    assert call_beside("left", make, **headers) == [400] * 6
