--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -60,9 +60,10 @@
         return self
 
     def __exit__(self, *details) -> None:
-        self._release()
+        self.release()
 
-    def _release(self) -> None:
+    def release(self) -> None:
+        """Releases the capacity that is reserved on the current path."""
         if self._reservation is not None:
             self._reservation.__exit__()
             self._reservation = None
@@ -166,7 +167,7 @@
             segments: The path.
             reservation: Its capacity, as returned by `hold`.
         """
-        self._release()
+        self.release()
         self.segments = segments
         self._reservation = reservation
 
@@ -264,8 +265,9 @@
             if upstream.layers is not None
         ]
         for upstream in usable:
-            for layer in range(upstream.layers.first, upstream.layers.end):
-                holder_counts[layer] += 1
+            # An instance may hold layers that the model does not have.
+            for layer in range(len(holder_counts)):
+                holder_counts[layer] += upstream.layers.covers(layer, layer + 1)
         full = sum(directory.is_full(upstream) for upstream in usable)
         limits = self._forwarding.upstream_limits
         limited = sum(not limits.has_permit(u.key) for u in usable)
--- a/src/fuchsiabarrow/utils/tests/test_listeners.py
+++ b/src/fuchsiabarrow/utils/tests/test_listeners.py
@@ -1,4 +1,5 @@
 import asyncio
+import time
 
 import aiohttp.web
 import pytest
@@ -27,9 +28,9 @@
         causes = []
         server = listeners.Server(
             handle,
+            lambda: listeners.TimeLimits(idle_s=0.3, head_s=0.2),
             on_cut=lambda connection: causes.append(connection.close_cause),
             access_log=None,
-            keepalive_timeout=0.3,
         )
         (port,) = free_ports.find_ports(1)
         async with listeners.ServerListener(server, f"127.0.0.1:{port}"):
@@ -49,7 +50,9 @@
     async def run():
         causes = []
         server = listeners.Server(
-            None, on_cut=lambda c: causes.append(c.close_cause)
+            None,
+            lambda: listeners.TimeLimits(idle_s=15.0, head_s=3.0),
+            on_cut=lambda c: causes.append(c.close_cause),
         )
         (port,) = free_ports.find_ports(1)
         async with listeners.ServerListener(server, f"127.0.0.1:{port}"):
@@ -80,7 +83,11 @@
         app.router.add_get("/", handle)
         loop = asyncio.get_running_loop()
         (port,) = free_ports.find_ports(1)
-        server = listeners.Server(handle, handler_cancellation=True)
+        server = listeners.Server(
+            handle,
+            lambda: listeners.TimeLimits(idle_s=15.0, head_s=3.0),
+            handler_cancellation=True,
+        )
         other = listeners.Listener(app, "127.0.0.1:0", 0.01)
         async with (
             listeners.ServerListener(server, f"127.0.0.1:{port}"),
@@ -104,3 +111,32 @@
     took_s, causes = asyncio.run(run())
     assert took_s < 0.5
     assert causes.count(listeners.CloseCause.SHUTDOWN_LIMIT) == 3
+
+
+# Guards against a shutdown that closes a connection whose request was read, but
+# had not reached its handler, as the event loop was held up.
+def test_connection_with_an_unhandled_request_is_not_closed_as_idle():
+    async def handle(_):
+        return aiohttp.web.Response(text="answer")
+
+    async def run():
+        server = listeners.Server(
+            handle,
+            lambda: listeners.TimeLimits(idle_s=15.0, head_s=3.0),
+            access_log=None,
+        )
+        (port,) = free_ports.find_ports(1)
+        listener = listeners.ServerListener(server, f"127.0.0.1:{port}")
+        async with listener:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            await asyncio.sleep(0.05)
+            (connection,) = server.connections
+            connection.data_received(REQUEST)
+            time.sleep(2 * listeners.IDLE_AFTER_S)
+            listener.close_idle(())
+            async with asyncio.timeout(5.0):
+                answer = await reader.readuntil(b"answer")
+            writer.close()
+        return answer
+
+    assert asyncio.run(run()).startswith(b"HTTP/1.1 200")
