--- a/src/fuchsiabarrow/platform/tests/soak/invariants.py
+++ b/src/fuchsiabarrow/platform/tests/soak/invariants.py
@@ -5,6 +5,8 @@
 import contextlib
 import dataclasses
 
+from fuchsiabarrow.platform.tests.soak import callers
+
 __all__ = ["Attempt", "Cut", "History"]
 
 # How long after the store accepted the change a revoked key may still be used
@@ -23,6 +25,9 @@
 MIN_CUT_RATIO = 2 / 3
 # Fewer requests are not compared.
 MIN_COMPARED_REQUESTS = 20
+# Put before the body of a large answer: more than the system keeps in sockets
+# for a caller that does not read.
+PADDING = b"x" * 6_000_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +44,11 @@
         is_complete: Whether the response was received to its end.
         body: Body of the response.
         ended_s: Loop time at which it ended, complete or not.
+        ending: How it ended, None while it is running.
+        is_large: Whether the answer is a large one.
+        pause_s: Time for which the caller did not read.
+        turn_s: Loop time at which the requests before it on its connection had
+            ended for the caller.
     """
 
     request_id: str
@@ -50,6 +60,18 @@
     is_complete: bool = False
     body: bytes = b""
     ended_s: float = 0.0
+    ending: callers.Ending | None = None
+    is_large: bool = False
+    pause_s: float = 0.0
+    turn_s: float = 0.0
+
+    def end(self, answer: callers.Answer) -> None:
+        """Records how it ended for the caller."""
+        self.ending = answer.ending
+        self.status = answer.status
+        self.is_complete = answer.ending is callers.Ending.ANSWERED
+        self.body = answer.body
+        self.ended_s = answer.at_s
 
 
 @dataclasses.dataclass(slots=True)
@@ -261,10 +283,14 @@
             )
         elif attempt.kind == "draft":
             self._check_stream(attempt)
-        elif not attempt.body.endswith(f":b'{attempt.request_id}'".encode()):
+        elif attempt.body not in [
+            PADDING * attempt.is_large
+            + f"{upstream}:b'{attempt.request_id}'".encode()
+            for _, upstream in runs
+        ]:
             self.violations.append(
                 f"{attempt.request_id} got the response of another request:"
-                f" {attempt.body!r}"
+                f" {len(attempt.body)} bytes, {attempt.body[:100]!r}"
             )
 
     def _check_stream(self, attempt: Attempt) -> None:
--- a/src/fuchsiabarrow/platform/tests/soak/scenario.py
+++ b/src/fuchsiabarrow/platform/tests/soak/scenario.py
@@ -1,6 +1,7 @@
 """Load and overlapping faults, drawn at random from a seed."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Collection
 import contextlib
@@ -17,6 +18,7 @@
 from fuchsiabarrow.platform.tests import fake_upstreams
 from fuchsiabarrow.platform.tests import processes
 from fuchsiabarrow.platform.tests import sample_objects
+from fuchsiabarrow.platform.tests.soak import callers
 from fuchsiabarrow.platform.tests.soak import invariants
 from fuchsiabarrow.platform.tests.soak import proxies
 from fuchsiabarrow.platform.tests.soak import redirected_entry
@@ -33,6 +35,15 @@
 SOURCE_HOSTS = "127.3.0"
 CALLERS = 8
 REQUEST_TIMEOUT_S = 5.0
+# A caller closes its connection if nothing ends the request.
+GIVE_UP_S = REQUEST_TIMEOUT_S + 1.0
+# Shares of requests whose answer is large, that are followed at once by another
+# one on the connection, and whose caller pauses before it reads.
+LARGE_SHARE = 0.02
+PIPELINED_SHARE = 0.1
+SLOW_SHARE = 0.1
+PAUSE_RANGE_S = (0.1, 2.0)
+LARGE_PATH = "read/large"
 EVENTS = 12
 KINDS = ("read", "book", "draft")
 # Upstream of a service to which only routes are moved; it has no faults.
@@ -89,14 +100,17 @@
         self._history = history
         self.delay_s = 0.01
 
-    async def _run(self, request):
+    async def _run(self, request: aiohttp.web.Request):
         if request.headers.get(wire_names.EXPECT_INSTANCE) == self.name:
             now_s = asyncio.get_running_loop().time()
             request_id = request.headers[wire_names.ATTEMPT_ID]
             self._history.record_run(
                 request_id, self.name, now_s, request.remote
             )
-        return await super()._run(request)
+        response = await super()._run(request)
+        if request.path == f"/{LARGE_PATH}":
+            response.body = invariants.PADDING + response.body
+        return response
 
     async def _stream(self, request, headers):
         headers["Content-Type"] = "text/event-stream"
@@ -159,6 +173,7 @@
         self._annex: SoakUpstream | None = None
         # Its draws leave the faults of a seed as they are.
         self._route_source = random.Random(seed)
+        self._caller_source = random.Random(seed)
         self._routes = {path: "desk" for path in CHANGING_PATHS}
         self.max_loop_delay_s = 0.0
         self.versions = versions.Versions(
@@ -278,7 +293,7 @@
             await self._write_configuration()
 
     async def _send_to_changing_routes(self) -> None:
-        async with aiohttp.ClientSession() as session:
+        async with self._keep_connections() as connections:
             while True:
                 await asyncio.sleep(
                     self._route_source.uniform(*VERSION_CALL_PAUSE_S)
@@ -286,7 +301,7 @@
                 entry = self._route_source.choice(self._entries)
                 path = self._route_source.choice(CHANGING_PATHS)
                 attempt = await self._call(
-                    session, entry, path.strip("/"), "key-1"
+                    connections, entry, path.strip("/"), "key-1"
                 )
                 if attempt.status == 200 and attempt.is_complete:
                     name = attempt.body.partition(b":")[0].decode()
@@ -310,68 +325,123 @@
     async def run(self, duration_s: float) -> list[str]:
         """Applies load and faults; returns the violated invariants."""
         async with asyncio.TaskGroup() as group:
-            callers = [
+            tasks = [
                 group.create_task(self._send_requests()) for _ in range(CALLERS)
             ]
-            callers += [
+            tasks += [
                 group.create_task(self._send_to_changing_routes())
                 for _ in range(VERSION_CALLERS)
             ]
-            callers.append(group.create_task(self._watch_loop()))
-            callers.append(group.create_task(self._change_routes()))
+            tasks.append(group.create_task(self._watch_loop()))
+            tasks.append(group.create_task(self._change_routes()))
             await self._draw_faults(duration_s)
-            await self._check_recovery()
-            for caller in callers:
-                caller.cancel()
+            async with self._keep_connections() as connections:
+                await self._check_recovery(connections)
+            for task in tasks:
+                task.cancel()
         self._check_stops()
         self.history.check_cuts()
         return self.history.violations
 
+    def _keep_connections(self) -> callers.Connections:
+        return callers.Connections(self.history.violations.append)
+
     async def _send_requests(self) -> None:
-        # Connections are kept alive until the entry closes them or exits.
-        async with aiohttp.ClientSession() as session:
+        async with self._keep_connections() as connections:
             while True:
                 await asyncio.sleep(self._source.uniform(0.0, 0.1))
                 entry = self._source.choice(self._entries)
-                kind = self._source.choice(KINDS)
+                path = f"{self._source.choice(KINDS)}/x"
                 key = self._source.choice(["key-1", *self._keys])
-                await self._call(session, entry, kind, key)
+                draw = self._caller_source.random
+                if draw() < LARGE_SHARE:
+                    path = LARGE_PATH
+                paths = [path]
+                if draw() < PIPELINED_SHARE:
+                    paths.append("read/x")
+                pause_s = 0.0
+                if draw() < SLOW_SHARE or path == LARGE_PATH and draw() < 0.5:
+                    pause_s = self._caller_source.uniform(*PAUSE_RANGE_S)
+                await self._send(connections, entry, paths, key, pause_s)
 
     async def _call(
         self,
-        session: aiohttp.ClientSession,
+        connections: callers.Connections,
         entry: processes.EntryProcess,
         kind: str,
         key: str,
     ) -> invariants.Attempt:
-        self._count += 1
-        request_id = f"r{self._count}"
-        attempt = invariants.Attempt(
-            request_id, kind, key, entry.name, self._read_time_s()
-        )
-        self.history.attempts[request_id] = attempt
-        headers = {
-            "Host": entry_harness.HOST,
-            wire_names.ATTEMPT_ID: request_id,
-            wire_names.AUTHORIZATION: f"Token {key}",
-            wire_names.DEADLINE_MS: str(int(REQUEST_TIMEOUT_S * 1000)),
-            wire_names.TOKEN_COUNTS: "800,60",
-        }
+        """Sends one request and returns it when it has ended."""
+        return (await self._send(connections, entry, [f"{kind}/x"], key))[0]
+
+    async def _send(
+        self,
+        connections: callers.Connections,
+        entry: processes.EntryProcess,
+        paths: list[str],
+        key: str,
+        pause_s: float = 0.0,
+    ) -> list[invariants.Attempt]:
+        """Sends requests at once on a connection; returns the ended ones."""
+        attempts, requests = [], []
+        for path in paths:
+            self._count += 1
+            request_id = f"r{self._count}"
+            headers = {
+                "Host": entry_harness.HOST,
+                wire_names.ATTEMPT_ID: request_id,
+                wire_names.AUTHORIZATION: f"Token {key}",
+                wire_names.DEADLINE_MS: str(int(REQUEST_TIMEOUT_S * 1000)),
+                wire_names.TOKEN_COUNTS: "800,60",
+            }
+            request = callers.make_request(
+                f"/{path}", headers, request_id.encode()
+            )
+            requests.append((request_id, request))
+            attempt = invariants.Attempt(
+                request_id,
+                path.partition("/")[0],
+                key,
+                entry.name,
+                self._read_time_s(),
+                is_large=path == LARGE_PATH,
+                pause_s=pause_s,
+            )
+            self.history.attempts[request_id] = attempt
+            attempts.append(attempt)
+        answers = self._exchange(connections, entry, requests, pause_s)
+        turn_s = attempts[0].sent_s
+        async with contextlib.aclosing(answers):
+            for attempt in attempts:
+                attempt.turn_s = turn_s
+                attempt.end(await anext(answers))
+                turn_s = attempt.ended_s
+                self.history.check_answer(attempt)
+        return attempts
+
+    async def _exchange(
+        self,
+        connections: callers.Connections,
+        entry: processes.EntryProcess,
+        requests: list[tuple[str, bytes]],
+        pause_s: float,
+    ) -> AsyncIterator[callers.Answer]:
+        """Yields how each request ended."""
         try:
-            async with session.post(
-                f"http://{entry.host}:{entry.front}/{kind}/x",
-                headers=headers,
-                data=request_id,
-                timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S),
-            ) as response:
-                attempt.status = response.status
-                attempt.body = await response.read()
-                attempt.is_complete = True
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            pass
-        attempt.ended_s = self._read_time_s()
-        self.history.check_answer(attempt)
-        return attempt
+            connection = await connections.open(
+                entry.name, f"{entry.host}:{entry.front}"
+            )
+        except OSError:
+            for _ in requests:
+                yield callers.Answer(
+                    callers.Ending.NO_CONNECTION, at_s=self._read_time_s()
+                )
+            return
+        for future in await connection.fetch(requests, pause_s):
+            await asyncio.wait([future], timeout=GIVE_UP_S)
+            if not future.done():
+                connection.close()
+            yield future.result()
 
     # Fault injection.
 
@@ -616,7 +686,7 @@
 
     # Final checks.
 
-    async def _check_recovery(self) -> None:
+    async def _check_recovery(self, connections: callers.Connections) -> None:
         """Checks that all entries serve with the last configuration again."""
         for entry in self._entries:
             await entry.wait_ready(self._session)
@@ -630,7 +700,7 @@
         while wanted and self._read_time_s() - began_s < RECOVERY_TIMEOUT_S:
             left = []
             for entry, kind, key in wanted:
-                attempt = await self._call(self._session, entry, kind, key)
+                attempt = await self._call(connections, entry, kind, key)
                 if attempt.status != 200 or not attempt.is_complete:
                     left.append((entry, kind, key))
             wanted = left
@@ -641,14 +711,12 @@
             )
         for entry in self._entries:
             for key in self.history.revoked_s:
-                attempt = await self._call(self._session, entry, "read", key)
+                attempt = await self._call(connections, entry, "read", key)
                 until_s = self._read_time_s() + RECOVERY_TIMEOUT_S
                 # Refused as not run: the configuration was not confirmed in
                 # time, as the store in this process was held up.
                 while attempt.status == 503 and self._read_time_s() < until_s:
-                    attempt = await self._call(
-                        self._session, entry, "read", key
-                    )
+                    attempt = await self._call(connections, entry, "read", key)
                 if attempt.status != 401:
                     self.history.violations.append(
                         f"{entry.name} answered {attempt.status} to revoked key"
--- a/src/fuchsiabarrow/platform/tests/soak/test_soak.py
+++ b/src/fuchsiabarrow/platform/tests/soak/test_soak.py
@@ -129,11 +129,24 @@
     assert history.violations
 
 
-def test_response_of_another_request_is_detected():
+# Guards against a large answer that is torn or has the end of another one.
+@pytest.mark.parametrize(
+    ("body", "is_large", "is_violation"),
+    [
+        (b"desk:b'r1'", False, False),
+        (b"desk:b'r2'", False, True),
+        (b"other:b'r1'", False, True),
+        (b"xdesk:b'r1'", False, True),
+        (invariants.PADDING + b"desk:b'r1'", True, False),
+        (invariants.PADDING[1:] + b"desk:b'r1'", True, True),
+    ],
+)
+def test_response_of_another_request_is_detected(body, is_large, is_violation):
     history = make_history("read")
+    history.attempts["r1"].is_large = is_large
     history.record_run("r1", "desk", 100.1)
-    answer(history, body=b"desk:b'r2'")
-    assert history.violations
+    answer(history, body=body)
+    assert bool(history.violations) is is_violation
 
 
 @pytest.mark.parametrize(
