Soak: time limits of routes change, and bound the time of answers (LOST)

Routes changed only their service. Their time limits now change too, up and down, beside requests whose work takes longer than some of them. A request may not end by its time limit before the least limit that may be in force, nor be answered later than 1 s after the greatest.

That the check detects both is shown by a test.

--- a/src/fuchsiabarrow/platform/tests/soak/__main__.py
+++ b/src/fuchsiabarrow/platform/tests/soak/__main__.py
@@ -62,6 +62,7 @@
                 f" {_describe(other_counts)} at others,"
                 f" {soak.history.helped_count} runs through other entries,"
                 f" {soak.versions.count} requests checked for their version,"
+                f" {soak.versions.timeout_count} ended by a time limit,"
                 f" held up for up to {soak.max_loop_delay_s:.2f} s,"
                 f" {time.monotonic() - began_s:.0f} s",
                 flush=True,
--- a/src/fuchsiabarrow/platform/tests/soak/invariants.py
+++ b/src/fuchsiabarrow/platform/tests/soak/invariants.py
@@ -28,6 +28,11 @@
 # Put before the body of a large answer: more than the system keeps in sockets
 # for a caller that does not read.
 PADDING = b"x" * 6_000_000
+# What happens to the process of an entry, or of the soak.
+KILLED = "killed"
+PAUSED = "paused"
+STOPPED = "stopped"
+SOAK_HELD_UP = "soak_held_up"
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,11 +87,21 @@
         entries: Names of the entries.
         began_s: Loop time at which it began.
         ended_s: Loop time at which it ended, infinite until then.
+        cause: What happens to the entries.
     """
 
     entries: frozenset[str]
     began_s: float
     ended_s: float = float("inf")
+    cause: str = ""
+
+    def concerns(self, entry: str, begin_s: float, end_s: float) -> bool:
+        """Returns whether an entry is concerned in a time span."""
+        return (
+            entry in self.entries
+            and self.began_s < end_s
+            and begin_s < self.ended_s
+        )
 
 
 class History:
@@ -131,9 +146,11 @@
         cut.ended_s = read_time_s()
 
     @contextlib.contextmanager
-    def record_disturbance(self, name: str, read_time_s: Callable):
+    def record_disturbance(
+        self, name: str, read_time_s: Callable, cause: str = ""
+    ):
         """Records that the process of an entry is disturbed."""
-        disturbance = Cut(frozenset([name]), read_time_s())
+        disturbance = Cut(frozenset([name]), read_time_s(), cause=cause)
         self.disturbances.append(disturbance)
         yield
         disturbance.ended_s = read_time_s()
@@ -151,10 +168,16 @@
     def was_disturbed(self, entry: str, begin_s: float, end_s: float) -> bool:
         """Returns whether an entry, or its way to the store, had a fault."""
         return any(
-            entry in fault.entries
-            and fault.began_s < end_s
-            and begin_s < fault.ended_s
+            fault.concerns(entry, begin_s, end_s)
+            for fault in [*self.disturbances, *self.store_faults]
+        )
+
+    def was_held_up(self, entry: str, begin_s: float, end_s: float) -> bool:
+        """Returns whether the process of an entry or the soak was held up."""
+        return any(
+            fault.concerns(entry, begin_s, end_s)
             for fault in [*self.disturbances, *self.store_faults]
+            if fault.cause in (PAUSED, KILLED, SOAK_HELD_UP)
         )
 
     def record_run(
@@ -232,9 +255,7 @@
             }
             cut_names = {name for cut in cuts for name in cut.entries}
             is_disturbed = any(
-                attempt.entry in one.entries
-                and one.began_s < ended_s
-                and one.ended_s > began_s
+                one.concerns(attempt.entry, began_s, ended_s)
                 for one in self.disturbances
             )
             if (
--- a/src/fuchsiabarrow/platform/tests/soak/scenario.py
+++ b/src/fuchsiabarrow/platform/tests/soak/scenario.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 import contextlib
+import dataclasses
 import functools
 import pathlib
 import random
@@ -53,6 +54,12 @@
 # two such changes.
 CHANGING_PATHS = ("/moved/", "/added/")
 ROUTE_CHANGE_INTERVAL_S = (0.2, 1.5)
+# Time limits between which such routes change, shorter and longer than the work
+# for a part of their requests.
+ROUTE_LIMITS_S = (0.3, 0.6, 2.0)
+SLOW_PATH = "slow"
+SLOW_WORK_S = 0.8
+SLOW_WORK_SHARE = 0.2
 # Service, accelerator kind and layers by name.
 UPSTREAMS = {
     "desk-1": ("desk", None, None),
@@ -107,6 +114,8 @@
             self._history.record_run(
                 request_id, self.name, now_s, request.remote
             )
+            if request.path.endswith(f"/{SLOW_PATH}"):
+                await asyncio.sleep(SLOW_WORK_S)
         response = await super()._run(request)
         if request.path == f"/{LARGE_PATH}":
             response.body = invariants.PADDING + response.body
@@ -174,10 +183,14 @@
         # Its draws leave the faults of a seed as they are.
         self._route_source = random.Random(seed)
         self._caller_source = random.Random(seed)
-        self._routes = {path: "desk" for path in CHANGING_PATHS}
+        self._routes = {
+            path: versions.Route("desk", 0.6) for path in CHANGING_PATHS
+        }
         self.max_loop_delay_s = 0.0
         self.versions = versions.Versions(
-            self.history.violations.append, self.history.was_disturbed
+            self.history.violations.append,
+            self.history.was_disturbed,
+            self.history.was_held_up,
         )
         self._store_proxies: list[proxies.Proxy] = []
         self._store = fake_stores.FakeStore()
@@ -249,11 +262,11 @@
                 name=f"route{path}",
                 path_prefix=path,
                 kind="idempotent",
-                service=service,
-                timeout_ms=600,
+                service=route.service,
+                timeout_ms=int(route.limit_s * 1000),
                 resumable=False,
             )
-            for path, service in self._routes.items()
+            for path, route in self._routes.items()
         ]
         config = sample_objects.make_config(
             self._version,
@@ -275,21 +288,36 @@
             if delay_s > MAX_LOOP_DELAY_S:
                 names = frozenset(entry.name for entry in self._entries)
                 self.history.store_faults.append(
-                    invariants.Cut(names, due_s, due_s + delay_s)
+                    invariants.Cut(
+                        names,
+                        due_s,
+                        due_s + delay_s,
+                        invariants.SOAK_HELD_UP,
+                    )
                 )
 
     async def _change_routes(self) -> None:
-        """Adds, moves and drops routes, again and again."""
+        """Adds, moves and drops routes, and changes their time limits."""
         while True:
             await asyncio.sleep(
                 self._route_source.uniform(*ROUTE_CHANGE_INTERVAL_S)
             )
             path = self._route_source.choice(CHANGING_PATHS)
-            service = self._routes.get(path)
-            if path == "/added/" and service is not None:
-                del self._routes[path]
+            route = self._routes.get(path)
+            if route is None:
+                route = versions.Route(SERVICES[0], ROUTE_LIMITS_S[1])
+            elif self._route_source.random() < 0.5:
+                limits_s = set(ROUTE_LIMITS_S) - {route.limit_s}
+                limit_s = self._route_source.choice(sorted(limits_s))
+                route = dataclasses.replace(route, limit_s=limit_s)
+            elif path == "/added/":
+                route = None
             else:
-                self._routes[path] = SERVICES[service == SERVICES[0]]
+                service = SERVICES[route.service == SERVICES[0]]
+                route = dataclasses.replace(route, service=service)
+            self._routes[path] = route
+            if route is None:
+                del self._routes[path]
             await self._write_configuration()
 
     async def _send_to_changing_routes(self) -> None:
@@ -300,22 +328,26 @@
                 )
                 entry = self._route_source.choice(self._entries)
                 path = self._route_source.choice(CHANGING_PATHS)
-                attempt = await self._call(
-                    connections, entry, path.strip("/"), "key-1"
+                is_slow = self._route_source.random() < SLOW_WORK_SHARE
+                name = SLOW_PATH if is_slow else "x"
+                [attempt] = await self._send(
+                    connections, entry, [f"{path.strip('/')}/{name}"], "key-1"
                 )
-                if attempt.status == 200 and attempt.is_complete:
+                if not attempt.is_complete:
+                    continue
+                service = None
+                if attempt.status == 200:
                     name = attempt.body.partition(b":")[0].decode()
                     service = UPSTREAMS[name][0]
                 elif attempt.status == 404:
                     service = ""
-                else:
-                    continue
                 self.versions.check(
                     versions.Outcome(
                         entry.name,
                         path,
                         attempt.sent_s,
                         attempt.ended_s,
+                        attempt.status,
                         service,
                     )
                 )
@@ -517,17 +549,19 @@
         return self._reserve(self._upstreams)
 
     @contextlib.contextmanager
-    def _disturb_entry(self):
+    def _disturb_entry(self, cause: str):
         """Draws an entry like `_reserve` and records that it is disturbed."""
         with self._reserve(self._entries) as entry:
             if entry is None:
                 yield None
                 return
-            with self.history.record_disturbance(entry.name, self._read_time_s):
+            with self.history.record_disturbance(
+                entry.name, self._read_time_s, cause
+            ):
                 yield entry
 
     async def _kill_entry(self) -> None:
-        with self._disturb_entry() as entry:
+        with self._disturb_entry(invariants.KILLED) as entry:
             if entry is not None:
                 entry.send(signal.SIGKILL)
                 await entry.wait_exit(5.0)
@@ -535,14 +569,14 @@
                 await self._start_entry(entry)
 
     async def _pause_entry(self) -> None:
-        with self._disturb_entry() as entry:
+        with self._disturb_entry(invariants.PAUSED) as entry:
             if entry is not None:
                 entry.send(signal.SIGSTOP)
                 await asyncio.sleep(self._draw_duration_s())
                 entry.send(signal.SIGCONT)
 
     async def _stop_entry(self) -> None:
-        with self._disturb_entry() as entry:
+        with self._disturb_entry(invariants.STOPPED) as entry:
             if entry is None:
                 return
             entry.send(signal.SIGTERM)
--- a/src/fuchsiabarrow/platform/tests/soak/test_soak.py
+++ b/src/fuchsiabarrow/platform/tests/soak/test_soak.py
@@ -372,13 +372,15 @@
 ) -> list[str]:
     """Returns the violations of a request after a route was moved at 10 s."""
     violations: list[str] = []
-    checked = versions.Versions(violations.append, lambda *_: is_disturbed)
-    checked.commit({"/moved/": "desk"}, 0.0)
-    checked.commit({"/moved/": "annex"}, 10.0)
+    checked = versions.Versions(
+        violations.append, lambda *_: is_disturbed, lambda *_: False
+    )
+    checked.commit({"/moved/": versions.Route("desk", 0.6)}, 0.0)
+    checked.commit({"/moved/": versions.Route("annex", 0.6)}, 10.0)
     for at_s, name in ((earlier_s, "annex"), (sent_s, service)):
         if at_s is not None:
             checked.check(
-                versions.Outcome("e", "/moved/", at_s, at_s + 0.1, name)
+                versions.Outcome("e", "/moved/", at_s, at_s + 0.1, 200, name)
             )
     return violations
 
@@ -407,3 +409,44 @@
     # Also at an entry with a fault.
     assert check_version(10.9, "desk", is_disturbed=True, earlier_s=10.5)
     assert not check_version(10.7, "desk", is_disturbed=True, earlier_s=10.5)
+
+
+# Guards against a time limit that is not moved with its route, up or down.
+@pytest.mark.parametrize(
+    ("sent_s", "took_s", "status", "is_violation"),
+    [
+        (9.0, 0.6, 504, False),
+        (9.0, 0.4, 504, True),
+        (9.0, 0.4, 503, False),
+        (8.3, 1.55, 200, False),
+        (8.3, 1.65, 504, True),
+        # The new limit of 2 s may hold.
+        (9.5, 2.9, 504, False),
+        (9.5, 3.1, 504, True),
+        (11.9, 0.6, 504, False),
+        # Only the new limit may hold.
+        (12.1, 0.6, 504, True),
+        (12.1, 2.0, 504, False),
+    ],
+)
+def test_answer_beside_the_time_limit_of_its_route_is_detected(
+    sent_s, took_s, status, is_violation
+):
+    for is_held_up in (False, True):
+        violations: list[str] = []
+        checked = versions.Versions(
+            violations.append,
+            lambda *_: False,
+            lambda *_, is_held_up=is_held_up: is_held_up,
+        )
+        checked.commit({"/moved/": versions.Route("desk", 0.6)}, 0.0)
+        checked.commit({"/moved/": versions.Route("desk", 2.0)}, 10.0)
+        checked.check(
+            versions.Outcome(
+                "e", "/moved/", sent_s, sent_s + took_s, status, None
+            )
+        )
+        is_late = took_s > 1.0 and is_violation
+        assert bool(violations) is (
+            is_violation and not (is_late and is_held_up)
+        )
