Soak: each request ends with an answer or a told, excused cut (LOST)

The soak dropped requests whose connection ended: no check looked at them but for those cut by a lone stop. Each cut now needs a reason (entry killed, paused or stopped, an upstream that broke off, the time limit) and, unless the entry was killed, a line with its id in that entry's log. Cuts are counted by cause beside changes of the configuration and without. A process has to exit within its grace period, no longer one second later.

Some streams have a time limit beyond the grace period, as only those still run at the end of a stop.

--- a/src/fuchsiabarrow/platform/tests/soak/__main__.py
+++ b/src/fuchsiabarrow/platform/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 
 import defopt
 
+from fuchsiabarrow.platform.tests.soak import endings
 from fuchsiabarrow.platform.tests.soak import scenario
 
 
@@ -17,6 +18,10 @@
     return f"{served_count} of {count}"
 
 
+def _describe_cuts(counts: endings.Counts) -> str:
+    return f"{dict(counts.cuts)} of {counts.requests}"
+
+
 def main(
     *,
     first_seed: int = 1,
@@ -63,6 +68,9 @@
                 f" {soak.history.helped_count} runs through other entries,"
                 f" {soak.versions.count} requests checked for their version,"
                 f" {soak.versions.timeout_count} ended by a time limit,"
+                f" cut beside changes"
+                f" {_describe_cuts(soak.endings.beside_changes)},"
+                f" without {_describe_cuts(soak.endings.without_changes)},"
                 f" held up for up to {soak.max_loop_delay_s:.2f} s,"
                 f" {time.monotonic() - began_s:.0f} s",
                 flush=True,
--- a/src/fuchsiabarrow/platform/tests/soak/invariants.py
+++ b/src/fuchsiabarrow/platform/tests/soak/invariants.py
@@ -33,6 +33,7 @@
 PAUSED = "paused"
 STOPPED = "stopped"
 SOAK_HELD_UP = "soak_held_up"
+UPSTREAM_CUT = "upstream_cut"
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,6 +52,7 @@
         ended_s: Loop time at which it ended, complete or not.
         ending: How it ended, None while it is running.
         is_large: Whether the answer is a large one.
+        limit_s: Time limit that the caller has set.
         pause_s: Time for which the caller did not read.
         turn_s: Loop time at which the requests before it on its connection had
             ended for the caller.
@@ -67,6 +69,7 @@
     ended_s: float = 0.0
     ending: callers.Ending | None = None
     is_large: bool = False
+    limit_s: float = 5.0
     pause_s: float = 0.0
     turn_s: float = 0.0
 
@@ -120,6 +123,8 @@
         disturbances: Entries that were killed, paused or stopped, with times.
         store_faults: Entries whose connection to the store had a fault, with
             times; those of the store itself concern all entries.
+        upstream_faults: Times in which upstreams broke off, for all entries or
+            those that were cut off.
         helped_count: Number of runs that came through another entry than that
             of the caller.
     """
@@ -135,13 +140,15 @@
         self.cuts: list[Cut] = []
         self.disturbances: list[Cut] = []
         self.store_faults: list[Cut] = []
+        self.upstream_faults: list[Cut] = []
         self.helped_count = 0
 
     @contextlib.contextmanager
     def record_cut(self, names: frozenset[str], read_time_s: Callable):
         """Records that entries are cut off from all upstreams."""
-        cut = Cut(names, read_time_s())
+        cut = Cut(names, read_time_s(), cause=UPSTREAM_CUT)
         self.cuts.append(cut)
+        self.upstream_faults.append(cut)
         yield
         cut.ended_s = read_time_s()
 
@@ -155,6 +162,15 @@
         yield
         disturbance.ended_s = read_time_s()
 
+    @contextlib.contextmanager
+    def record_upstream_fault(self, read_time_s: Callable[[], float]):
+        """Records that an upstream breaks off for all entries."""
+        names = frozenset(self.entries.values())
+        fault = Cut(names, read_time_s(), cause=UPSTREAM_CUT)
+        self.upstream_faults.append(fault)
+        yield
+        fault.ended_s = read_time_s()
+
     @contextlib.contextmanager
     def record_store_fault(
         self, names: Iterable[str], read_time_s: Callable[[], float]
--- a/src/fuchsiabarrow/platform/tests/soak/scenario.py
+++ b/src/fuchsiabarrow/platform/tests/soak/scenario.py
@@ -20,6 +20,7 @@
 from fuchsiabarrow.platform.tests import processes
 from fuchsiabarrow.platform.tests import sample_objects
 from fuchsiabarrow.platform.tests.soak import callers
+from fuchsiabarrow.platform.tests.soak import endings
 from fuchsiabarrow.platform.tests.soak import invariants
 from fuchsiabarrow.platform.tests.soak import proxies
 from fuchsiabarrow.platform.tests.soak import redirected_entry
@@ -36,8 +37,12 @@
 SOURCE_HOSTS = "127.3.0"
 CALLERS = 8
 REQUEST_TIMEOUT_S = 5.0
-# A caller closes its connection if nothing ends the request.
-GIVE_UP_S = REQUEST_TIMEOUT_S + 1.0
+# Time limit of a share of the streams, beyond the grace period of an entry.
+LONG_TIMEOUT_S = 10.0
+LONG_SHARE = 0.3
+# A caller closes its connection if nothing ends the request for this long after
+# its time limit.
+GIVE_UP_S = 1.0
 # Shares of requests whose answer is large, that are followed at once by another
 # one on the connection, and whose caller pauses before it reads.
 LARGE_SHARE = 0.02
@@ -47,6 +52,12 @@
 LARGE_PATH = "read/large"
 EVENTS = 12
 KINDS = ("read", "book", "draft")
+# Time limits of their routes that are less than that of the callers.
+LIMITS_S = {
+    route["path_prefix"].strip("/"): route["timeout_ms"] / 1000
+    for route in entry_harness.ROUTES
+    if route["timeout_ms"] / 1000 < REQUEST_TIMEOUT_S
+}
 # Upstream of a service to which only routes are moved; it has no faults.
 ANNEX = "annex-1"
 SERVICES = ("desk", "annex")
@@ -57,6 +68,10 @@
 # Time limits between which such routes change, shorter and longer than the work
 # for a part of their requests.
 ROUTE_LIMITS_S = (0.3, 0.6, 2.0)
+# Share of pauses between changes that are long, so that requests beside changes
+# can be compared with others, and their length.
+CALM_SHARE = 0.1
+CALM_RANGE_S = (4.0, 6.0)
 SLOW_PATH = "slow"
 SLOW_WORK_S = 0.8
 SLOW_WORK_SHARE = 0.2
@@ -82,7 +97,10 @@
 # less than this before it. Store faults count as present for this long after
 # their end.
 FAULT_MARGIN_S = 4.0
+# Faults beside which a stop must lose no request.
+PLANNED_FAULTS = ("entry_reload", "entry_stop", "keys")
 RECOVERY_TIMEOUT_S = 15.0
+LOG_DELAY_S = 0.3
 # The store runs in this process. While its event loop is held up for longer
 # than this, the store is slow for all entries.
 LOOP_CHECK_PERIOD_S = 0.05
@@ -143,6 +161,7 @@
         history: Requests and violations of invariants seen so far.
         faults: Name, start and end of each fault, as loop times.
         versions: Versions of the configuration, and checks against them.
+        endings: How the requests ended, counted at the end.
         max_loop_delay_s: Longest time for which this process was held up.
 
     Args:
@@ -192,6 +211,9 @@
             self.history.was_disturbed,
             self.history.was_held_up,
         )
+        self.endings = endings.Endings(
+            self.history, self.versions.was_changing, self._get_least_limit_s
+        )
         self._store_proxies: list[proxies.Proxy] = []
         self._store = fake_stores.FakeStore()
         self._version = 7
@@ -298,9 +320,13 @@
 
     async def _change_routes(self) -> None:
         """Adds, moves and drops routes, and changes their time limits."""
+        draw = self._route_source
         while True:
+            is_calm = draw.random() < CALM_SHARE
             await asyncio.sleep(
-                self._route_source.uniform(*ROUTE_CHANGE_INTERVAL_S)
+                draw.uniform(
+                    *(CALM_RANGE_S if is_calm else ROUTE_CHANGE_INTERVAL_S)
+                )
             )
             path = self._route_source.choice(CHANGING_PATHS)
             route = self._routes.get(path)
@@ -371,10 +397,29 @@
                 await self._check_recovery(connections)
             for task in tasks:
                 task.cancel()
+        # Time to log the requests whose connections were closed just now.
+        await asyncio.sleep(LOG_DELAY_S)
+        self.endings.check(
+            {
+                entry.name: endings.read_told_requests(entry.log_path)
+                for entry in self._entries
+            }
+        )
         self._check_stops()
         self.history.check_cuts()
         return self.history.violations
 
+    def _get_least_limit_s(self, attempt: invariants.Attempt) -> float:
+        """Returns the least time limit that may hold for a request."""
+        if f"/{attempt.kind}/" in CHANGING_PATHS:
+            return self.versions.get_limits(
+                attempt.entry,
+                f"/{attempt.kind}/",
+                attempt.sent_s,
+                attempt.ended_s,
+            )[0]
+        return LIMITS_S.get(attempt.kind, attempt.limit_s)
+
     def _keep_connections(self) -> callers.Connections:
         return callers.Connections(self.history.violations.append)
 
@@ -394,7 +439,12 @@
                 pause_s = 0.0
                 if draw() < SLOW_SHARE or path == LARGE_PATH and draw() < 0.5:
                     pause_s = self._caller_source.uniform(*PAUSE_RANGE_S)
-                await self._send(connections, entry, paths, key, pause_s)
+                limit_s = REQUEST_TIMEOUT_S
+                if path.startswith("draft/") and draw() < LONG_SHARE:
+                    limit_s = LONG_TIMEOUT_S
+                await self._send(
+                    connections, entry, paths, key, pause_s, limit_s
+                )
 
     async def _call(
         self,
@@ -413,6 +463,7 @@
         paths: list[str],
         key: str,
         pause_s: float = 0.0,
+        limit_s: float = REQUEST_TIMEOUT_S,
     ) -> list[invariants.Attempt]:
         """Sends requests at once on a connection; returns the ended ones."""
         attempts, requests = [], []
@@ -423,7 +474,7 @@
                 "Host": entry_harness.HOST,
                 wire_names.ATTEMPT_ID: request_id,
                 wire_names.AUTHORIZATION: f"Token {key}",
-                wire_names.DEADLINE_MS: str(int(REQUEST_TIMEOUT_S * 1000)),
+                wire_names.DEADLINE_MS: str(int(limit_s * 1000)),
                 wire_names.TOKEN_COUNTS: "800,60",
             }
             request = callers.make_request(
@@ -438,10 +489,11 @@
                 self._read_time_s(),
                 is_large=path == LARGE_PATH,
                 pause_s=pause_s,
+                limit_s=limit_s,
             )
             self.history.attempts[request_id] = attempt
             attempts.append(attempt)
-        answers = self._exchange(connections, entry, requests, pause_s)
+        answers = self._exchange(connections, entry, requests, pause_s, limit_s)
         turn_s = attempts[0].sent_s
         async with contextlib.aclosing(answers):
             for attempt in attempts:
@@ -457,6 +509,7 @@
         entry: processes.EntryProcess,
         requests: list[tuple[str, bytes]],
         pause_s: float,
+        limit_s: float,
     ) -> AsyncIterator[callers.Answer]:
         """Yields how each request ended."""
         try:
@@ -470,7 +523,7 @@
                 )
             return
         for future in await connection.fetch(requests, pause_s):
-            await asyncio.wait([future], timeout=GIVE_UP_S)
+            await asyncio.wait([future], timeout=limit_s + GIVE_UP_S)
             if not future.done():
                 connection.close()
             yield future.result()
@@ -545,6 +598,9 @@
         finally:
             self._reserved.discard(id(reserved_item))
 
+    def _record_upstream_fault(self):
+        return self.history.record_upstream_fault(self._read_time_s)
+
     def _reserve_upstream(self):
         return self._reserve(self._upstreams)
 
@@ -580,10 +636,11 @@
             if entry is None:
                 return
             entry.send(signal.SIGTERM)
-            status = await entry.wait_exit(processes.GRACE_S + 1.0)
+            status = await entry.wait_exit(processes.GRACE_S)
             if status != 0:
                 self.history.violations.append(
                     f"{entry.name} exited with status {status} after SIGTERM"
+                    f" and {processes.GRACE_S} s"
                 )
                 entry.close()
             self.versions.forget_entry(entry.name)
@@ -666,7 +723,11 @@
 
     async def _disturb_upstream(self, how: str) -> None:
         with self._reserve_upstream() as upstream:
-            if upstream is not None:
+            if upstream is None:
+                return
+            with contextlib.ExitStack() as stack:
+                if how != "delay_s":
+                    stack.enter_context(self._record_upstream_fault())
                 await self._disturb_proxies(upstream.proxies, how)
 
     async def _disturb_proxies(
@@ -692,12 +753,13 @@
         with self._reserve_upstream() as upstream:
             if upstream is None:
                 return
-            for proxy in upstream.proxies:
-                proxy.refuses = True
-                proxy.reset()
-            await asyncio.sleep(self._draw_duration_s())
-            for proxy in upstream.proxies:
-                proxy.clear_faults()
+            with self._record_upstream_fault():
+                for proxy in upstream.proxies:
+                    proxy.refuses = True
+                    proxy.reset()
+                await asyncio.sleep(self._draw_duration_s())
+                for proxy in upstream.proxies:
+                    proxy.clear_faults()
             upstream.born += 1000
             await self._register(upstream)
 
@@ -758,24 +820,26 @@
                     )
 
     def _check_stops(self) -> None:
-        """Checks that a shutdown without nearby faults cuts off no response."""
+        """Checks that shutdowns without nearby faults lose no request."""
         for name, began_s, ended_s in self.faults:
             others = [
                 f
                 for f in self.faults
-                if f[1] != began_s
+                if f[0] not in PLANNED_FAULTS
                 and f[1] < ended_s
                 and f[2] + FAULT_MARGIN_S > began_s
-                and f[0] != "keys"
             ]
             if name != "entry_stop" or others:
                 continue
             for attempt in self.history.attempts.values():
-                is_cut = attempt.status is not None and not attempt.is_complete
-                if is_cut and began_s < attempt.ended_s < ended_s:
+                is_cut = attempt.ending in endings.CUT_ENDINGS
+                if not is_cut or not began_s < attempt.ended_s < ended_s:
+                    continue
+                cause = self.endings.find_cause(attempt)
+                if cause == invariants.STOPPED:
                     self.history.violations.append(
                         f"{attempt.request_id} was cut off by a planned"
-                        " shutdown"
+                        f" shutdown: {attempt.ending.value}"
                     )
 
 
--- a/src/fuchsiabarrow/platform/tests/soak/versions.py
+++ b/src/fuchsiabarrow/platform/tests/soak/versions.py
@@ -12,6 +12,8 @@
 # (bounds.stable_window_ms).
 APPLY_S = 2.0
 CALM_S = 3.0
+# A change is felt for at most this long after its commit.
+CHANGE_S = APPLY_S + 1.0
 # A request sent this long after the effect of a version was seen at an entry
 # must not be handled by an older one (bounds.rollback_slack_ms).
 ROLLBACK_SLACK_S = 0.25
@@ -169,6 +171,11 @@
         ]
         return min(limits, default=0.0), max(limits, default=math.inf)
 
+    def was_changing(self, begin_s: float, end_s: float) -> bool:
+        """Returns whether a change may have come into force in a time span."""
+        first = bisect.bisect(self._committed_s, begin_s - CHANGE_S)
+        return first < bisect.bisect(self._committed_s, end_s)
+
     def _check_time(self, outcome: Outcome) -> None:
         """Checks the time of an answer against the limits of its route."""
         least_s, greatest_s = self.get_limits(
