--- a/src/fuchsiabarrow/platform/tests/soak/scenario.py
+++ b/src/fuchsiabarrow/platform/tests/soak/scenario.py
@@ -97,8 +97,11 @@
 # less than this before it. Store faults count as present for this long after
 # their end.
 FAULT_MARGIN_S = 4.0
+# Number of stops in a series, and the time between two.
+MAX_STOPS = 8
+STOP_INTERVAL_S = (0.2, 1.5)
 # Faults beside which a stop must lose no request.
-PLANNED_FAULTS = ("entry_reload", "entry_stop", "keys")
+PLANNED_FAULTS = ("entry_reload", "entry_stop", "entry_stop_series", "keys")
 RECOVERY_TIMEOUT_S = 15.0
 LOG_DELAY_S = 0.3
 # The store runs in this process. While its event loop is held up for longer
@@ -555,6 +558,7 @@
             "entry_kill": self._kill_entry,
             "entry_pause": self._pause_entry,
             "entry_stop": self._stop_entry,
+            "entry_stop_series": self._stop_entries,
             "entry_reload": self._reload_entry,
             **{
                 f"entry_cut_{shape.value}": functools.partial(
@@ -646,6 +650,13 @@
             self.versions.forget_entry(entry.name)
             await self._start_entry(entry)
 
+    async def _stop_entries(self) -> None:
+        """Stops entries one after another, the next before the last is back."""
+        async with asyncio.TaskGroup() as group:
+            for _ in self._entries[:MAX_STOPS]:
+                group.create_task(self._stop_entry())
+                await asyncio.sleep(self._source.uniform(*STOP_INTERVAL_S))
+
     async def _start_entry(self, entry: processes.EntryProcess) -> None:
         entry.start()
         if not await entry.wait_ready(self._session):
@@ -829,7 +840,7 @@
                 and f[1] < ended_s
                 and f[2] + FAULT_MARGIN_S > began_s
             ]
-            if name != "entry_stop" or others:
+            if not name.startswith("entry_stop") or others:
                 continue
             for attempt in self.history.attempts.values():
                 is_cut = attempt.ending in endings.CUT_ENDINGS
--- a/src/fuchsiabarrow/platform/tests/soak/test_soak.py
+++ b/src/fuchsiabarrow/platform/tests/soak/test_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from fuchsiabarrow.platform.tests.soak import callers
 from fuchsiabarrow.platform.tests.soak import invariants
 from fuchsiabarrow.platform.tests.soak import proxies
 from fuchsiabarrow.platform.tests.soak import scenario
@@ -20,6 +21,7 @@
     "entry_cut_reset",
     "runner_silent",
 ]
+STOP_FAULTS = ["entry_cut_hang", "entry_stop_series", "keys", "runner_silent"]
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -28,7 +30,7 @@
         scenario.run_seed(seed, DURATION_S, ENTRIES, tmp_path)
     )
     statuses = [a.status for a in soak.history.attempts.values()]
-    assert violations == []
+    assert not violations, "\n".join(violations)
     assert statuses.count(200) > 50
     assert len(soak.faults) > 3
     assert soak.versions.count + soak.versions.disturbed_count > 20
@@ -38,11 +40,61 @@
     violations, soak = asyncio.run(
         scenario.run_seed(1, DURATION_S, ENTRIES, tmp_path, LINK_FAULTS)
     )
-    assert violations == []
+    assert not violations, "\n".join(violations)
     assert soak.history.cuts
     assert soak.history.helped_count > 0
 
 
+# Guards against processes that exit late beside changes and other stops, and
+# requests that they drop without a word.
+def test_invariants_hold_while_entries_are_stopped_in_series(tmp_path):
+    violations, soak = asyncio.run(
+        scenario.run_seed(1, DURATION_S, ENTRIES, tmp_path, STOP_FAULTS)
+    )
+    stops = [
+        disturbance
+        for disturbance in soak.history.disturbances
+        if disturbance.cause == invariants.STOPPED
+    ]
+    assert not violations, "\n".join(violations)
+    assert len(stops) > 3
+    assert any(
+        one.began_s < other.began_s < one.ended_s
+        for one in stops
+        for other in stops
+    )
+
+
+# Guards against stops in series whose cuts are put down to one another.
+@pytest.mark.parametrize("name", ["entry_stop", "entry_stop_series"])
+@pytest.mark.parametrize(
+    ("other", "is_violation"),
+    [
+        (["entry_stop_series", 99.0, 104.0], True),
+        (["keys", 101.0, 101.0], True),
+        (["runner_silent", 101.0, 102.0], False),
+        (["runner_silent", 95.5, 96.5], False),
+        (["runner_silent", 94.0, 95.5], True),
+    ],
+)
+def test_cut_by_a_planned_shutdown_is_detected(
+    name, other, is_violation, tmp_path
+):
+    soak = scenario.SoakRun(1, 1, tmp_path)
+    attempt = invariants.Attempt("r1", "read", "key-1", "entry-0", 100.0)
+    attempt.turn_s = attempt.sent_s
+    soak.history.attempts["r1"] = attempt
+    soak.history.disturbances.append(
+        invariants.Cut(frozenset(["entry-0"]), 100.0, 103.0, invariants.STOPPED)
+    )
+    soak.faults += [[name, 100.0, 103.0], other]
+    for ending in (callers.Ending.ANSWERED, callers.Ending.IN_ANSWER):
+        attempt.end(callers.Answer(ending, 200, at_s=100.4))
+        soak._check_stops()
+        is_cut = ending is callers.Ending.IN_ANSWER
+        assert bool(soak.history.violations) is (is_cut and is_violation)
+
+
 def make_history(kind="book", key="key-1", sent_s=100.0) -> invariants.History:
     history = invariants.History()
     history.attempts["r1"] = invariants.Attempt("r1", kind, key, "e", sent_s)
