--- a/src/fuchsiabarrow/platform/tests/test_stalled_writes.py
+++ b/src/fuchsiabarrow/platform/tests/test_stalled_writes.py
@@ -54,7 +54,10 @@
         return Reader(pause_s, limit_bytes)
 
     server = listeners.Server(
-        handle, handler_cancellation=True, access_log=None
+        handle,
+        lambda: listeners.TimeLimits(idle_s=15.0, head_s=3.0),
+        handler_cancellation=True,
+        access_log=None,
     )
     await entry.start(loop.create_server(server, ENTRY, PORT))
     began_s = loop.time()
