Send whole answers to stream requests past the time limit (LOST)

A caller that read slowly lost an answer that had arrived as a whole: the error answer of an instance, the last events of a stream, or only its end, was written inside the time limit of the request, and at the limit the answer was cut off and logged as stream_aborted, though its instances had long finished. They counted as busy until then.

These three are now kept and written after the limit, the path and the connection have been left. A stream of which events are still missing is cut off at the limit, as before.

On the code before, the three cases of test_whole_answer_is_sent_past_the_time_limit fail on virtual time (the answer is aborted, the stream not finished); test_stream_at_its_time_limit_while_a_write_waits_is_cut_off_once passed before, too: it keeps the cut single and its line.

--- a/src/fuchsiabarrow/forwarding/connections.py
+++ b/src/fuchsiabarrow/forwarding/connections.py
@@ -304,6 +304,10 @@
             self._is_complete = True
         return data
 
+    def is_received(self) -> bool:
+        """Returns whether the whole body has arrived and was read."""
+        return self._payload.at_eof()
+
     async def read_body(self, limit_bytes: int) -> bytes:
         """Returns the complete body.
 
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -57,9 +57,9 @@
     """Result of one attempt.
 
     Attributes:
-        DONE: The caller has a final answer.
+        DONE: A final answer has arrived as a whole.
         NOT_RUN: No instance ran the request.
-        LOST: The request may have run, but the caller has no final answer.
+        LOST: The request may have run, but there is no final answer.
     """
 
     DONE = enum.auto()
@@ -125,6 +125,10 @@
         self._path_change_task: asyncio.Task | None = None
         self._move_task: asyncio.Task | None = None
         self._failure_detail = ""
+        # Sent after the last attempt: the whole answer of a failure, or the
+        # last events of a stream.
+        self._failure: tuple[messages.ResponseHead, bytes] | None = None
+        self._rest = b""
         self._is_writing = False
         self._first_event_s: float | None = None
         self._longest_gap_s = 0.0
@@ -133,7 +137,11 @@
     # Attempts until the final answer.
 
     async def serve(self) -> messages.StreamSummary:
-        """Forwards the request until the caller has a final answer."""
+        """Forwards the request until the caller has a final answer.
+
+        The time limit is that of the instances: a caller may take longer to
+        read the rest of an answer that has arrived as a whole.
+        """
         request, forwarding = self._request, self._forwarding
         loop = asyncio.get_running_loop()
         forwarding.add_stream(self)
@@ -157,10 +165,12 @@
             self._stop_monitoring()
             self._discard_next()
             self._return_retry()
-        if refusal is not None and self._writer.is_started:
+        if refusal is None:
+            await self._finish()
+        elif self._writer.is_started:
             self._record_abort(refusal)
             self._writer.abort()
-        elif refusal is not None:
+        else:
             await self._writer.refuse(refusal)
         return messages.StreamSummary(
             stream_paths.format_path(self._path.segments),
@@ -170,6 +180,15 @@
             round(self._longest_gap_s, 4),
         )
 
+    async def _finish(self) -> None:
+        """Sends the answer of a failure, or the end of a stream."""
+        if self._failure is not None:
+            await self._writer.answer(*self._failure)
+            return
+        if self._rest:
+            await self._writer.write(self._rest)
+        await self._writer.finish()
+
     def _record_abort(self, refusal: messages.Refusal) -> None:
         """Logs and counts an answer that has begun and cannot continue."""
         request, forwarding = self._request, self._forwarding
@@ -189,7 +208,7 @@
         )
 
     async def _run(self) -> messages.Refusal | None:
-        """Tries paths; returns a refusal, or None if an answer was sent."""
+        """Tries paths; returns a refusal, or None if an answer has arrived."""
         forwarding = self._forwarding
         while True:
             refusal = await self._check_parts()
@@ -550,7 +569,7 @@
         may_repeat = self._request.route.may_repeat
         if self._writer.is_started or (may_repeat and self._send_count == 1):
             return _AttemptResult.LOST
-        await self._writer.answer(head, body)
+        self._failure = (head, body)
         return _AttemptResult.DONE
 
     async def _relay(
@@ -568,8 +587,12 @@
                     received[-1].event_id or self._last_event_id
                 )
                 self._event_count += len(received)
+                data = b"".join(event.data for event in received)
+                if connection.is_received() and not parser.remainder:
+                    self._rest = data
+                    continue
                 self._is_writing = True
-                await self._writer.write(b"".join(e.data for e in received))
+                await self._writer.write(data)
                 self._is_writing = False
                 self._monitor.reset_silence()
         if parser.remainder:
@@ -584,7 +607,6 @@
             )
         if not self._writer.is_started:
             await self._writer.start(head)
-        await self._writer.finish()
         return _AttemptResult.DONE
 
     # Detection of silent and slow streams.
--- a/src/fuchsiabarrow/forwarding/tests/fakes.py
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -109,6 +109,9 @@
     async def read_chunk(self) -> bytes:
         return await self._next()
 
+    def is_received(self) -> bool:
+        return not self._script
+
     async def read_body(self, limit_bytes: int) -> bytes:
         chunks = []
         while data := await self.read_chunk():
--- a/src/fuchsiabarrow/forwarding/tests/test_generations.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_generations.py
@@ -654,3 +654,77 @@
     assert writer.body == ALL_EVENTS
     assert len(harness.pool.sent) == 1
     assert len(harness.control.path_changes) == 1
+
+
+class _SlowWriter(fakes.FakeResponseWriter):
+    """A caller that takes each part of an answer only after a time."""
+
+    def __init__(self, pause_s: float, slow_data: bytes):
+        super().__init__()
+        self._pause_s = pause_s
+        self._slow_data = slow_data
+
+    async def write(self, data: bytes) -> None:
+        await super().write(data)
+        if data == self._slow_data:
+            await asyncio.sleep(self._pause_s)
+
+    async def finish(self) -> None:
+        await asyncio.sleep(self._pause_s)
+        await super().finish()
+
+    async def answer(self, head, body: bytes) -> None:
+        await super().answer(head, body)
+        await asyncio.sleep(self._pause_s)
+
+
+def serve_slow_caller(script, slow_data=b"", **changes):
+    """Serves one stream; returns its writer, the harness and the lines."""
+    writer = _SlowWriter(30.0, slow_data)
+
+    async def run():
+        harness = fakes.Harness(FIRST, LAST)
+        harness.script(FIRST.address, script)
+        request = fakes.make_stream_request(**changes)
+        task = asyncio.create_task(harness.forwarding.serve(request, writer))
+        await asyncio.sleep(10.0)
+        load = harness.load_table.get(FIRST.key)
+        await task
+        return load
+
+    with logbook.TestHandler() as handler:
+        load = virtual_time.run(run())
+    return writer, load, [record.message for record in handler.records]
+
+
+# Guards against whole answers that are cut off, or followed by another one, as
+# their callers read slowly. Their instances are free meanwhile.
+@pytest.mark.parametrize(
+    ("script", "slow_data"),
+    [
+        ([fakes.Head(500), b"failed"], b""),
+        (fakes.stream(1, 5), b""),
+        (fakes.stream(1, 5), fakes.make_event(4)),
+    ],
+)
+def test_whole_answer_is_sent_past_the_time_limit(script, slow_data):
+    writer, load, lines = serve_slow_caller(
+        script, slow_data, is_resumable=False
+    )
+    assert writer.is_finished
+    assert not writer.is_aborted
+    assert writer.refusal is None
+    assert not find_lines(lines, "stream_aborted")
+    assert load == loads.IDLE
+
+
+# Guards against a stream whose caller stops reading and that has no limit.
+def test_stream_at_its_time_limit_while_a_write_waits_is_cut_off_once():
+    writer, _, lines = serve_slow_caller(
+        fakes.stream(1, 11), fakes.make_event(4)
+    )
+    assert writer.is_aborted
+    assert not writer.is_finished
+    assert writer.refusal is None
+    (line,) = find_lines(lines, "stream_aborted")
+    assert "reason=timeout" in line
--- a/src/fuchsiabarrow/platform/tests/entry_simulation.py
+++ b/src/fuchsiabarrow/platform/tests/entry_simulation.py
@@ -453,6 +453,9 @@
         self._has_sent = True
         return b"id: %d\ndata: x\n\n" % self._events
 
+    def is_received(self) -> bool:
+        return self._events == self._event_count
+
     async def read_body(self, limit_bytes: int) -> bytes:
         return b"answer" if self._engine.is_plain else b""
 
