--- a/src/fuchsiabarrow/entry/problems.py
+++ b/src/fuchsiabarrow/entry/problems.py
@@ -81,39 +81,62 @@
 
 
 def make_middleware():
-    """Returns a middleware that converts exceptions to problem responses."""
+    """Returns a middleware that converts exceptions to problem responses.
+
+    An error after a part of a response cuts this one off: a problem response
+    would follow it on the same connection.
+    """
 
     @aiohttp.web.middleware
     async def convert_errors(request, handler):
         try:
             return await handler(request)
-        except aiohttp.web.HTTPRequestEntityTooLarge:
-            return make_problem(413, "body-too-large", "send a smaller body")
-        except aiohttp.web.HTTPException as error:
-            if error.status < 400:
-                raise
-            return make_problem(
-                error.status, "http-error", f"{error.reason}; see docs/api.md"
-            )
-        except (
-            aiohttp.web.RequestPayloadError,
-            aiohttp.http_exceptions.BadHttpMessage,
-        ) as error:
-            return make_problem(
-                400,
-                "malformed-body",
-                f"the body cannot be read ({error}); see docs/api.md",
-            )
         except (ConnectionError, aiohttp.ClientConnectionResetError):
             # The caller has disconnected; no response can reach it.
             raise
         except Exception as error:
-            _log.exception(logs.format_event("request_error", error=error))
-            return make_problem(
-                500,
-                "internal-error",
-                "internal error of this entry; its log has the details",
-                "unknown",
-            )
+            if request.writer.output_size:
+                _log.exception(
+                    logs.format_event(
+                        "request_error", error=error, is_started=True
+                    )
+                )
+                raise ConnectionAbortedError(
+                    "error after a part of the response; see request_error"
+                ) from error
+            return _describe_error(error)
 
     return convert_errors
+
+
+def _describe_error(error: Exception) -> aiohttp.web.Response:
+    """Returns the problem response of an error; raises a redirection."""
+    if isinstance(error, aiohttp.web.HTTPRequestEntityTooLarge):
+        return make_problem(413, "body-too-large", "send a smaller body")
+    if isinstance(error, aiohttp.web.HTTPException):
+        if error.status < 400:
+            raise error
+        return make_problem(
+            error.status, "http-error", f"{error.reason}; see docs/api.md"
+        )
+    if isinstance(
+        error,
+        (
+            aiohttp.web.RequestPayloadError,
+            aiohttp.http_exceptions.BadHttpMessage,
+        ),
+    ):
+        return make_problem(
+            400,
+            "malformed-body",
+            f"the body cannot be read ({error}); see docs/api.md",
+        )
+    _log.exception(
+        logs.format_event("request_error", error=error, is_started=False)
+    )
+    return make_problem(
+        500,
+        "internal-error",
+        "internal error of this entry; its log has the details",
+        "unknown",
+    )
