Step by step: do not finish a stream after an error of another connection

A stream of the mode step by step ended as if it were complete, without its last event, if reading it or running its action raised a connection error: each such error was taken for one of the caller's connection, and the HTTP library then ended the body in order. The errors of engines and actions are converted today, so this was found by reading.

The caller's connection is now closed in this case; nothing changes if it is the one that failed.

On the code before, both cases of test_stream_that_fails_on_another_connection_is_cut_off fail: the body has its end, and the connection stays open.

--- a/src/fuchsiabarrow/entry/sse.py
+++ b/src/fuchsiabarrow/entry/sse.py
@@ -105,6 +105,10 @@
             await self.response.prepare(self._request)
             return await self._write_events(started_s)
         except (ConnectionError, aiohttp.ClientError):
+            # If another connection has failed, the caller's is still open, and
+            # the stream would be finished as if it were complete.
+            if self._request.transport is not None:
+                self._request.transport.close()
             return "disconnected"
 
     async def _write_events(self, started_s: float) -> str:
--- a/src/fuchsiabarrow/entry/tests/test_begun_answers.py
+++ b/src/fuchsiabarrow/entry/tests/test_begun_answers.py
@@ -1,11 +1,15 @@
 """Failures after a part of an answer was sent, on one connection."""
 
 import asyncio
+import types
 
+import aiohttp
 import aiohttp.web
 import pytest
 
 from fuchsiabarrow.entry import problems
+from fuchsiabarrow.entry import sse
+from fuchsiabarrow.telemetry import metrics
 from fuchsiabarrow.utils import listeners
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -51,3 +55,32 @@
     received = asyncio.run(receive(handle))
     assert received.count(b"HTTP/1.1") == 1
     assert received.endswith(DATA + b"\r\n")
+
+
+# Guards against a stream that looks complete, as an error of another connection
+# was taken for one of the caller's.
+@pytest.mark.parametrize(
+    "error", [aiohttp.ClientError("engine"), ConnectionResetError("engine")]
+)
+def test_stream_that_fails_on_another_connection_is_cut_off(error):
+    async def read(start):
+        yield 0, 7
+        raise error
+
+    stream = types.SimpleNamespace(
+        request=types.SimpleNamespace(request_id="r1", pipeline="quotes"),
+        digests=[1],
+        read=read,
+    )
+
+    async def handle(request):
+        writer = sse.EventWriter(
+            request, stream, None, metrics.PipelineMetrics(), None
+        )
+        await writer.write_all(0.0)
+        return writer.response
+
+    received = asyncio.run(receive(handle))
+    assert received.count(b"id: ") == 1
+    assert not received.endswith(b"0\r\n\r\n")
+    assert not received.endswith(b"(still open)")
