Streams: release the capacity on a path that was lost before the next search

What callers saw: a resumable stream whose first instance ended was cut at its time limit, up to 20 s later, although another instance with the same layers had room; nothing was logged meanwhile. A request whose first instance refused the connection was refused with 503 "no path has free capacity: ... 0 full".

Cause: the reservation of the lost attempt was kept until the next path was adopted. The search for this path counted it as load: an instance shared by both paths, such as a sound one behind the first, needed room for the request twice.

Fix: the reservation ends with the attempt. While a moved stream still runs on its old path, both are reserved as before.

Evidence: two new tests on virtual time, an entry as in production; requests that need over half of the memory of a shared instance. Reached by anything that fills the instances to over half, so most likely at full load; not specific to changes of the configuration.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -215,6 +215,8 @@
                 )
             events_before = self._event_count
             result = await self._attempt(segments)
+            # Nothing runs on the path any more, and the next one may need it.
+            self._path.release()
             has_progressed = self._event_count > events_before
             if has_progressed:
                 forwarding.clear_crashes(self._fingerprint)
--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -60,9 +60,10 @@
         return self
 
     def __exit__(self, *details) -> None:
-        self._release()
+        self.release()
 
-    def _release(self) -> None:
+    def release(self) -> None:
+        """Releases the capacity that is reserved on the current path."""
         if self._reservation is not None:
             self._reservation.__exit__()
             self._reservation = None
@@ -165,7 +166,7 @@
             segments: The path.
             reservation: Its capacity, as returned by `hold`.
         """
-        self._release()
+        self.release()
         self.segments = segments
         self._reservation = reservation
 
--- a/src/fuchsiabarrow/platform/tests/caller_connections.py
+++ b/src/fuchsiabarrow/platform/tests/caller_connections.py
@@ -27,6 +27,8 @@
 GENERATION = {wire_names.TOKEN_COUNTS: "800,60", wire_names.LENGTH_HINT: "60"}
 # Time after a change until the entry has it; the store's watches deliver it.
 ADOPTION_S = 0.3
+# The entry takes retries from its share of the budget from this time on.
+WARM_UP_S = 6.0
 
 
 @dataclasses.dataclass
--- a/src/fuchsiabarrow/platform/tests/test_connection_ends.py
+++ b/src/fuchsiabarrow/platform/tests/test_connection_ends.py
@@ -110,3 +110,47 @@
 
     headers = {wire_names.TOKEN_COUNTS: "9" * digits + ",1"}
     assert call_beside("left", make, **headers) == [400] * 6
+
+
+# Guards against a stream that waits until its time limit, and is cut then, as
+# the capacity that it still holds on the path that it lost is missing for the
+# next one.
+def test_stream_that_fills_over_half_of_an_instance_can_be_resumed():
+    async def test(deployment):
+        await asyncio.sleep(caller_connections.WARM_UP_S)
+        left = deployment.upstreams["left"]
+        left.event_count, left.gap_s = 8, 0.2
+        caller = await deployment.connect()
+        exchange = asyncio.create_task(
+            caller.exchange(
+                "/draft/x", "POST", b"p", **{wire_names.TOKEN_COUNTS: "1200,60"}
+            )
+        )
+        await asyncio.sleep(0.7)
+        deployment.kill_upstream("left")
+        await asyncio.sleep(1.0)
+        again = await deployment.add_upstream("left-again", "model", (0, 40))
+        again.event_count = 8
+        return await exchange
+
+    answer = run(test)
+    assert answer.is_complete
+    assert answer.body.count(b"id: ") == 8
+    assert answer.took_s < 3.0
+
+
+# Guards against a refusal for lack of capacity that the request itself holds,
+# on a path whose first instance it did not reach.
+def test_request_that_does_not_reach_its_first_instance_gets_another_path():
+    async def test(deployment):
+        for name in ("left-2", "left-3", "left-4"):
+            await deployment.add_upstream(name, "model", (0, 40))
+        await asyncio.sleep(caller_connections.WARM_UP_S)
+        for name in ("left", "left-2", "left-3"):
+            deployment.kill_upstream(name)
+        caller = await deployment.connect()
+        headers = {wire_names.TOKEN_COUNTS: "1200,60"}
+        return await caller.exchange("/draft/x", "POST", b"p", **headers)
+
+    answer = run(test)
+    assert (answer.status, answer.body.count(b"id: ")) == (200, 5)
