Tests: the time limit of the version at the match holds until the end

Raised and lowered while a plain request, and streams that may and may not be repeated, wait for their upstream: 504 at the limit of the match.

--- a/src/fuchsiabarrow/platform/tests/test_changes_beside_requests.py
+++ b/src/fuchsiabarrow/platform/tests/test_changes_beside_requests.py
@@ -335,3 +335,24 @@
 
 def test_ten_versions_in_series_leave_each_waiting_request_its_answer():
     check(play([grow, move_routes, lower_time_limits, split_routes, keep] * 2))
+
+
+# Guards against a request that another version's time limit ends, sooner or
+# later than the one that it was matched with.
+@pytest.mark.parametrize("name", ["read", "wait", "wait-once"])
+@pytest.mark.parametrize("timeout_ms", [300, 60_000])
+def test_time_limit_of_the_match_holds_until_the_end(name, timeout_ms):
+    async def test(deployment):
+        deployment.config["services"] = make_services()
+        await deployment.commit()
+        await prepare(deployment)
+        sending = asyncio.create_task(send(deployment, name, 0))
+        await asyncio.sleep(0.5)
+        for route in deployment.routes.values():
+            route["timeout_ms"] = timeout_ms
+        await deployment.commit()
+        return await sending
+
+    sent = caller_connections.run(test, make_routes(timeout_ms=1000))
+    assert (sent.answer.status, sent.answer.is_complete) == (504, True)
+    assert 0.95 <= sent.answer.took_s <= 1.01
