Connections to upstreams: a cancelled attempt is one that failed

What callers could see: a closed connection without an answer and with the cause "cancelled" in the log. A task that opens a connection is shared by the request and by the pool, which cancels it when it is closed; the request asked the task for its error and was ended by the CancelledError instead.

Cause: `Task.exception()` raises if the task was cancelled, and `next` without a failed task raises StopIteration.

Fix: one function returns the error of a task that has failed; if all were cancelled, the upstream counts as unreachable, as nothing was sent.

Evidence: both cases of the new test end with CancelledError without the fix. By reading, only the end of the pool cancels a task that a request waits for, which comes after the end of all callers' connections: not reached in operation.

--- a/src/fuchsiabarrow/forwarding/connections.py
+++ b/src/fuchsiabarrow/forwarding/connections.py
@@ -479,7 +479,7 @@
         try:
             if is_usual:
                 await asyncio.wait({direct}, timeout=TUNNEL_DELAY_S)
-                if direct.done() and direct.exception() is None:
+                if _has_succeeded(direct):
                     used = direct
                     return direct.result()
             left_s = deadline_s - loop.time()
@@ -514,11 +514,10 @@
             return await _wait_for_success(tasks, rest_timeout_s)
         except exceptions.UpstreamUnreachableError:
             if (
-                tunnel.done()
-                and isinstance(tunnel.exception(), exceptions.NoHelperError)
+                isinstance(_get_error(tunnel), exceptions.NoHelperError)
                 and self._links.has_fault()
             ):
-                raise tunnel.exception() from None
+                raise _get_error(tunnel) from None
             raise
 
     def _settle(
@@ -552,12 +551,12 @@
                 return
             if _has_succeeded(task):
                 task.result()[0].abort()
-        if direct is None or tunnel is None or _has_succeeded(direct):
+        if direct is None or tunnel is None or _get_error(direct) is None:
             return
         if _has_succeeded(tunnel):
-            self._record_cut(address, tunnel.result()[1], direct.exception())
-        elif not tunnel.cancelled() and not isinstance(
-            tunnel.exception(), exceptions.NoHelperError
+            self._record_cut(address, tunnel.result()[1], _get_error(direct))
+        elif not isinstance(
+            _get_error(tunnel), exceptions.NoHelperError | None
         ):
             self._links.record_dead(address)
 
@@ -696,7 +695,19 @@
             break
         timeout_s = rest_timeout_s
     # The error of the direct connection says more; it comes first.
-    raise next(task for task in tasks if task.done()).exception()
+    errors = filter(None, map(_get_error, tasks))
+    raise next(
+        errors,
+        exceptions.UpstreamUnreachableError(
+            "all attempts to connect were cancelled; use another upstream"
+        ),
+    )
+
+
+def _get_error(task: asyncio.Task) -> BaseException | None:
+    """Returns the error of a task that has failed and was not cancelled."""
+    is_ended = task.done() and not task.cancelled()
+    return task.exception() if is_ended else None
 
 
 def _has_succeeded(task: asyncio.Task) -> bool:
--- a/src/fuchsiabarrow/forwarding/tests/test_connections.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_connections.py
@@ -345,3 +345,44 @@
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+class SlowTunnels:
+    """Opens no connection."""
+
+    async def open(self, address, make_protocol, timeout_s):
+        await asyncio.sleep(timeout_s)
+        raise exceptions.NoHelperError("no answer")
+
+    def is_available(self, helper):
+        return True
+
+
+# Guards against a caller's connection that is closed without a word, as another
+# part cancelled the task that opens a connection to the upstream.
+@pytest.mark.parametrize("cancels_before_direct", [True, False])
+def test_cancelled_attempts_to_connect_are_unreachable(cancels_before_direct):
+    async def run():
+        loop = asyncio.get_running_loop()
+        table = links.LinkTable(loop.time, random.Random(1))
+        async with connections.ConnectionPool(
+            5.0, table, SlowTunnels()
+        ) as pool:
+
+            async def hang(address, timeout_s):
+                await asyncio.sleep(60.0)
+
+            pool._connect = hang
+            table.get_state = lambda _: links.LinkState.DOUBTFUL
+            opening = asyncio.create_task(pool.open("10.0.0.1:80"))
+            delay_s = connections.TUNNEL_DELAY_S
+            await asyncio.sleep(delay_s * (0.5 if cancels_before_direct else 2))
+            for task in list(pool._attempts):
+                task.cancel()
+            async with asyncio.timeout(2.0):
+                await asyncio.wait({opening})
+            assert not opening.cancelled()
+            opening.result()
+
+    with pytest.raises(exceptions.UpstreamUnreachableError):
+        loops.run(run())
