--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 import dataclasses
 import enum
+import math
 
 from aiohttp import web_protocol
 import aiohttp.web
@@ -22,9 +23,15 @@
 ]
 
 SHUTDOWN_TIMEOUT_S = 2.0
+# Time for the handler of a request that is cut to release what it holds.
+CUT_TIMEOUT_S = 0.02
 LISTEN_BACKLOG = 1024
 # A connection counts as idle once no data has arrived for this long.
 IDLE_AFTER_S = 0.04
+# Time after which a caller that takes no bytes of its answer is cut off. The
+# kernel passes on data in steps of up to a megabyte, for which a slow link
+# needs some time.
+STALLED_WRITE_S = 30.0
 
 
 class Listener:
@@ -36,15 +43,22 @@
     Args:
         app: Application to serve.
         address: ``ip:port`` to bind; port 0 picks a free port.
+        shutdown_timeout_s: Time for responses on leaving, and again for the
+            end of their handlers.
 
     Raises:
         SettingsError: On entering, if the address cannot be bound.
     """
 
-    def __init__(self, app: aiohttp.web.Application, address: str):
+    def __init__(
+        self,
+        app: aiohttp.web.Application,
+        address: str,
+        shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S,
+    ):
         self.address = address
         self._runner = aiohttp.web.AppRunner(
-            app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+            app, access_log=None, shutdown_timeout=shutdown_timeout_s
         )
 
     async def __aenter__(self) -> "Listener":
@@ -75,6 +89,8 @@
         SHUTDOWN: The server was shut down while the connection was idle.
         SHUTDOWN_LIMIT: The server was shut down and did not wait any longer for
             the response to its request.
+        SLOW_CALLER: The caller took no bytes of its answer for
+            `STALLED_WRITE_S`.
         SERVER: The server closed it for another reason, such as an error.
     """
 
@@ -82,6 +98,7 @@
     IDLE_LIMIT = "idle_limit"
     SHUTDOWN = "shutdown"
     SHUTDOWN_LIMIT = "shutdown_limit"
+    SLOW_CALLER = "slow_caller"
     SERVER = "server"
 
 
@@ -94,8 +111,8 @@
         head_s: Time for the rest of a head after its first part.
     """
 
-    idle_s: float
-    head_s: float
+    idle_s: float = 15.0
+    head_s: float = 3.0
 
 
 class Connection(web_protocol.RequestHandler):
@@ -175,11 +192,19 @@
             self.close_cause = cause
         self.force_close()
 
-    async def shutdown(self, timeout: float | None = 15.0) -> None:
-        """Closes the connection after its response or at the time limit."""
+    async def shutdown(self, timeout: float | None = CUT_TIMEOUT_S) -> None:
+        """Closes the connection without waiting for its response.
+
+        Args:
+            timeout: Time for the handler to end, in seconds.
+        """
         if self.close_cause is None:
             self.close_cause = CloseCause.SHUTDOWN_LIMIT
-        await super().shutdown(timeout)
+        handler_task = self._task_handler
+        if handler_task is not None:
+            handler_task.cancel()
+            await asyncio.wait({handler_task}, timeout=timeout)
+        self.force_close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Implements `asyncio.Protocol.connection_lost`."""
@@ -211,6 +236,32 @@
         finally:
             self._become_idle()
 
+    async def _drain_helper(self) -> None:
+        """Waits until the caller has taken data; cuts off one that stalls."""
+        timer = None
+
+        def check_progress(previous_bytes: int) -> None:
+            nonlocal timer
+            if self.transport is None:
+                return
+            # Nothing is written meanwhile.
+            unsent_bytes = self.transport.get_write_buffer_size()
+            if unsent_bytes < previous_bytes:
+                timer = self._loop.call_later(
+                    STALLED_WRITE_S, check_progress, unsent_bytes
+                )
+                return
+            # Closing alone would wait for the caller to take the rest.
+            self.transport.abort()
+            self.close_as(CloseCause.SLOW_CALLER)
+
+        check_progress(math.inf)
+        try:
+            await super()._drain_helper()
+        finally:
+            if timer is not None:
+                timer.cancel()
+
     def _process_keepalive(self) -> None:
         """Closes the connection at its limit, or sets the next timer."""
         self._keepalive_handle = None
@@ -240,7 +291,7 @@
     def __init__(
         self,
         handler: Callable,
-        get_time_limits: Callable[[], TimeLimits],
+        get_time_limits: Callable[[], TimeLimits] = TimeLimits,
         on_cut: Callable[[Connection], None] | None = None,
         **options,
     ):
@@ -261,6 +312,8 @@
 class ServerListener:
     """Owns the listening socket of a low-level server without routes.
 
+    Leaving it cuts the requests that are still served.
+
     Args:
         server: Creates the protocol object of each connection.
         address: ``ip:port`` to bind.
@@ -309,6 +362,16 @@
             if connection not in busy and connection.is_waiting and is_idle:
                 connection.close_as(CloseCause.SHUTDOWN)
 
+    def pause_reading(self) -> None:
+        """Leaves further requests on the open connections unread."""
+        for connection in self._server.connections:
+            if connection.transport is not None:
+                connection.transport.pause_reading()
+
+    async def cut(self) -> None:
+        """Closes all connections, also those with a request in progress."""
+        await self._server.shutdown(CUT_TIMEOUT_S)
+
     async def __aexit__(self, *exc_info) -> None:
         self.stop_accepting()
-        await self._server.shutdown(SHUTDOWN_TIMEOUT_S)
+        await self.cut()
