--- a/src/fuchsiabarrow/platform/tests/test_connection_ends.py
+++ b/src/fuchsiabarrow/platform/tests/test_connection_ends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import logbook
 import pytest
 
 from fuchsiabarrow.platform import wire_names
@@ -154,3 +155,98 @@
 
     answer = run(test)
     assert (answer.status, answer.body.count(b"id: ")) == (200, 5)
+
+
+def test_body_is_judged_by_the_limits_at_its_head():
+    async def test(deployment):
+        answers = []
+        for limit_bytes, size in ((100, 1000), (10_000, 200)):
+            caller = await deployment.connect()
+            request = caller_connections.make_request(
+                "/read/x", "POST", b"x" * size
+            )
+            caller.writer.write(request[:-size])
+            await asyncio.sleep(0.1)
+            await deployment.change_limits(max_body_bytes=limit_bytes)
+            caller.writer.write(request[-size:])
+            answers.append((await caller.read_answer()).status)
+        return answers
+
+    assert run(test) == [200, 413]
+
+
+# Guards against bytes of an answer that its caller did not wait for.
+def test_body_is_sent_after_the_interim_answer_and_answered_once():
+    async def test(deployment):
+        caller = await deployment.connect()
+        request = caller_connections.make_request(
+            "/read/x", "POST", b"body", Expect="100-continue"
+        )
+        caller.writer.write(request[:-4])
+        interim = await caller.reader.readuntil(b"\r\n\r\n")
+        caller.writer.write(request[-4:])
+        answer = await caller.read_answer()
+        next_answer = await caller.exchange("/read/x")
+        assert await caller.is_open_after(1.0)
+        return interim, answer.status, answer.body[-8:], next_answer.status
+
+    assert run(test) == (
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        200,
+        b":b'body'",
+        200,
+    )
+
+
+@pytest.mark.parametrize(
+    "rest", [b"GET / HTTP/9\r\n\r\n", b"\x00\x01\r\n\r\n", b"a b c d\r\n\r\n"]
+)
+def test_malformed_head_behind_a_request_leaves_its_answer_whole(rest):
+    async def test(deployment):
+        deployment.upstreams["desk-1"].delay_s = 0.5
+        deployment.upstreams["desk-2"].delay_s = 0.5
+        caller = await deployment.connect()
+        caller.writer.write(caller_connections.make_request("/read/x"))
+        # The library drops requests that it reads together with the error.
+        await asyncio.sleep(0.1)
+        caller.writer.write(rest)
+        answers = [await caller.read_answer() for _ in range(2)]
+        assert not await caller.is_open_after(1.0)
+        return [(answer.status, answer.is_complete) for answer in answers]
+
+    assert run(test) == [(200, True), (400, True)]
+
+
+# More than the HTTP library reads ahead.
+def test_many_pipelined_requests_are_answered_in_order():
+    async def test(deployment):
+        caller = await deployment.connect()
+        for number in range(100):
+            caller.writer.write(
+                caller_connections.make_request(
+                    "/read/x", request_id=f"r{number}"
+                )
+            )
+        answers = [await caller.read_answer() for _ in range(100)]
+        assert await caller.is_open_after(1.0)
+        return [(a.status, a.headers[ATTEMPT_ID]) for a in answers]
+
+    assert run(test) == [(200, f"r{number}") for number in range(100)]
+
+
+# A caller that closes one direction cannot be told from one that left.
+def test_caller_that_closes_its_direction_is_taken_for_one_that_left():
+    async def test(deployment):
+        for upstream in deployment.upstreams.values():
+            upstream.delay_s = 1.0
+        caller = await deployment.connect()
+        caller.writer.write(caller_connections.make_request("/read/x"))
+        await asyncio.sleep(0.2)
+        caller.writer.write_eof()
+        answer = await caller.read_answer()
+        return answer.status, answer.took_s
+
+    with logbook.TestHandler() as handler:
+        assert run(test)[0] is None
+    events = [record.message.split()[0] for record in handler.records]
+    assert events.count("event=caller_left") == 1
