--- a/src/fuchsiabarrow/platform/tests/soak/invariants.py
+++ b/src/fuchsiabarrow/platform/tests/soak/invariants.py
@@ -5,6 +5,8 @@
 import contextlib
 import dataclasses
 
+from fuchsiabarrow.platform.tests.soak import callers
+
 __all__ = ["Attempt", "Cut", "History"]
 
 # How long after the store accepted the change a revoked key may still be used
@@ -23,6 +25,15 @@
 MIN_CUT_RATIO = 2 / 3
 # Fewer requests are not compared.
 MIN_COMPARED_REQUESTS = 20
+# Put before the body of a large answer: more than the system keeps in sockets
+# for a caller that does not read.
+PADDING = b"x" * 6_000_000
+# What happens to the process of an entry, or of the soak.
+KILLED = "killed"
+PAUSED = "paused"
+STOPPED = "stopped"
+SOAK_HELD_UP = "soak_held_up"
+UPSTREAM_CUT = "upstream_cut"
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +50,12 @@
         is_complete: Whether the response was received to its end.
         body: Body of the response.
         ended_s: Loop time at which it ended, complete or not.
+        ending: How it ended, None while it is running.
+        is_large: Whether the answer is a large one.
+        limit_s: Time limit that the caller has set.
+        pause_s: Time for which the caller did not read.
+        turn_s: Loop time at which the requests before it on its connection had
+            ended for the caller.
     """
 
     request_id: str
@@ -50,6 +67,19 @@
     is_complete: bool = False
     body: bytes = b""
     ended_s: float = 0.0
+    ending: callers.Ending | None = None
+    is_large: bool = False
+    limit_s: float = 5.0
+    pause_s: float = 0.0
+    turn_s: float = 0.0
+
+    def end(self, answer: callers.Answer) -> None:
+        """Records how it ended for the caller."""
+        self.ending = answer.ending
+        self.status = answer.status
+        self.is_complete = answer.ending is callers.Ending.ANSWERED
+        self.body = answer.body
+        self.ended_s = answer.at_s
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,11 +90,21 @@
         entries: Names of the entries.
         began_s: Loop time at which it began.
         ended_s: Loop time at which it ended, infinite until then.
+        cause: What happens to the entries.
     """
 
     entries: frozenset[str]
     began_s: float
     ended_s: float = float("inf")
+    cause: str = ""
+
+    def concerns(self, entry: str, begin_s: float, end_s: float) -> bool:
+        """Returns whether an entry is concerned in a time span."""
+        return (
+            entry in self.entries
+            and self.began_s < end_s
+            and begin_s < self.ended_s
+        )
 
 
 class History:
@@ -83,6 +123,8 @@
         disturbances: Entries that were killed, paused or stopped, with times.
         store_faults: Entries whose connection to the store had a fault, with
             times; those of the store itself concern all entries.
+        upstream_faults: Times in which upstreams broke off, for all entries or
+            those that were cut off.
         helped_count: Number of runs that came through another entry than that
             of the caller.
     """
@@ -98,24 +140,37 @@
         self.cuts: list[Cut] = []
         self.disturbances: list[Cut] = []
         self.store_faults: list[Cut] = []
+        self.upstream_faults: list[Cut] = []
         self.helped_count = 0
 
     @contextlib.contextmanager
     def record_cut(self, names: frozenset[str], read_time_s: Callable):
         """Records that entries are cut off from all upstreams."""
-        cut = Cut(names, read_time_s())
+        cut = Cut(names, read_time_s(), cause=UPSTREAM_CUT)
         self.cuts.append(cut)
+        self.upstream_faults.append(cut)
         yield
         cut.ended_s = read_time_s()
 
     @contextlib.contextmanager
-    def record_disturbance(self, name: str, read_time_s: Callable):
+    def record_disturbance(
+        self, name: str, read_time_s: Callable, cause: str = ""
+    ):
         """Records that the process of an entry is disturbed."""
-        disturbance = Cut(frozenset([name]), read_time_s())
+        disturbance = Cut(frozenset([name]), read_time_s(), cause=cause)
         self.disturbances.append(disturbance)
         yield
         disturbance.ended_s = read_time_s()
 
+    @contextlib.contextmanager
+    def record_upstream_fault(self, read_time_s: Callable[[], float]):
+        """Records that an upstream breaks off for all entries."""
+        names = frozenset(self.entries.values())
+        fault = Cut(names, read_time_s(), cause=UPSTREAM_CUT)
+        self.upstream_faults.append(fault)
+        yield
+        fault.ended_s = read_time_s()
+
     @contextlib.contextmanager
     def record_store_fault(
         self, names: Iterable[str], read_time_s: Callable[[], float]
@@ -129,10 +184,16 @@
     def was_disturbed(self, entry: str, begin_s: float, end_s: float) -> bool:
         """Returns whether an entry, or its way to the store, had a fault."""
         return any(
-            entry in fault.entries
-            and fault.began_s < end_s
-            and begin_s < fault.ended_s
+            fault.concerns(entry, begin_s, end_s)
+            for fault in [*self.disturbances, *self.store_faults]
+        )
+
+    def was_held_up(self, entry: str, begin_s: float, end_s: float) -> bool:
+        """Returns whether the process of an entry or the soak was held up."""
+        return any(
+            fault.concerns(entry, begin_s, end_s)
             for fault in [*self.disturbances, *self.store_faults]
+            if fault.cause in (PAUSED, KILLED, SOAK_HELD_UP)
         )
 
     def record_run(
@@ -210,9 +271,7 @@
             }
             cut_names = {name for cut in cuts for name in cut.entries}
             is_disturbed = any(
-                attempt.entry in one.entries
-                and one.began_s < ended_s
-                and one.ended_s > began_s
+                one.concerns(attempt.entry, began_s, ended_s)
                 for one in self.disturbances
             )
             if (
@@ -261,10 +320,14 @@
             )
         elif attempt.kind == "draft":
             self._check_stream(attempt)
-        elif not attempt.body.endswith(f":b'{attempt.request_id}'".encode()):
+        elif attempt.body not in [
+            PADDING * attempt.is_large
+            + f"{upstream}:b'{attempt.request_id}'".encode()
+            for _, upstream in runs
+        ]:
             self.violations.append(
                 f"{attempt.request_id} got the response of another request:"
-                f" {attempt.body!r}"
+                f" {len(attempt.body)} bytes, {attempt.body[:100]!r}"
             )
 
     def _check_stream(self, attempt: Attempt) -> None:
--- a/src/fuchsiabarrow/platform/tests/soak/scenario.py
+++ b/src/fuchsiabarrow/platform/tests/soak/scenario.py
@@ -1,9 +1,11 @@
 """Load and overlapping faults, drawn at random from a seed."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Collection
 import contextlib
+import dataclasses
 import functools
 import pathlib
 import random
@@ -17,6 +19,8 @@
 from fuchsiabarrow.platform.tests import fake_upstreams
 from fuchsiabarrow.platform.tests import processes
 from fuchsiabarrow.platform.tests import sample_objects
+from fuchsiabarrow.platform.tests.soak import callers
+from fuchsiabarrow.platform.tests.soak import endings
 from fuchsiabarrow.platform.tests.soak import invariants
 from fuchsiabarrow.platform.tests.soak import proxies
 from fuchsiabarrow.platform.tests.soak import redirected_entry
@@ -33,8 +37,27 @@
 SOURCE_HOSTS = "127.3.0"
 CALLERS = 8
 REQUEST_TIMEOUT_S = 5.0
+# Time limit of a share of the streams, beyond the grace period of an entry.
+LONG_TIMEOUT_S = 10.0
+LONG_SHARE = 0.3
+# A caller closes its connection if nothing ends the request for this long after
+# its time limit.
+GIVE_UP_S = 1.0
+# Shares of requests whose answer is large, that are followed at once by another
+# one on the connection, and whose caller pauses before it reads.
+LARGE_SHARE = 0.02
+PIPELINED_SHARE = 0.1
+SLOW_SHARE = 0.1
+PAUSE_RANGE_S = (0.1, 2.0)
+LARGE_PATH = "read/large"
 EVENTS = 12
 KINDS = ("read", "book", "draft")
+# Time limits of their routes that are less than that of the callers.
+LIMITS_S = {
+    route["path_prefix"].strip("/"): route["timeout_ms"] / 1000
+    for route in entry_harness.ROUTES
+    if route["timeout_ms"] / 1000 < REQUEST_TIMEOUT_S
+}
 # Upstream of a service to which only routes are moved; it has no faults.
 ANNEX = "annex-1"
 SERVICES = ("desk", "annex")
@@ -42,6 +65,16 @@
 # two such changes.
 CHANGING_PATHS = ("/moved/", "/added/")
 ROUTE_CHANGE_INTERVAL_S = (0.2, 1.5)
+# Time limits between which such routes change, shorter and longer than the work
+# for a part of their requests.
+ROUTE_LIMITS_S = (0.3, 0.6, 2.0)
+# Share of pauses between changes that are long, so that requests beside changes
+# can be compared with others, and their length.
+CALM_SHARE = 0.1
+CALM_RANGE_S = (4.0, 6.0)
+SLOW_PATH = "slow"
+SLOW_WORK_S = 0.8
+SLOW_WORK_SHARE = 0.2
 # Service, accelerator kind and layers by name.
 UPSTREAMS = {
     "desk-1": ("desk", None, None),
@@ -64,7 +97,13 @@
 # less than this before it. Store faults count as present for this long after
 # their end.
 FAULT_MARGIN_S = 4.0
+# Number of stops in a series, and the time between two.
+MAX_STOPS = 8
+STOP_INTERVAL_S = (0.2, 1.5)
+# Faults beside which a stop must lose no request.
+PLANNED_FAULTS = ("entry_reload", "entry_stop", "entry_stop_series", "keys")
 RECOVERY_TIMEOUT_S = 15.0
+LOG_DELAY_S = 0.3
 # The store runs in this process. While its event loop is held up for longer
 # than this, the store is slow for all entries.
 LOOP_CHECK_PERIOD_S = 0.05
@@ -89,14 +128,19 @@
         self._history = history
         self.delay_s = 0.01
 
-    async def _run(self, request):
+    async def _run(self, request: aiohttp.web.Request):
         if request.headers.get(wire_names.EXPECT_INSTANCE) == self.name:
             now_s = asyncio.get_running_loop().time()
             request_id = request.headers[wire_names.ATTEMPT_ID]
             self._history.record_run(
                 request_id, self.name, now_s, request.remote
             )
-        return await super()._run(request)
+            if request.path.endswith(f"/{SLOW_PATH}"):
+                await asyncio.sleep(SLOW_WORK_S)
+        response = await super()._run(request)
+        if request.path == f"/{LARGE_PATH}":
+            response.body = invariants.PADDING + response.body
+        return response
 
     async def _stream(self, request, headers):
         headers["Content-Type"] = "text/event-stream"
@@ -120,6 +164,7 @@
         history: Requests and violations of invariants seen so far.
         faults: Name, start and end of each fault, as loop times.
         versions: Versions of the configuration, and checks against them.
+        endings: How the requests ended, counted at the end.
         max_loop_delay_s: Longest time for which this process was held up.
 
     Args:
@@ -159,10 +204,18 @@
         self._annex: SoakUpstream | None = None
         # Its draws leave the faults of a seed as they are.
         self._route_source = random.Random(seed)
-        self._routes = {path: "desk" for path in CHANGING_PATHS}
+        self._caller_source = random.Random(seed)
+        self._routes = {
+            path: versions.Route("desk", 0.6) for path in CHANGING_PATHS
+        }
         self.max_loop_delay_s = 0.0
         self.versions = versions.Versions(
-            self.history.violations.append, self.history.was_disturbed
+            self.history.violations.append,
+            self.history.was_disturbed,
+            self.history.was_held_up,
+        )
+        self.endings = endings.Endings(
+            self.history, self.versions.was_changing, self._get_least_limit_s
         )
         self._store_proxies: list[proxies.Proxy] = []
         self._store = fake_stores.FakeStore()
@@ -234,11 +287,11 @@
                 name=f"route{path}",
                 path_prefix=path,
                 kind="idempotent",
-                service=service,
-                timeout_ms=600,
+                service=route.service,
+                timeout_ms=int(route.limit_s * 1000),
                 resumable=False,
             )
-            for path, service in self._routes.items()
+            for path, route in self._routes.items()
         ]
         config = sample_objects.make_config(
             self._version,
@@ -260,47 +313,70 @@
             if delay_s > MAX_LOOP_DELAY_S:
                 names = frozenset(entry.name for entry in self._entries)
                 self.history.store_faults.append(
-                    invariants.Cut(names, due_s, due_s + delay_s)
+                    invariants.Cut(
+                        names,
+                        due_s,
+                        due_s + delay_s,
+                        invariants.SOAK_HELD_UP,
+                    )
                 )
 
     async def _change_routes(self) -> None:
-        """Adds, moves and drops routes, again and again."""
+        """Adds, moves and drops routes, and changes their time limits."""
+        draw = self._route_source
         while True:
+            is_calm = draw.random() < CALM_SHARE
             await asyncio.sleep(
-                self._route_source.uniform(*ROUTE_CHANGE_INTERVAL_S)
+                draw.uniform(
+                    *(CALM_RANGE_S if is_calm else ROUTE_CHANGE_INTERVAL_S)
+                )
             )
             path = self._route_source.choice(CHANGING_PATHS)
-            service = self._routes.get(path)
-            if path == "/added/" and service is not None:
-                del self._routes[path]
+            route = self._routes.get(path)
+            if route is None:
+                route = versions.Route(SERVICES[0], ROUTE_LIMITS_S[1])
+            elif self._route_source.random() < 0.5:
+                limits_s = set(ROUTE_LIMITS_S) - {route.limit_s}
+                limit_s = self._route_source.choice(sorted(limits_s))
+                route = dataclasses.replace(route, limit_s=limit_s)
+            elif path == "/added/":
+                route = None
             else:
-                self._routes[path] = SERVICES[service == SERVICES[0]]
+                service = SERVICES[route.service == SERVICES[0]]
+                route = dataclasses.replace(route, service=service)
+            self._routes[path] = route
+            if route is None:
+                del self._routes[path]
             await self._write_configuration()
 
     async def _send_to_changing_routes(self) -> None:
-        async with aiohttp.ClientSession() as session:
+        async with self._keep_connections() as connections:
             while True:
                 await asyncio.sleep(
                     self._route_source.uniform(*VERSION_CALL_PAUSE_S)
                 )
                 entry = self._route_source.choice(self._entries)
                 path = self._route_source.choice(CHANGING_PATHS)
-                attempt = await self._call(
-                    session, entry, path.strip("/"), "key-1"
+                is_slow = self._route_source.random() < SLOW_WORK_SHARE
+                name = SLOW_PATH if is_slow else "x"
+                [attempt] = await self._send(
+                    connections, entry, [f"{path.strip('/')}/{name}"], "key-1"
                 )
-                if attempt.status == 200 and attempt.is_complete:
+                if not attempt.is_complete:
+                    continue
+                service = None
+                if attempt.status == 200:
                     name = attempt.body.partition(b":")[0].decode()
                     service = UPSTREAMS[name][0]
                 elif attempt.status == 404:
                     service = ""
-                else:
-                    continue
                 self.versions.check(
                     versions.Outcome(
                         entry.name,
                         path,
                         attempt.sent_s,
                         attempt.ended_s,
+                        attempt.status,
                         service,
                     )
                 )
@@ -310,68 +386,150 @@
     async def run(self, duration_s: float) -> list[str]:
         """Applies load and faults; returns the violated invariants."""
         async with asyncio.TaskGroup() as group:
-            callers = [
+            tasks = [
                 group.create_task(self._send_requests()) for _ in range(CALLERS)
             ]
-            callers += [
+            tasks += [
                 group.create_task(self._send_to_changing_routes())
                 for _ in range(VERSION_CALLERS)
             ]
-            callers.append(group.create_task(self._watch_loop()))
-            callers.append(group.create_task(self._change_routes()))
+            tasks.append(group.create_task(self._watch_loop()))
+            tasks.append(group.create_task(self._change_routes()))
             await self._draw_faults(duration_s)
-            await self._check_recovery()
-            for caller in callers:
-                caller.cancel()
+            async with self._keep_connections() as connections:
+                await self._check_recovery(connections)
+            for task in tasks:
+                task.cancel()
+        # Time to log the requests whose connections were closed just now.
+        await asyncio.sleep(LOG_DELAY_S)
+        self.endings.check(
+            {
+                entry.name: endings.read_told_requests(entry.log_path)
+                for entry in self._entries
+            }
+        )
         self._check_stops()
         self.history.check_cuts()
         return self.history.violations
 
+    def _get_least_limit_s(self, attempt: invariants.Attempt) -> float:
+        """Returns the least time limit that may hold for a request."""
+        if f"/{attempt.kind}/" in CHANGING_PATHS:
+            return self.versions.get_limits(
+                attempt.entry,
+                f"/{attempt.kind}/",
+                attempt.sent_s,
+                attempt.ended_s,
+            )[0]
+        return LIMITS_S.get(attempt.kind, attempt.limit_s)
+
+    def _keep_connections(self) -> callers.Connections:
+        return callers.Connections(self.history.violations.append)
+
     async def _send_requests(self) -> None:
-        # Connections are kept alive until the entry closes them or exits.
-        async with aiohttp.ClientSession() as session:
+        async with self._keep_connections() as connections:
             while True:
                 await asyncio.sleep(self._source.uniform(0.0, 0.1))
                 entry = self._source.choice(self._entries)
-                kind = self._source.choice(KINDS)
+                path = f"{self._source.choice(KINDS)}/x"
                 key = self._source.choice(["key-1", *self._keys])
-                await self._call(session, entry, kind, key)
+                draw = self._caller_source.random
+                if draw() < LARGE_SHARE:
+                    path = LARGE_PATH
+                paths = [path]
+                if draw() < PIPELINED_SHARE:
+                    paths.append("read/x")
+                pause_s = 0.0
+                if draw() < SLOW_SHARE or path == LARGE_PATH and draw() < 0.5:
+                    pause_s = self._caller_source.uniform(*PAUSE_RANGE_S)
+                limit_s = REQUEST_TIMEOUT_S
+                if path.startswith("draft/") and draw() < LONG_SHARE:
+                    limit_s = LONG_TIMEOUT_S
+                await self._send(
+                    connections, entry, paths, key, pause_s, limit_s
+                )
 
     async def _call(
         self,
-        session: aiohttp.ClientSession,
+        connections: callers.Connections,
         entry: processes.EntryProcess,
         kind: str,
         key: str,
     ) -> invariants.Attempt:
-        self._count += 1
-        request_id = f"r{self._count}"
-        attempt = invariants.Attempt(
-            request_id, kind, key, entry.name, self._read_time_s()
-        )
-        self.history.attempts[request_id] = attempt
-        headers = {
-            "Host": entry_harness.HOST,
-            wire_names.ATTEMPT_ID: request_id,
-            wire_names.AUTHORIZATION: f"Token {key}",
-            wire_names.DEADLINE_MS: str(int(REQUEST_TIMEOUT_S * 1000)),
-            wire_names.TOKEN_COUNTS: "800,60",
-        }
+        """Sends one request and returns it when it has ended."""
+        return (await self._send(connections, entry, [f"{kind}/x"], key))[0]
+
+    async def _send(
+        self,
+        connections: callers.Connections,
+        entry: processes.EntryProcess,
+        paths: list[str],
+        key: str,
+        pause_s: float = 0.0,
+        limit_s: float = REQUEST_TIMEOUT_S,
+    ) -> list[invariants.Attempt]:
+        """Sends requests at once on a connection; returns the ended ones."""
+        attempts, requests = [], []
+        for path in paths:
+            self._count += 1
+            request_id = f"r{self._count}"
+            headers = {
+                "Host": entry_harness.HOST,
+                wire_names.ATTEMPT_ID: request_id,
+                wire_names.AUTHORIZATION: f"Token {key}",
+                wire_names.DEADLINE_MS: str(int(limit_s * 1000)),
+                wire_names.TOKEN_COUNTS: "800,60",
+            }
+            request = callers.make_request(
+                f"/{path}", headers, request_id.encode()
+            )
+            requests.append((request_id, request))
+            attempt = invariants.Attempt(
+                request_id,
+                path.partition("/")[0],
+                key,
+                entry.name,
+                self._read_time_s(),
+                is_large=path == LARGE_PATH,
+                pause_s=pause_s,
+                limit_s=limit_s,
+            )
+            self.history.attempts[request_id] = attempt
+            attempts.append(attempt)
+        answers = self._exchange(connections, entry, requests, pause_s, limit_s)
+        turn_s = attempts[0].sent_s
+        async with contextlib.aclosing(answers):
+            for attempt in attempts:
+                attempt.turn_s = turn_s
+                attempt.end(await anext(answers))
+                turn_s = attempt.ended_s
+                self.history.check_answer(attempt)
+        return attempts
+
+    async def _exchange(
+        self,
+        connections: callers.Connections,
+        entry: processes.EntryProcess,
+        requests: list[tuple[str, bytes]],
+        pause_s: float,
+        limit_s: float,
+    ) -> AsyncIterator[callers.Answer]:
+        """Yields how each request ended."""
         try:
-            async with session.post(
-                f"http://{entry.host}:{entry.front}/{kind}/x",
-                headers=headers,
-                data=request_id,
-                timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S),
-            ) as response:
-                attempt.status = response.status
-                attempt.body = await response.read()
-                attempt.is_complete = True
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            pass
-        attempt.ended_s = self._read_time_s()
-        self.history.check_answer(attempt)
-        return attempt
+            connection = await connections.open(
+                entry.name, f"{entry.host}:{entry.front}"
+            )
+        except OSError:
+            for _ in requests:
+                yield callers.Answer(
+                    callers.Ending.NO_CONNECTION, at_s=self._read_time_s()
+                )
+            return
+        for future in await connection.fetch(requests, pause_s):
+            await asyncio.wait([future], timeout=limit_s + GIVE_UP_S)
+            if not future.done():
+                connection.close()
+            yield future.result()
 
     # Fault injection.
 
@@ -400,6 +558,7 @@
             "entry_kill": self._kill_entry,
             "entry_pause": self._pause_entry,
             "entry_stop": self._stop_entry,
+            "entry_stop_series": self._stop_entries,
             "entry_reload": self._reload_entry,
             **{
                 f"entry_cut_{shape.value}": functools.partial(
@@ -443,21 +602,26 @@
         finally:
             self._reserved.discard(id(reserved_item))
 
+    def _record_upstream_fault(self):
+        return self.history.record_upstream_fault(self._read_time_s)
+
     def _reserve_upstream(self):
         return self._reserve(self._upstreams)
 
     @contextlib.contextmanager
-    def _disturb_entry(self):
+    def _disturb_entry(self, cause: str):
         """Draws an entry like `_reserve` and records that it is disturbed."""
         with self._reserve(self._entries) as entry:
             if entry is None:
                 yield None
                 return
-            with self.history.record_disturbance(entry.name, self._read_time_s):
+            with self.history.record_disturbance(
+                entry.name, self._read_time_s, cause
+            ):
                 yield entry
 
     async def _kill_entry(self) -> None:
-        with self._disturb_entry() as entry:
+        with self._disturb_entry(invariants.KILLED) as entry:
             if entry is not None:
                 entry.send(signal.SIGKILL)
                 await entry.wait_exit(5.0)
@@ -465,26 +629,34 @@
                 await self._start_entry(entry)
 
     async def _pause_entry(self) -> None:
-        with self._disturb_entry() as entry:
+        with self._disturb_entry(invariants.PAUSED) as entry:
             if entry is not None:
                 entry.send(signal.SIGSTOP)
                 await asyncio.sleep(self._draw_duration_s())
                 entry.send(signal.SIGCONT)
 
     async def _stop_entry(self) -> None:
-        with self._disturb_entry() as entry:
+        with self._disturb_entry(invariants.STOPPED) as entry:
             if entry is None:
                 return
             entry.send(signal.SIGTERM)
-            status = await entry.wait_exit(processes.GRACE_S + 1.0)
+            status = await entry.wait_exit(processes.GRACE_S)
             if status != 0:
                 self.history.violations.append(
                     f"{entry.name} exited with status {status} after SIGTERM"
+                    f" and {processes.GRACE_S} s"
                 )
                 entry.close()
             self.versions.forget_entry(entry.name)
             await self._start_entry(entry)
 
+    async def _stop_entries(self) -> None:
+        """Stops entries one after another, the next before the last is back."""
+        async with asyncio.TaskGroup() as group:
+            for _ in self._entries[:MAX_STOPS]:
+                group.create_task(self._stop_entry())
+                await asyncio.sleep(self._source.uniform(*STOP_INTERVAL_S))
+
     async def _start_entry(self, entry: processes.EntryProcess) -> None:
         entry.start()
         if not await entry.wait_ready(self._session):
@@ -562,7 +734,11 @@
 
     async def _disturb_upstream(self, how: str) -> None:
         with self._reserve_upstream() as upstream:
-            if upstream is not None:
+            if upstream is None:
+                return
+            with contextlib.ExitStack() as stack:
+                if how != "delay_s":
+                    stack.enter_context(self._record_upstream_fault())
                 await self._disturb_proxies(upstream.proxies, how)
 
     async def _disturb_proxies(
@@ -588,12 +764,13 @@
         with self._reserve_upstream() as upstream:
             if upstream is None:
                 return
-            for proxy in upstream.proxies:
-                proxy.refuses = True
-                proxy.reset()
-            await asyncio.sleep(self._draw_duration_s())
-            for proxy in upstream.proxies:
-                proxy.clear_faults()
+            with self._record_upstream_fault():
+                for proxy in upstream.proxies:
+                    proxy.refuses = True
+                    proxy.reset()
+                await asyncio.sleep(self._draw_duration_s())
+                for proxy in upstream.proxies:
+                    proxy.clear_faults()
             upstream.born += 1000
             await self._register(upstream)
 
@@ -616,7 +793,7 @@
 
     # Final checks.
 
-    async def _check_recovery(self) -> None:
+    async def _check_recovery(self, connections: callers.Connections) -> None:
         """Checks that all entries serve with the last configuration again."""
         for entry in self._entries:
             await entry.wait_ready(self._session)
@@ -630,7 +807,7 @@
         while wanted and self._read_time_s() - began_s < RECOVERY_TIMEOUT_S:
             left = []
             for entry, kind, key in wanted:
-                attempt = await self._call(self._session, entry, kind, key)
+                attempt = await self._call(connections, entry, kind, key)
                 if attempt.status != 200 or not attempt.is_complete:
                     left.append((entry, kind, key))
             wanted = left
@@ -641,14 +818,12 @@
             )
         for entry in self._entries:
             for key in self.history.revoked_s:
-                attempt = await self._call(self._session, entry, "read", key)
+                attempt = await self._call(connections, entry, "read", key)
                 until_s = self._read_time_s() + RECOVERY_TIMEOUT_S
                 # Refused as not run: the configuration was not confirmed in
                 # time, as the store in this process was held up.
                 while attempt.status == 503 and self._read_time_s() < until_s:
-                    attempt = await self._call(
-                        self._session, entry, "read", key
-                    )
+                    attempt = await self._call(connections, entry, "read", key)
                 if attempt.status != 401:
                     self.history.violations.append(
                         f"{entry.name} answered {attempt.status} to revoked key"
@@ -656,24 +831,26 @@
                     )
 
     def _check_stops(self) -> None:
-        """Checks that a shutdown without nearby faults cuts off no response."""
+        """Checks that shutdowns without nearby faults lose no request."""
         for name, began_s, ended_s in self.faults:
             others = [
                 f
                 for f in self.faults
-                if f[1] != began_s
+                if f[0] not in PLANNED_FAULTS
                 and f[1] < ended_s
                 and f[2] + FAULT_MARGIN_S > began_s
-                and f[0] != "keys"
             ]
-            if name != "entry_stop" or others:
+            if not name.startswith("entry_stop") or others:
                 continue
             for attempt in self.history.attempts.values():
-                is_cut = attempt.status is not None and not attempt.is_complete
-                if is_cut and began_s < attempt.ended_s < ended_s:
+                is_cut = attempt.ending in endings.CUT_ENDINGS
+                if not is_cut or not began_s < attempt.ended_s < ended_s:
+                    continue
+                cause = self.endings.find_cause(attempt)
+                if cause == invariants.STOPPED:
                     self.history.violations.append(
                         f"{attempt.request_id} was cut off by a planned"
-                        " shutdown"
+                        f" shutdown: {attempt.ending.value}"
                     )
 
 
--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -111,8 +111,8 @@
         head_s: Time for the rest of a head after its first part.
     """
 
-    idle_s: float = 15.0
-    head_s: float = 3.0
+    idle_s: float
+    head_s: float
 
 
 class Connection(web_protocol.RequestHandler):
@@ -214,28 +214,6 @@
             self.close_error = type(exc).__name__
         super().connection_lost(exc)
 
-    def _become_idle(self) -> None:
-        self._idle_since_s = self._loop.time()
-        self._close_s = self._idle_since_s
-        self._update_close_s()
-
-    def _update_close_s(self) -> None:
-        """Applies the limits in force to the time of the close."""
-        if self._manager is None:
-            return  # The connection was lost.
-        limits = self._manager.get_time_limits()
-        self._close_s = max(self._close_s, self._idle_since_s + limits.idle_s)
-        if self.has_partial_request:
-            self._close_s = max(
-                self._close_s, self._head_began_s + limits.head_s
-            )
-
-    async def _handle_request(self, *details):
-        try:
-            return await super()._handle_request(*details)
-        finally:
-            self._become_idle()
-
     async def _drain_helper(self) -> None:
         """Waits until the caller has taken data; cuts off one that stalls."""
         timer = None
@@ -262,6 +240,28 @@
             if timer is not None:
                 timer.cancel()
 
+    def _become_idle(self) -> None:
+        self._idle_since_s = self._loop.time()
+        self._close_s = self._idle_since_s
+        self._update_close_s()
+
+    def _update_close_s(self) -> None:
+        """Applies the limits in force to the time of the close."""
+        if self._manager is None:
+            return  # The connection was lost.
+        limits = self._manager.get_time_limits()
+        self._close_s = max(self._close_s, self._idle_since_s + limits.idle_s)
+        if self.has_partial_request:
+            self._close_s = max(
+                self._close_s, self._head_began_s + limits.head_s
+            )
+
+    async def _handle_request(self, *details):
+        try:
+            return await super()._handle_request(*details)
+        finally:
+            self._become_idle()
+
     def _process_keepalive(self) -> None:
         """Closes the connection at its limit, or sets the next timer."""
         self._keepalive_handle = None
@@ -291,7 +291,7 @@
     def __init__(
         self,
         handler: Callable,
-        get_time_limits: Callable[[], TimeLimits] = TimeLimits,
+        get_time_limits: Callable[[], TimeLimits],
         on_cut: Callable[[Connection], None] | None = None,
         **options,
     ):
