--- a/src/fuchsiabarrow/platform/tests/soak/__main__.py
+++ b/src/fuchsiabarrow/platform/tests/soak/__main__.py
@@ -28,6 +28,7 @@
     count: int = 50,
     duration_s: float = 10.0,
     entries: int = 4,
+    number_of_callers: int = scenario.DEFAULT_CALLERS,
     logs: str = "",
     only: str = "",
 ) -> None:
@@ -38,6 +39,8 @@
         count: Number of seeds.
         duration_s: Time during which faults are injected, for each seed.
         entries: Number of entries.
+        number_of_callers: Number of callers; each has a connection to each
+            entry.
         logs: Directory to which the logs of seeds with violations are copied;
             empty to discard them.
         only: Names of the faults to draw from, separated by commas; empty
@@ -54,6 +57,7 @@
                     entries,
                     pathlib.Path(folder),
                     [name for name in only.split(",") if name],
+                    number_of_callers,
                 )
             )
             attempts = soak.history.attempts.values()
--- a/src/fuchsiabarrow/platform/tests/soak/scenario.py
+++ b/src/fuchsiabarrow/platform/tests/soak/scenario.py
@@ -35,7 +35,7 @@
 ENTRY_HOSTS = "127.0.0"
 PROXY_HOSTS = "127.1.0"
 SOURCE_HOSTS = "127.3.0"
-CALLERS = 8
+DEFAULT_CALLERS = 8
 REQUEST_TIMEOUT_S = 5.0
 # Time limit of a share of the streams, beyond the grace period of an entry.
 LONG_TIMEOUT_S = 10.0
@@ -172,6 +172,7 @@
         entry_count: Number of entries.
         folder: Directory for settings files and logs.
         fault_names: Faults to draw from; all if empty.
+        caller_count: Number of callers.
     """
 
     def __init__(
@@ -180,7 +181,9 @@
         entry_count: int,
         folder: pathlib.Path,
         fault_names: Collection[str] = (),
+        caller_count: int = DEFAULT_CALLERS,
     ):
+        self._caller_count = caller_count
         self._fault_names = fault_names
         self.history = invariants.History()
         self._source = random.Random(seed)
@@ -387,7 +390,8 @@
         """Applies load and faults; returns the violated invariants."""
         async with asyncio.TaskGroup() as group:
             tasks = [
-                group.create_task(self._send_requests()) for _ in range(CALLERS)
+                group.create_task(self._send_requests())
+                for _ in range(self._caller_count)
             ]
             tasks += [
                 group.create_task(self._send_to_changing_routes())
@@ -860,6 +864,7 @@
     entry_count: int,
     folder: pathlib.Path,
     fault_names: Collection[str] = (),
+    caller_count: int = DEFAULT_CALLERS,
 ) -> tuple[list[str], SoakRun]:
     """Runs one seed; returns the violated invariants and the run.
 
@@ -869,7 +874,10 @@
         entry_count: Number of entries.
         folder: Directory for settings files and logs.
         fault_names: Faults to draw from; all if empty.
+        caller_count: Number of callers.
     """
-    async with SoakRun(seed, entry_count, folder, fault_names) as soak:
+    async with SoakRun(
+        seed, entry_count, folder, fault_names, caller_count
+    ) as soak:
         violations = await soak.run(duration_s)
     return violations, soak
