--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -56,11 +56,16 @@
         # Last upstream that was tried, for the detail of a refusal.
         self._last_tried = "no upstream tried"
         self._lost_upstream: upstreams.Upstream | None = None
-        self._failed_answer: tuple[messages.ResponseHead, bytes] | None = None
+        # Last whole answer; that of a failure is kept while others are tried.
+        self._answer: tuple[messages.ResponseHead, bytes] | None = None
         self._failed_upstream: upstreams.Upstream | None = None
 
     async def serve(self) -> None:
-        """Forwards the request until the caller has a final answer."""
+        """Forwards the request until the caller has a final answer.
+
+        The time limit is that of the upstreams: a caller may take longer to
+        read a whole answer.
+        """
         request = self._request
         loop = asyncio.get_running_loop()
         remaining_s = request.answer_deadline_s - loop.time() - REFUSAL_MARGIN_S
@@ -79,10 +84,8 @@
         finally:
             if self._has_retry:
                 self._forwarding.return_retry(self._service.name)
-        if refusal is None:
-            return
-        if self._failed_answer is not None:
-            await self._writer.answer(*self._failed_answer)
+        if self._answer is not None:
+            await self._writer.answer(*self._answer)
         else:
             await self._writer.refuse(refusal)
 
@@ -129,8 +132,28 @@
                     for upstream in limited
                 ),
             )
+        else:
+            retry_after_s = max(retry_after_s, self._get_pause_wait_s())
         return messages.Refusal(reason, is_not_run, retry_after_s, detail)
 
+    def _get_pause_wait_s(self) -> float:
+        """Returns the time until the first of the paused upstreams takes work.
+
+        Returns:
+            The time in seconds; 0 if an upstream is usable or none is paused.
+        """
+        directory, name = self._forwarding.directory, self._service.name
+        if directory.get_usable_upstreams(name):
+            return 0.0
+        return min(
+            (
+                directory.get_pause_s(upstream)
+                for upstream in directory.get_upstreams(name)
+                if not upstream.is_leaving and directory.is_paused(upstream)
+            ),
+            default=0.0,
+        )
+
     def _try_take_retry(self) -> bool:
         """Takes a retry from the budget unless one was taken before."""
         if not self._has_retry:
@@ -186,7 +209,7 @@
             usable = [
                 u
                 for u in forwarding.directory.get_upstreams(self._service.name)
-                if not u.is_leaving
+                if not u.is_leaving and not forwarding.directory.is_paused(u)
             ]
         return usable
 
@@ -237,6 +260,7 @@
         self._has_retry = False
         self._run_count += 1
         head = await forwarding.read_head(connection, request, upstream)
+        forwarding.record_pause(upstream, head.pause_s)
         body = await connection.read_body(MAX_ANSWER_BYTES)
         if head.is_not_run:
             self._run_count -= 1
@@ -253,15 +277,13 @@
                 forwarding.directory.record_unsuccessful_request(
                     self._failed_upstream
                 )
+        self._answer = (head, body)
         may_retry = (
             head.status >= HTTP_SERVER_ERROR
             and request.route.may_repeat
             and self._run_count < request.route.max_attempts
         )
         if may_retry:
-            self._failed_answer = (head, body)
             self._failed_upstream = upstream
             return f"status {head.status}"
-        self._failed_answer = None
-        await self._writer.answer(head, body)
         return None
--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -60,9 +60,10 @@
         return self
 
     def __exit__(self, *details) -> None:
-        self._release()
+        self.release()
 
-    def _release(self) -> None:
+    def release(self) -> None:
+        """Releases the capacity that is reserved on the current path."""
         if self._reservation is not None:
             self._reservation.__exit__()
             self._reservation = None
@@ -140,6 +141,7 @@
                 or directory.is_replaced(upstream)
                 or directory.is_avoided(upstream)
                 or directory.is_full(upstream)
+                or directory.is_paused(upstream)
             ):
                 return False
         return True
@@ -165,7 +167,7 @@
             segments: The path.
             reservation: Its capacity, as returned by `hold`.
         """
-        self._release()
+        self.release()
         self.segments = segments
         self._reservation = reservation
 
@@ -231,6 +233,28 @@
             default=0.0,
         )
 
+    def get_pause_wait_s(self) -> float:
+        """Returns the time until paused instances hold all layers again.
+
+        Returns:
+            The time in seconds; 0 if they are not what is missing for a path.
+        """
+        directory = self._forwarding.directory
+        waits_s = [math.inf] * self._service.engine.layers
+        for upstream in directory.get_upstreams(self._service.name):
+            if (
+                upstream.layers is None
+                or upstream.is_leaving
+                or directory.is_avoided(upstream)
+            ):
+                continue
+            pause_s = directory.get_pause_s(upstream)
+            for layer, wait_s in enumerate(waits_s):
+                if upstream.layers.covers(layer, layer + 1):
+                    waits_s[layer] = min(wait_s, pause_s)
+        longest_s = max(waits_s)
+        return longest_s if math.isfinite(longest_s) else 0.0
+
     def describe_missing_path(self) -> str:
         """Describes why no path was found."""
         directory = self._forwarding.directory
@@ -241,8 +265,9 @@
             if upstream.layers is not None
         ]
         for upstream in usable:
-            for layer in range(upstream.layers.first, upstream.layers.end):
-                holder_counts[layer] += 1
+            # An instance may hold layers that the model does not have.
+            for layer in range(len(holder_counts)):
+                holder_counts[layer] += upstream.layers.covers(layer, layer + 1)
         full = sum(directory.is_full(upstream) for upstream in usable)
         limits = self._forwarding.upstream_limits
         limited = sum(not limits.has_permit(u.key) for u in usable)
--- a/src/fuchsiabarrow/platform/tests/fake_upstreams.py
+++ b/src/fuchsiabarrow/platform/tests/fake_upstreams.py
@@ -26,15 +26,28 @@
         delay_s: Delay before a response.
         event_count: Number of events in a stream.
         gap_s: Time between events.
-        padding: Extra bytes in each event.
+        padding: Extra bytes in each event and at the end of other answers.
+        extra_headers: Headers added to its responses.
         closes: Whether responses close their connections.
         layers: Layers that it holds, as (first, end), or None.
         cancelled: Number of requests whose connection was closed while they
             ran.
         born: Unix time in ms of its start.
+
+    Args:
+        name: Instance id.
+        service: Service that it registers for.
+        kind: Accelerator kind, or None.
+        address: ``ip:port`` to listen on; port 0 picks a free port.
     """
 
-    def __init__(self, name: str, service: str, kind: str | None = None):
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        kind: str | None = None,
+        address: str = "127.0.0.1:0",
+    ):
         self.name = name
         self.service = service
         self.kind = kind
@@ -45,6 +58,7 @@
         self.event_count = 5
         self.gap_s = 0.01
         self.padding = 0
+        self.extra_headers: dict[str, str] = {}
         self.closes = False
         self.layers: tuple[int, int] | None = None
         self.cancelled = 0
@@ -55,7 +69,7 @@
         app.router.add_get(wire_names.REPORT_PATH, self._report)
         app.router.add_post(wire_names.ORDER_PATH, self._order)
         app.router.add_route("*", "/{path:.*}", self._run)
-        self._listener = listeners.Listener(app, "127.0.0.1:0")
+        self._listener = listeners.Listener(app, address)
 
     @property
     def address(self) -> str:
@@ -114,10 +128,11 @@
         headers = {
             wire_names.ATTEMPT_ID: request.headers[wire_names.ATTEMPT_ID],
             wire_names.SEAL: SEAL,
+            **self.extra_headers,
         }
         try:
             await asyncio.sleep(self.delay_s)
-            if wire_names.PATH in request.headers:
+            if wire_names.PATH in request.headers and self.status == 200:
                 return await self._stream(request, headers)
         except asyncio.CancelledError:
             self.cancelled += 1
@@ -125,7 +140,9 @@
         if self.closes:
             headers["Connection"] = "close"
         return aiohttp.web.Response(
-            status=self.status, text=f"{self.name}:{body!r}", headers=headers
+            status=self.status,
+            text=f"{self.name}:{body!r}" + "x" * self.padding,
+            headers=headers,
         )
 
     async def _stream(self, request: aiohttp.web.Request, headers: dict):
--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Collection
+import dataclasses
 import enum
+import math
 
 from aiohttp import web_protocol
 import aiohttp.web
@@ -11,12 +13,25 @@
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.utils import addresses
 
-__all__ = ["CloseCause", "Connection", "Listener", "Server", "ServerListener"]
+__all__ = [
+    "CloseCause",
+    "Connection",
+    "Listener",
+    "Server",
+    "ServerListener",
+    "TimeLimits",
+]
 
 SHUTDOWN_TIMEOUT_S = 2.0
+# Time for the handler of a request that is cut to release what it holds.
+CUT_TIMEOUT_S = 0.02
 LISTEN_BACKLOG = 1024
 # A connection counts as idle once no data has arrived for this long.
 IDLE_AFTER_S = 0.04
+# Time after which a caller that takes no bytes of its answer is cut off. The
+# kernel passes on data in steps of up to a megabyte, for which a slow link
+# needs some time.
+STALLED_WRITE_S = 30.0
 
 
 class Listener:
@@ -28,15 +43,22 @@
     Args:
         app: Application to serve.
         address: ``ip:port`` to bind; port 0 picks a free port.
+        shutdown_timeout_s: Time for responses on leaving, and again for the
+            end of their handlers.
 
     Raises:
         SettingsError: On entering, if the address cannot be bound.
     """
 
-    def __init__(self, app: aiohttp.web.Application, address: str):
+    def __init__(
+        self,
+        app: aiohttp.web.Application,
+        address: str,
+        shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S,
+    ):
         self.address = address
         self._runner = aiohttp.web.AppRunner(
-            app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+            app, access_log=None, shutdown_timeout=shutdown_timeout_s
         )
 
     async def __aenter__(self) -> "Listener":
@@ -67,6 +89,8 @@
         SHUTDOWN: The server was shut down while the connection was idle.
         SHUTDOWN_LIMIT: The server was shut down and did not wait any longer for
             the response to its request.
+        SLOW_CALLER: The caller took no bytes of its answer for
+            `STALLED_WRITE_S`.
         SERVER: The server closed it for another reason, such as an error.
     """
 
@@ -74,12 +98,29 @@
     IDLE_LIMIT = "idle_limit"
     SHUTDOWN = "shutdown"
     SHUTDOWN_LIMIT = "shutdown_limit"
+    SLOW_CALLER = "slow_caller"
     SERVER = "server"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimeLimits:
+    """Time limits of a server's connections.
+
+    Attributes:
+        idle_s: Time without a request after which a connection is closed.
+        head_s: Time for the rest of a head after its first part.
+    """
+
+    idle_s: float
+    head_s: float
+
+
 class Connection(web_protocol.RequestHandler):
     """Server connection that records its last data and what ended it.
 
+    It is closed once it has been idle for the limit in force, but not before
+    the limit that was in force when it became idle, which its caller may know.
+
     Attributes:
         last_received_s: Loop time at which data last arrived.
         has_partial_request: Whether the last data was a part of the head of a
@@ -89,6 +130,9 @@
     """
 
     __slots__ = (
+        "_close_s",
+        "_head_began_s",
+        "_idle_since_s",
         "close_cause",
         "close_error",
         "has_partial_request",
@@ -96,19 +140,38 @@
     )
 
     def __init__(self, manager, *, loop: asyncio.AbstractEventLoop, **options):
-        super().__init__(manager, loop=loop, **options)
+        # The library's timer only starts `_process_keepalive`, which sets the
+        # next one: the library keeps the limit that a connection began with.
+        super().__init__(
+            manager, loop=loop, keepalive_timeout=IDLE_AFTER_S, **options
+        )
         self.last_received_s = loop.time()
         self.has_partial_request = False
+        self._head_began_s = 0.0
+        self._become_idle()
         self.close_cause: CloseCause | None = None
         self.close_error = ""
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether it waits for a request, and has read none without answer."""
+        return self._waiter is not None and not self._waiter.done()
+
+    @property
+    def has_next_request(self) -> bool:
+        """Whether a request was read that follows the one being served."""
+        return bool(self._messages)
+
     def data_received(self, data: bytes) -> None:
         """Implements `asyncio.Protocol.data_received`."""
         self.last_received_s = self._loop.time()
         super().data_received(data)
+        was_partial = self.has_partial_request
         self.has_partial_request = (
             self._waiter is not None and not self._messages
         )
+        if self.has_partial_request and not was_partial:
+            self._head_began_s = self.last_received_s
 
     def force_close(self) -> None:
         """Closes the connection."""
@@ -129,11 +192,19 @@
             self.close_cause = cause
         self.force_close()
 
-    async def shutdown(self, timeout: float | None = 15.0) -> None:
-        """Closes the connection after its response or at the time limit."""
+    async def shutdown(self, timeout: float | None = CUT_TIMEOUT_S) -> None:
+        """Closes the connection without waiting for its response.
+
+        Args:
+            timeout: Time for the handler to end, in seconds.
+        """
         if self.close_cause is None:
             self.close_cause = CloseCause.SHUTDOWN_LIMIT
-        await super().shutdown(timeout)
+        handler_task = self._task_handler
+        if handler_task is not None:
+            handler_task.cancel()
+            await asyncio.wait({handler_task}, timeout=timeout)
+        self.force_close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Implements `asyncio.Protocol.connection_lost`."""
@@ -143,13 +214,67 @@
             self.close_error = type(exc).__name__
         super().connection_lost(exc)
 
+    async def _drain_helper(self) -> None:
+        """Waits until the caller has taken data; cuts off one that stalls."""
+        timer = None
+
+        def check_progress(previous_bytes: int) -> None:
+            nonlocal timer
+            if self.transport is None:
+                return
+            # Nothing is written meanwhile.
+            unsent_bytes = self.transport.get_write_buffer_size()
+            if unsent_bytes < previous_bytes:
+                timer = self._loop.call_later(
+                    STALLED_WRITE_S, check_progress, unsent_bytes
+                )
+                return
+            # Closing alone would wait for the caller to take the rest.
+            self.transport.abort()
+            self.close_as(CloseCause.SLOW_CALLER)
+
+        check_progress(math.inf)
+        try:
+            await super()._drain_helper()
+        finally:
+            if timer is not None:
+                timer.cancel()
+
+    def _become_idle(self) -> None:
+        self._idle_since_s = self._loop.time()
+        self._close_s = self._idle_since_s
+        self._update_close_s()
+
+    def _update_close_s(self) -> None:
+        """Applies the limits in force to the time of the close."""
+        if self._manager is None:
+            return  # The connection was lost.
+        limits = self._manager.get_time_limits()
+        self._close_s = max(self._close_s, self._idle_since_s + limits.idle_s)
+        if self.has_partial_request:
+            self._close_s = max(
+                self._close_s, self._head_began_s + limits.head_s
+            )
+
+    async def _handle_request(self, *details):
+        try:
+            return await super()._handle_request(*details)
+        finally:
+            self._become_idle()
+
     def _process_keepalive(self) -> None:
-        was_open = self.close_cause is None
-        if was_open:
-            self.close_cause = CloseCause.IDLE_LIMIT
-        super()._process_keepalive()
-        if was_open and not self._force_close:
-            self.close_cause = None
+        """Closes the connection at its limit, or sets the next timer."""
+        self._keepalive_handle = None
+        if self._force_close or self._request_in_progress:
+            return  # The library sets the timer again after the response.
+        self._update_close_s()
+        now_s = self._loop.time()
+        if self.is_waiting and now_s >= self._close_s:
+            self.close_as(CloseCause.IDLE_LIMIT)
+            return
+        self._keepalive_handle = self._loop.call_at(
+            max(self._close_s, now_s + IDLE_AFTER_S), self._process_keepalive
+        )
 
 
 class Server(aiohttp.web.Server):
@@ -157,6 +282,7 @@
 
     Args:
         handler: Serves one request.
+        get_time_limits: Returns the limits in force.
         on_cut: Called with each connection that the server closes after only a
             part of a request's head has arrived.
         options: Options of `aiohttp.web.Server`.
@@ -165,10 +291,12 @@
     def __init__(
         self,
         handler: Callable,
+        get_time_limits: Callable[[], TimeLimits],
         on_cut: Callable[[Connection], None] | None = None,
         **options,
     ):
         super().__init__(handler, **options)
+        self.get_time_limits = get_time_limits
         self._on_cut = on_cut
 
     def report_cut(self, connection: Connection) -> None:
@@ -184,6 +312,8 @@
 class ServerListener:
     """Owns the listening socket of a low-level server without routes.
 
+    Leaving it cuts the requests that are still served.
+
     Args:
         server: Creates the protocol object of each connection.
         address: ``ip:port`` to bind.
@@ -229,9 +359,19 @@
         now_s = asyncio.get_running_loop().time()
         for connection in self._server.connections:
             is_idle = now_s - connection.last_received_s > IDLE_AFTER_S
-            if connection not in busy and is_idle:
+            if connection not in busy and connection.is_waiting and is_idle:
                 connection.close_as(CloseCause.SHUTDOWN)
 
+    def pause_reading(self) -> None:
+        """Leaves further requests on the open connections unread."""
+        for connection in self._server.connections:
+            if connection.transport is not None:
+                connection.transport.pause_reading()
+
+    async def cut(self) -> None:
+        """Closes all connections, also those with a request in progress."""
+        await self._server.shutdown(CUT_TIMEOUT_S)
+
     async def __aexit__(self, *exc_info) -> None:
         self.stop_accepting()
-        await self._server.shutdown(SHUTDOWN_TIMEOUT_S)
+        await self.cut()
