Keep a silent stream's attempt until its move is not refused (LOST)

Cause: a move took its retry, path and connection beforehand, ended the running attempt, and only then sent the request. The instance had no room and refused it; the retry was used up by the send, none was left, and the answer was cut though its own instance went on.

Now the request is sent on the new path while the attempt still runs, and the attempt is ended only when the new instance answers, or has not refused the request for 0.25 s. If it refuses, or if events arrive meanwhile, the stream stays; after a refusal another path is tried at once. What was received after the request was sent is never joined with the events of the new attempt. `attempt_not_run` names the path that was refused.

test_stream_whose_move_is_refused_stays_with_its_instance failed before: the answer ended after two events. Two others fail without the checks on events that arrive during a move, and on the code before. The fake pool makes connections of a given type, and fake connections can be disconnected before they are entered.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 import dataclasses
 import enum
 from typing import TYPE_CHECKING
@@ -42,6 +43,9 @@
 # Number of instances without a way to them after which no other is tried: this
 # entry, and those that could help, are probably cut off.
 MAX_MISSING_WAYS = 3
+# Time for which a running attempt is kept after the request was sent on another
+# path: an instance that refuses a request does so at once.
+REFUSAL_TIMEOUT_S = 0.25
 # Pause between attempts to replace suspected instances of a running stream.
 PATH_CHANGE_RETRY_S = 0.4
 MAX_ERROR_BYTES = 1_048_576
@@ -68,15 +72,54 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
+class _SentRequest:
+    """The request as sent to the first instance of a path.
+
+    Attributes:
+        segments: The path.
+        is_first_send: Whether that instance had not been sent it before.
+        may_have_run_before: Whether it may have run before it was sent.
+        event_count: Number of events received before it was sent.
+    """
+
+    segments: tuple[paths.PathSegment, ...]
+    is_first_send: bool
+    may_have_run_before: bool
+    event_count: int
+
+
+@dataclasses.dataclass(slots=True)
 class _NextAttempt:
-    """What an attempt needs, prepared while another one still runs."""
+    """An attempt that is started while another one still runs.
+
+    Attributes:
+        segments: Its path.
+        reservation: Capacity reserved on the path.
+        connection: Connection to the first instance.
+        sent: The sent request; None before it is sent.
+        head_task: Reads the head of the response; None before it is sent.
+    """
 
     segments: tuple[paths.PathSegment, ...]
     reservation: loads.Reservation
     connection: connections.Connection
+    sent: _SentRequest | None = None
+    head_task: asyncio.Task[messages.ResponseHead] | None = None
+
+    def is_refused(self) -> bool:
+        """Returns whether the instance is known to have refused the request."""
+        task = self.head_task
+        return (
+            task is not None
+            and task.done()
+            and task.exception() is None
+            and task.result().is_not_run
+        )
 
     def discard(self) -> None:
         """Closes the connection and releases the reserved capacity."""
+        if self.head_task is not None:
+            self.head_task.cancel()
         self.connection.close()
         self.reservation.__exit__()
 
@@ -204,11 +247,12 @@
                 self._path.excluded.clear()
                 self._missing_ways = 0
                 continue
-            if self._send_count >= MAX_SENDS:
+            is_sent = self._next is not None
+            if not is_sent and self._send_count >= MAX_SENDS:
                 return self._make_refusal(
                     messages.RefusalReason.UPSTREAM_FAILED, self._failure_detail
                 )
-            if self._send_count and not self._try_take_retry():
+            if not is_sent and self._send_count and not self._try_take_retry():
                 return self._make_refusal(
                     messages.RefusalReason.UPSTREAM_FAILED,
                     f"retry budget exhausted; {self._failure_detail}",
@@ -359,13 +403,19 @@
         return segments
 
     def _get_next_path(self) -> tuple[paths.PathSegment, ...] | None:
-        """Returns the path of the prepared attempt, if it is still usable."""
-        if self._next is None:
+        """Returns the path of the next attempt, if it is still usable."""
+        following = self._next
+        if following is None:
             return None
-        if not self._path.is_usable(self._next.segments):
+        if (
+            following.sent is None
+            # It would repeat events that were received since.
+            or following.sent.event_count != self._event_count
+            or not self._path.is_usable(following.segments)
+        ):
             self._discard_next()
             return None
-        return self._next.segments
+        return following.segments
 
     def _discard_next(self) -> None:
         if self._next is not None:
@@ -421,8 +471,9 @@
         forwarding, request = self._forwarding, self._request
         self._was_disconnected = False
         first = segments[0].upstream
+        following, self._next = self._next, None
         try:
-            connection = await self._open_connection(segments)
+            connection = await self._open_connection(segments, following)
         except exceptions.UpstreamUnreachableError as error:
             self._log_not_sent(first, error)
             forwarding.record_unreachable(first, error)
@@ -432,7 +483,14 @@
         async with connection:
             self._connection = connection
             try:
-                return await self._send_and_receive(connection, first)
+                if following is None:
+                    sent = self._send(connection, segments)
+                    head_reader = self._forwarding.read_head(
+                        connection, request, first
+                    )
+                else:
+                    sent, head_reader = following.sent, following.head_task
+                return await self._receive(connection, sent, head_reader)
             except exceptions.UpstreamUnreachableError as error:
                 self._log_not_sent(first, error)
                 return _AttemptResult.NOT_RUN
@@ -449,18 +507,23 @@
                 self._stop_monitoring()
 
     async def _open_connection(
-        self, segments: tuple[paths.PathSegment, ...]
+        self,
+        segments: tuple[paths.PathSegment, ...],
+        following: _NextAttempt | None,
     ) -> connections.Connection:
         """Reserves a path and connects to its first instance.
 
+        Args:
+            segments: The path.
+            following: The attempt over it, if it was started before.
+
         Raises:
             UpstreamUnreachableError: It does not accept connections.
         """
         forwarding, first = self._forwarding, segments[0].upstream
-        next_attempt, self._next = self._next, None
-        if next_attempt is not None:
-            self._adopt_path(segments, next_attempt.reservation)
-            return next_attempt.connection
+        if following is not None:
+            self._adopt_path(segments, following.reservation)
+            return following.connection
         self._adopt_path(segments, self._path.hold(segments))
         forwarding.upstream_limits.take(first.key)
         return await forwarding.pool.open(
@@ -478,47 +541,67 @@
             list_age_s=round(self._forwarding.directory.get_age_s(), 3),
         )
 
-    async def _send_and_receive(
-        self, connection: connections.Connection, first: upstreams.Upstream
-    ) -> _AttemptResult:
-        forwarding, request = self._forwarding, self._request
+    def _send(
+        self,
+        connection: connections.Connection,
+        segments: tuple[paths.PathSegment, ...],
+    ) -> _SentRequest:
+        """Sends the request over a path.
+
+        Raises:
+            UpstreamUnreachableError: The connection was closed before.
+        """
+        forwarding, first = self._forwarding, segments[0].upstream
         forwarding.send(
             connection,
-            request,
-            messages.AttemptTarget(first, self._path.segments),
+            self._request,
+            messages.AttemptTarget(first, segments),
             self._last_event_id,
             self._send_count > 0,
         )
         self._send_count += 1
         self._has_retry = False
         forwarding.metrics.domain_crossings.inc(
-            stream_paths.count_crossings(self._path.segments)
+            stream_paths.count_crossings(segments)
+        )
+        sent = _SentRequest(
+            segments,
+            self._path.record_first_instance(first),
+            self._may_have_run,
+            self._event_count,
         )
-        is_first_send = self._path.record_first_instance(first)
-        may_have_run_before = self._may_have_run
         self._may_have_run = True
+        return sent
+
+    async def _receive(
+        self,
+        connection: connections.Connection,
+        sent: _SentRequest,
+        head_reader: Awaitable[messages.ResponseHead],
+    ) -> _AttemptResult:
         self._monitor.start()
-        head = await forwarding.read_head(connection, request, first)
+        head = await head_reader
         if head.is_not_run:
-            self._may_have_run = may_have_run_before
-            if is_first_send:
-                self._path.remove_first_instance(first)
-            return self._handle_not_run(head, first)
+            return self._handle_not_run(head, sent)
         if not head.is_success:
             return await self._forward_failure(connection, head)
         return await self._relay(connection, head)
 
     def _handle_not_run(
-        self, head: messages.ResponseHead, first: upstreams.Upstream
+        self, head: messages.ResponseHead, sent: _SentRequest
     ) -> _AttemptResult:
         """Excludes the instance that refused its segment of the path."""
         directory = self._forwarding.directory
+        first = sent.segments[0].upstream
+        self._may_have_run = sent.may_have_run_before
+        if sent.is_first_send:
+            self._path.remove_first_instance(first)
         # Only instances of the path are considered: another instance may have
         # taken over the address since.
         at_fault = next(
             (
                 segment.upstream
-                for segment in self._path.segments
+                for segment in sent.segments
                 if segment.upstream.address == head.at_fault
             ),
             first,
@@ -535,6 +618,7 @@
         self._log(
             "attempt_not_run",
             status=head.status,
+            sent_path=stream_paths.format_path(sent.segments),
             at_fault=at_fault.instance_id,
             list_age_s=round(directory.get_age_s(), 3),
         )
@@ -559,6 +643,10 @@
         parser = events.EventParser()
         loop = asyncio.get_running_loop()
         while data := await connection.read_chunk():
+            if self._connection is None and self._next is not None:
+                raise exceptions.UpstreamResponseLostError(
+                    "the next attempt repeats what was received late"
+                )
             now_s = loop.time()
             if received := parser.feed(data):
                 self._record_progress(now_s, len(received))
@@ -750,9 +838,9 @@
     async def _try_move(
         self, why: str, suspects: list[upstreams.Upstream]
     ) -> bool:
-        """Ends the attempt if the request can be sent on another path at once.
+        """Ends the attempt once the request was sent on another path.
 
-        The next attempt has its path, retry and connection before that.
+        If it is refused there, the attempt goes on: its instances may be sound.
 
         Args:
             why: The reason, for the log.
@@ -764,6 +852,7 @@
         connection = self._connection
         if (
             connection is None
+            or self._next is not None
             or not self._request.route.may_repeat
             or self._send_count >= MAX_SENDS
             or not self._is_prompt_clear()
@@ -773,8 +862,8 @@
         if segments is None or not self._try_take_retry():
             return False
         next_attempt = await self._prepare_attempt(segments)
-        if self._connection is not connection:
-            # Another move may have ended the attempt and prepared the next.
+        if self._connection is not connection or self._next is not None:
+            # Another move may have ended the attempt or sent the request.
             if next_attempt is not None:
                 next_attempt.discard()
             return False
@@ -790,14 +879,46 @@
             if next_attempt is not None:
                 next_attempt.discard()
             return False
-        self._discard_next()
-        self._next = next_attempt
+        if not await self._start_next(next_attempt):
+            # Another path may have room.
+            return next_attempt.is_refused() and await self._try_move(
+                why, suspects
+            )
         first = self._path.segments[0].upstream
         self._was_disconnected = self._disconnect(why, suspects)
         if self._event_count == 0 and self._was_disconnected:
             self._forwarding.watch_left_instance(first, self._fingerprint)
         return True
 
+    async def _start_next(self, next_attempt: _NextAttempt) -> bool:
+        """Sends the request for the next attempt beside the present one.
+
+        Returns:
+            Whether the present attempt is to be ended.
+        """
+        forwarding, connection = self._forwarding, next_attempt.connection
+        first = next_attempt.segments[0].upstream
+        try:
+            next_attempt.sent = self._send(connection, next_attempt.segments)
+        except exceptions.UpstreamUnreachableError as error:
+            self._log_not_sent(first, error)
+            self._return_retry()
+            next_attempt.discard()
+            return False
+        next_attempt.head_task = asyncio.create_task(
+            forwarding.read_head(connection, self._request, first)
+        )
+        next_attempt.head_task.add_done_callback(_retrieve_exception)
+        self._next = next_attempt
+        await asyncio.wait({next_attempt.head_task}, timeout=REFUSAL_TIMEOUT_S)
+        if next_attempt.is_refused():
+            self._handle_not_run(
+                next_attempt.head_task.result(), next_attempt.sent
+            )
+            self._discard_next()
+        # Discards it if the present attempt has gone on.
+        return self._get_next_path() is not None
+
     def _is_prompt_clear(self) -> bool:
         """Returns whether the prompt may be sent without a wait."""
         return self._event_count > 0 or self._part_check.is_clear()
@@ -911,5 +1032,11 @@
         return True
 
 
+def _retrieve_exception(task: asyncio.Task) -> None:
+    """Keeps the failure of a discarded attempt from being reported as lost."""
+    if not task.cancelled():
+        task.exception()
+
+
 def _format_instances(instances: list[upstreams.Upstream]) -> str:
     return ",".join(instance.instance_id for instance in instances)
--- a/src/fuchsiabarrow/forwarding/tests/fakes.py
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -66,11 +66,10 @@
         self._script = list(script)
         self._sent = sent
         self._address = address
-        self._broken: asyncio.Future | None = None
+        self._broken = asyncio.get_running_loop().create_future()
         self.is_closed = False
 
     async def __aenter__(self):
-        self._broken = asyncio.get_running_loop().create_future()
         return self
 
     async def __aexit__(self, *details):
@@ -123,6 +122,7 @@
         self.scripts: dict[str, list[list]] = {}
         self.sent: list[tuple] = []
         self.connections: list[FakeConnection] = []
+        self.connection_type = FakeConnection
 
     def is_isolated(self) -> bool:
         return False
@@ -135,7 +135,7 @@
         script = scripts.pop(0) if len(scripts) > 1 else scripts[0]
         if script is Unreachable:
             raise exceptions.UpstreamUnreachableError(f"{address}: refused")
-        connection = FakeConnection(script, self.sent, address)
+        connection = self.connection_type(script, self.sent, address)
         self.connections.append(connection)
         return connection
 
