Name the complete failure domains in refusals without a path (LOST)

Callers were refused with "no path has free capacity: 28 usable instances, 0 full, 0 layers on no instance" while two of three failure domains had hardly any load, and the line did not tell why. Paths stay in a failure domain that holds all layers, also if its memory is full; the two others lacked layers while instances loaded them.

The refusal now names the complete domains, by the function that the search itself uses.

test_refusal_without_path_names_the_complete_failure_domains failed before (no such words in the detail).

--- a/src/fuchsiabarrow/fleet/path_selection.py
+++ b/src/fuchsiabarrow/fleet/path_selection.py
@@ -22,8 +22,9 @@
 
 from fuchsiabarrow.catalogs import engines
 from fuchsiabarrow.fleet import paths
+from fuchsiabarrow.fleet import upstreams
 
-__all__ = ["select_path"]
+__all__ = ["find_complete_domains", "select_path"]
 
 # Relative size of the random cost that makes entries which choose at the same
 # time prefer different ones of several equal paths.
@@ -72,23 +73,28 @@
         return None if found is None else tuple(found)
 
     found = search(may_cross=False)
-    if found is None and (prefix or not has_complete_domain(candidates, model)):
+    if found is None and (
+        prefix
+        or not find_complete_domains((c.upstream for c in candidates), model)
+    ):
         found = search(may_cross=True)
     return found
 
 
-def has_complete_domain(
-    candidates: Iterable[paths.Candidate], model: engines.EnginePerformance
-) -> bool:
-    """Returns whether the instances of a failure domain hold all layers.
+def find_complete_domains(
+    instances: Iterable[upstreams.Upstream], model: engines.EnginePerformance
+) -> list[str]:
+    """Returns the failure domains whose instances hold all layers.
 
     Whether they have free memory does not matter: crossing would not relieve
     them for long, as requests on overloaded links hold their memory longer.
     """
     held: dict[str, set[int]] = collections.defaultdict(set)
-    for candidate in candidates:
-        upstream = candidate.upstream
-        held[upstream.failure_domain].update(
-            range(upstream.layers.first, upstream.layers.end)
-        )
-    return any(len(layers) >= model.layers for layers in held.values())
+    for instance in instances:
+        if instance.layers is not None:
+            held[instance.failure_domain].update(
+                range(instance.layers.first, instance.layers.end)
+            )
+    return sorted(
+        domain for domain, layers in held.items() if len(layers) >= model.layers
+    )
--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -246,11 +246,17 @@
         full = sum(directory.is_full(upstream) for upstream in usable)
         limits = self._forwarding.upstream_limits
         limited = sum(not limits.has_permit(u.key) for u in usable)
+        domains = {upstream.failure_domain for upstream in usable}
+        complete = path_selection.find_complete_domains(
+            usable, self._service.engine
+        )
         return (
             f"no path has free capacity: {len(usable)} usable instances,"
             f" {full} full, {limited} at their announced limits,"
             f" {len(self.excluded)} excluded,"
             f" {holder_counts.count(0)} layers on no instance,"
+            f" {len(complete)} of {len(domains)} failure domains complete"
+            f" ({' '.join(complete)}),"
             f" {self._size.context_tokens:.0f} tokens needed,"
             f" instance list {directory.get_age_s():.2f} s old"
         )
--- a/src/fuchsiabarrow/forwarding/tests/test_generations.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_generations.py
@@ -296,6 +296,24 @@
     assert harness.pool.sent == []
 
 
+# Guards against a refusal that does not tell why free instances are not used:
+# paths stay in a failure domain that holds all layers, also if it is full.
+def test_refusal_without_path_names_the_complete_failure_domains():
+    other = fleets.make_instance(
+        "other", "b", "fast", (0, 40), address="10.1.0.1:80"
+    )
+
+    def prepare(harness):
+        for instance in (FIRST, LAST):
+            harness.load_table.set_report(
+                instance.instance_id,
+                [(instance.key, fakes.loads.Load(context=1e12))],
+            )
+
+    writer, _ = serve(prepare, FIRST, LAST, other)
+    assert "1 of 2 failure domains complete (a)" in writer.refusal.detail
+
+
 def test_request_is_sent_to_at_most_max_attempts_instances():
     others = [
         fleets.make_instance(
