--- a/src/fuchsiabarrow/platform/tests/fake_upstreams.py
+++ b/src/fuchsiabarrow/platform/tests/fake_upstreams.py
@@ -26,7 +26,8 @@
         delay_s: Delay before a response.
         event_count: Number of events in a stream.
         gap_s: Time between events.
-        padding: Extra bytes in each event.
+        padding: Extra bytes in each event and at the end of other answers.
+        extra_headers: Headers added to its responses.
         closes: Whether responses close their connections.
         layers: Layers that it holds, as (first, end), or None.
         cancelled: Number of requests whose connection was closed while they
@@ -45,6 +46,7 @@
         self.event_count = 5
         self.gap_s = 0.01
         self.padding = 0
+        self.extra_headers: dict[str, str] = {}
         self.closes = False
         self.layers: tuple[int, int] | None = None
         self.cancelled = 0
@@ -114,10 +116,11 @@
         headers = {
             wire_names.ATTEMPT_ID: request.headers[wire_names.ATTEMPT_ID],
             wire_names.SEAL: SEAL,
+            **self.extra_headers,
         }
         try:
             await asyncio.sleep(self.delay_s)
-            if wire_names.PATH in request.headers:
+            if wire_names.PATH in request.headers and self.status == 200:
                 return await self._stream(request, headers)
         except asyncio.CancelledError:
             self.cancelled += 1
@@ -125,7 +128,9 @@
         if self.closes:
             headers["Connection"] = "close"
         return aiohttp.web.Response(
-            status=self.status, text=f"{self.name}:{body!r}", headers=headers
+            status=self.status,
+            text=f"{self.name}:{body!r}" + "x" * self.padding,
+            headers=headers,
         )
 
     async def _stream(self, request: aiohttp.web.Request, headers: dict):
