--- a/src/fuchsiabarrow/platform/tests/test_slow_callers.py
+++ b/src/fuchsiabarrow/platform/tests/test_slow_callers.py
@@ -19,9 +19,9 @@
 SEND_BUFFER_BYTES = 65_536
 
 
-def run(test, make_loop=asyncio.new_event_loop):
+def run(test, make_loop=asyncio.new_event_loop, grace_s=8.0):
     async def main():
-        async with entry_harness.EntryHarness() as harness:
+        async with entry_harness.EntryHarness(grace_s) as harness:
             async with slow_callers.connect(harness) as caller:
                 return await test(harness, caller)
 
@@ -138,3 +138,21 @@
     assert line.startswith("event=connection_closed request_id=r1 ")
     assert "cause=slow_caller" in line
     assert "is_started=True" in line
+
+
+# Guards against a shutdown that cuts off a slow caller twice or without a line.
+def test_answer_to_a_slow_caller_is_cut_off_once_by_a_shutdown():
+    async def test(harness, caller):
+        make_desks_answer(harness, 200, slow_callers.LARGE_BYTES)
+        caller.send("r1", "/open/x")
+        forwarding = harness.entry.kernel.get("forwarding")
+        await harness.wait(lambda: forwarding.running == 1)
+        await asyncio.sleep(LATE_S)
+        await harness.entry.drain()
+        await harness.entry.__aexit__(None, None, None)
+        counter = forwarding.metrics.incomplete_answers.labels("shutdown_limit")
+        assert counter._value.get() == 1
+
+    (line,) = run_logged(test, grace_s=1.0)
+    assert line.startswith("event=connection_closed request_id=r1 ")
+    assert "cause=shutdown_limit" in line
--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -110,6 +110,27 @@
         self.close_cause: CloseCause | None = None
         self.close_error = ""
 
+    async def start(self) -> None:
+        """Serves the requests of the connection until it is closed."""
+        transport = self.transport
+        try:
+            await super().start()
+        finally:
+            if transport is not None:
+                self._abort_if_stalled(transport, math.inf)
+
+    def _abort_if_stalled(
+        self, transport: asyncio.Transport, previous_bytes: float
+    ) -> None:
+        """Aborts a closed connection whose caller takes no bytes any more."""
+        unsent_bytes = transport.get_write_buffer_size()
+        if unsent_bytes >= previous_bytes:
+            transport.abort()
+        elif unsent_bytes:
+            self._loop.call_later(
+                STALLED_WRITE_S, self._abort_if_stalled, transport, unsent_bytes
+            )
+
     def data_received(self, data: bytes) -> None:
         """Implements `asyncio.Protocol.data_received`."""
         self.last_received_s = self._loop.time()
--- a/src/fuchsiabarrow/utils/tests/test_listeners.py
+++ b/src/fuchsiabarrow/utils/tests/test_listeners.py
@@ -4,8 +4,11 @@
 import pytest
 
 from fuchsiabarrow.utils import listeners
+from fuchsiabarrow.utils import loops
 from fuchsiabarrow.utils.tests import free_ports
 
+# More than the buffers of both sockets hold together.
+UNREAD_BYTES = 14 * 1_048_576
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
@@ -61,3 +64,41 @@
         return causes
 
     assert asyncio.run(run()) == []
+
+
+# Guards against sockets of callers that read nothing and stay open for ever
+# after their connections were closed.
+@pytest.mark.parametrize("is_cut", [True, False])
+@pytest.mark.parametrize("make_loop", [asyncio.new_event_loop, loops.make_loop])
+def test_closed_connection_ends_although_its_caller_reads_nothing(
+    is_cut, make_loop, monkeypatch
+):
+    monkeypatch.setattr(listeners, "STALLED_WRITE_S", 0.3)
+
+    async def handle(request):
+        # Nothing waits for these bytes, as after the end of a small answer.
+        request.transport.set_write_buffer_limits(high=UNREAD_BYTES * 2)
+        response = aiohttp.web.Response(body=b"x" * UNREAD_BYTES)
+        response.force_close()
+        await response.prepare(request)
+        await response.write_eof()
+        if is_cut:
+            raise asyncio.CancelledError
+        return response
+
+    async def run():
+        server = listeners.Server(handle, access_log=None)
+        (port,) = free_ports.find_ports(1)
+        async with listeners.ServerListener(server, f"127.0.0.1:{port}"):
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(REQUEST)
+            await asyncio.sleep(0.2)
+            was_open = len(server.connections)
+            async with asyncio.timeout(5.0):
+                while server.connections:
+                    await asyncio.sleep(0.05)
+            writer.transport.abort()
+        return was_open
+
+    with asyncio.Runner(loop_factory=make_loop) as runner:
+        assert runner.run(run()) == 1
