--- a/src/fuchsiabarrow/platform/response_writers.py
+++ b/src/fuchsiabarrow/platform/response_writers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from aiohttp import helpers
 import aiohttp.web
 import logbook
 
@@ -89,7 +90,11 @@
         await response.prepare(self._http_request)
 
     async def write(self, data: bytes) -> None:
-        """Sends a chunk of the body."""
+        """Sends a chunk of the body, if the response may have one."""
+        if helpers.must_be_empty_body(
+            self._http_request.method, self.response.status
+        ):
+            return
         await self.response.write(data)
 
     async def finish(self) -> None:
--- a/src/fuchsiabarrow/platform/tests/slow_callers.py
+++ b/src/fuchsiabarrow/platform/tests/slow_callers.py
@@ -43,10 +43,12 @@
         self._reader = reader
         self._writer = writer
 
-    def send(self, request_id: str, target: str, *headers: str) -> None:
+    def send(
+        self, request_id: str, target: str, *headers: str, method: str = "GET"
+    ) -> None:
         """Sends a request without a body."""
         lines = [
-            f"GET {target} HTTP/1.1",
+            f"{method} {target} HTTP/1.1",
             f"Host: {entry_harness.HOST}",
             f"{wire_names.ATTEMPT_ID}: {request_id}",
             f"{wire_names.AUTHORIZATION}: Token key-1",
--- a/src/fuchsiabarrow/platform/tests/test_second_answers.py
+++ b/src/fuchsiabarrow/platform/tests/test_second_answers.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 
 import logbook
 import pytest
@@ -58,7 +59,7 @@
     await writer.start(FAILED)
 
 
-def run(first, second):
+def run(first, second, method="GET"):
     """Serves a request with two answers in turn.
 
     Returns:
@@ -76,7 +77,7 @@
 
             harness.entry.kernel.get("forwarding").serve = serve
             async with slow_callers.connect(harness) as caller:
-                caller.send("r1", "/open/x")
+                caller.send("r1", "/open/x", method=method)
                 await has_begun.wait()
                 return await caller.read_rest()
 
@@ -122,3 +123,22 @@
 
     received, _ = run(begin_stream, cut_and_finish)
     assert received.endswith(DATA + b"\r\n")
+
+
+# Guards against a body after an answer that has none by its method or status:
+# the caller takes it for the answer to its next request.
+@pytest.mark.parametrize(
+    ("method", "status"), [("HEAD", 200), ("GET", 204), ("GET", 304)]
+)
+def test_no_body_follows_an_answer_that_must_not_have_one(method, status):
+    async def begin(writer):
+        await writer.start(dataclasses.replace(HEAD, status=status))
+
+    async def write_body(writer):
+        await writer.write(DATA)
+        await writer.finish()
+
+    received, _ = run(begin, write_body, method)
+    assert received.startswith(b"HTTP/1.1 %d" % status)
+    assert received.endswith(b"\r\n\r\n")
+    assert received.count(b"\r\n\r\n") == 1
