Path changes: an instance of both paths needs no room for the request twice

What callers saw: a stream stayed on an instance that had fallen silent, though another one with its layers was free, until it went on or the stream was cut. Streams that may run once have no other way out.

Upstreams keep the memory of the parts that stay.

Fix: the reservation is left out while the path of a running attempt is searched. A request that is sent anew elsewhere still needs its own room, as the old run ends only afterwards.

Evidence: the new test orders no path change without the fix; a request that needs over half of the memory of its last instance. The same cause was looked for in plain requests (their reservation ends with each attempt) and in prepared attempts (their own room is meant).

`make_stream_request` of the fakes lets tests replace the token counts.

--- a/src/fuchsiabarrow/fleet/loads.py
+++ b/src/fuchsiabarrow/fleet/loads.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+import contextlib
 import dataclasses
 
 __all__ = ["IDLE", "Load", "LoadTable", "Reservation"]
@@ -61,6 +62,15 @@
         self._load_table.add_own(self._loads, -1)
         self._loads = {}
 
+    @contextlib.contextmanager
+    def suspend(self):
+        """Leaves the load out of the table in a ``with`` block."""
+        self._load_table.add_own(self._loads, -1)
+        try:
+            yield
+        finally:
+            self._load_table.add_own(self._loads, 1)
+
     def finish_prefill(self) -> None:
         """Removes the load of prefilling the prompt."""
         remaining = {}
--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -76,7 +76,8 @@
         """Returns the cheapest complete path, if any.
 
         Args:
-            prefix: Segments that the path must begin with.
+            prefix: Segments of the current path that the path must begin with.
+                Other instances of both paths keep the memory of the request.
             is_isolated: Whether the path should begin at an instance with as
                 few requests in progress as possible.
         """
@@ -84,6 +85,9 @@
             segments = self._choose(prefix, limit)
             if segments is not None:
                 return segments
+        if prefix and self._reservation is not None:
+            with self._reservation.suspend():
+                return self._choose(prefix, math.inf)
         return self._choose(prefix, math.inf)
 
     def _choose(
--- a/src/fuchsiabarrow/forwarding/tests/fakes.py
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -317,4 +317,4 @@
     generation = messages.GenerationParameters(
         800, 200, shared_parts=shared_parts
     )
-    return make_request(route, generation=generation, **changes)
+    return make_request(route, **{"generation": generation, **changes})
--- a/src/fuchsiabarrow/forwarding/tests/test_path_changes.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_path_changes.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 
+from fuchsiabarrow.fleet.tests import fleets
+from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.forwarding.tests import fakes
 from fuchsiabarrow.forwarding.tests import path_instances
 from fuchsiabarrow.utils.tests import virtual_time
@@ -173,3 +175,44 @@
     writer, orders = virtual_time.run(run())
     assert writer.body == path_instances.ALL_EVENTS
     assert len(orders) <= 1, orders
+
+
+# Guards against a stream that stays on a silent instance, as the memory that it
+# keeps on the sound instances of its path is missing for the changed path.
+def test_instance_of_both_paths_needs_no_room_for_the_request_twice():
+    middle, spare = (
+        fleets.make_instance(name, "a", "fast", (40, 60), address=address)
+        for name, address in (
+            ("middle", "10.0.0.7:80"),
+            ("spare-middle", "10.0.0.8:80"),
+        )
+    )
+    # Has room for 35,000 tokens.
+    shared = fleets.make_instance(
+        "shared", "a", "slow", (60, 80), address="10.0.0.9:80"
+    )
+
+    async def run():
+        harness = fakes.Harness(path_instances.FIRST, middle, shared)
+        script = [*fakes.stream(1, 5), fakes.Wait(1.0)]
+        script += fakes.stream(5, 11)[1:]
+        harness.script(path_instances.FIRST.address, script)
+        generation = messages.GenerationParameters(20_000, 200)
+        task = path_instances.start(
+            harness, is_resumable=False, generation=generation
+        )
+        await asyncio.sleep(0.1)
+        load = harness.load_table.get(shared.key)
+        harness.directory.replace([path_instances.FIRST, middle, spare, shared])
+        harness.control.silent.add(middle.address)
+        await task
+        changed = [
+            [segment.upstream.instance_id for segment in segments]
+            for _, segments in harness.control.path_changes
+        ]
+        return changed, load, harness.load_table.get_own()
+
+    changed, load, left = virtual_time.run(run())
+    assert changed == [["first", "spare-middle", "shared"]]
+    assert load.context > 0
+    assert left == {}
