Shutdown: wait until answers have left the process

What callers saw: an answer that ended early while its entry stopped, without a line in the log, as its handler had ended with success.

Cause: a handler ends when less than 64 KiB of its answer wait to be sent. The shutdown waited for handlers only; what a slow caller or a busy link had not taken yet was lost with the process. So was a request that had been read and had not reached its handler.

Fix: the shutdown waits, within its time limit, until no connection is open; idle ones are closed meanwhile, and a closed one counts until its data is sent. The line `stopped` has the number of those that were left (`unsent`).

Evidence: the new test with real sockets, 60 KB and buffers of 4 KiB at both ends: without the fix the shutdown ends while the answer is unsent.

--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -528,13 +528,19 @@
             # Lets requests on connections accepted just now be read first.
             await asyncio.sleep(DRAIN_POLL_S)
             listener.close_idle(frontend.busy_connections)
-            is_busy = frontend.busy_connections or count_tunnels()
+            # A connection may have data left to send, or a request that has
+            # not reached its handler.
+            is_busy = listener.count_connections() or count_tunnels()
             if not is_busy or loop.time() - started_s > limit_s:
                 break
         cut = len(frontend.busy_connections)
+        unsent = max(0, listener.count_connections() - cut)
         await listener.cut()
         _log.info(
             logs.format_event(
-                "stopped", took_s=round(loop.time() - started_s, 2), cut=cut
+                "stopped",
+                took_s=round(loop.time() - started_s, 2),
+                cut=cut,
+                unsent=unsent,
             )
         )
--- a/src/fuchsiabarrow/platform/tests/test_callers.py
+++ b/src/fuchsiabarrow/platform/tests/test_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+from fuchsiabarrow.entry import forwarding_entry
 from fuchsiabarrow.platform import wire_names
 from fuchsiabarrow.platform.tests import entry_harness
 
@@ -155,3 +156,48 @@
         assert found == sorted(found)
 
     run(test)
+
+
+# Guards against the end of a process that still holds a part of an answer, as
+# its handler has ended.
+def test_shutdown_waits_until_a_slow_caller_has_the_whole_answer(monkeypatch):
+    monkeypatch.setattr(forwarding_entry, "DEREGISTRATION_DELAY_S", 0.1)
+    body = b"x" * 60_000
+
+    async def test(harness):
+        loop = asyncio.get_running_loop()
+        kernel = harness.entry.kernel
+        server = kernel.get("frontend_listener")._server
+        with socket.socket() as sock:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
+            )
+            sock.setblocking(False)
+            await loop.sock_connect(sock, ("127.0.0.1", harness.ports[0]))
+            await harness.wait(lambda: server.connections)
+            (connection,) = server.connections
+            transport = connection.transport
+            transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES
+            )
+            await loop.sock_sendall(
+                sock,
+                (
+                    f"POST /open/x HTTP/1.1\r\nHost: {entry_harness.HOST}\r\n"
+                    f"{wire_names.ATTEMPT_ID}: slow\r\n"
+                    f"Content-Length: {len(body)}\r\n\r\n"
+                ).encode()
+                + body,
+            )
+            busy = kernel.get("frontend").busy_connections
+            await harness.wait(
+                lambda: transport.get_write_buffer_size() and not busy
+            )
+            draining = asyncio.create_task(harness.entry.drain())
+            await asyncio.sleep(1.0)
+            assert not draining.done()
+            received = await read_to_end(sock, lambda data: body in data)
+            await asyncio.wait_for(draining, 2.0)
+        return received
+
+    assert run(test).startswith(b"HTTP/1.1 200")
--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -362,6 +362,10 @@
             if connection not in busy and connection.is_waiting and is_idle:
                 connection.close_as(CloseCause.SHUTDOWN)
 
+    def count_connections(self) -> int:
+        """Returns how many connections are open or have data left to send."""
+        return len(self._server.connections)
+
     def pause_reading(self) -> None:
         """Leaves further requests on the open connections unread."""
         for connection in self._server.connections:
