--- a/src/fuchsiabarrow/platform/tests/soak/__main__.py
+++ b/src/fuchsiabarrow/platform/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 
 import defopt
 
+from fuchsiabarrow.platform.tests.soak import endings
 from fuchsiabarrow.platform.tests.soak import scenario
 
 
@@ -17,12 +18,17 @@
     return f"{served_count} of {count}"
 
 
+def _describe_cuts(counts: endings.Counts) -> str:
+    return f"{dict(counts.cuts)} of {counts.requests}"
+
+
 def main(
     *,
     first_seed: int = 1,
     count: int = 50,
     duration_s: float = 10.0,
     entries: int = 4,
+    number_of_callers: int = scenario.DEFAULT_CALLERS,
     logs: str = "",
     only: str = "",
 ) -> None:
@@ -33,6 +39,8 @@
         count: Number of seeds.
         duration_s: Time during which faults are injected, for each seed.
         entries: Number of entries.
+        number_of_callers: Number of callers; each has a connection to each
+            entry.
         logs: Directory to which the logs of seeds with violations are copied;
             empty to discard them.
         only: Names of the faults to draw from, separated by commas; empty
@@ -49,6 +57,7 @@
                     entries,
                     pathlib.Path(folder),
                     [name for name in only.split(",") if name],
+                    number_of_callers,
                 )
             )
             attempts = soak.history.attempts.values()
@@ -62,6 +71,10 @@
                 f" {_describe(other_counts)} at others,"
                 f" {soak.history.helped_count} runs through other entries,"
                 f" {soak.versions.count} requests checked for their version,"
+                f" {soak.versions.timeout_count} ended by a time limit,"
+                f" cut beside changes"
+                f" {_describe_cuts(soak.endings.beside_changes)},"
+                f" without {_describe_cuts(soak.endings.without_changes)},"
                 f" held up for up to {soak.max_loop_delay_s:.2f} s,"
                 f" {time.monotonic() - began_s:.0f} s",
                 flush=True,
--- a/src/fuchsiabarrow/platform/tests/soak/test_soak.py
+++ b/src/fuchsiabarrow/platform/tests/soak/test_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from fuchsiabarrow.platform.tests.soak import callers
 from fuchsiabarrow.platform.tests.soak import invariants
 from fuchsiabarrow.platform.tests.soak import proxies
 from fuchsiabarrow.platform.tests.soak import scenario
@@ -20,6 +21,7 @@
     "entry_cut_reset",
     "runner_silent",
 ]
+STOP_FAULTS = ["entry_cut_hang", "entry_stop_series", "keys", "runner_silent"]
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -28,7 +30,7 @@
         scenario.run_seed(seed, DURATION_S, ENTRIES, tmp_path)
     )
     statuses = [a.status for a in soak.history.attempts.values()]
-    assert violations == []
+    assert not violations, "\n".join(violations)
     assert statuses.count(200) > 50
     assert len(soak.faults) > 3
     assert soak.versions.count + soak.versions.disturbed_count > 20
@@ -38,11 +40,61 @@
     violations, soak = asyncio.run(
         scenario.run_seed(1, DURATION_S, ENTRIES, tmp_path, LINK_FAULTS)
     )
-    assert violations == []
+    assert not violations, "\n".join(violations)
     assert soak.history.cuts
     assert soak.history.helped_count > 0
 
 
+# Guards against processes that exit late beside changes and other stops, and
+# requests that they drop without a word.
+def test_invariants_hold_while_entries_are_stopped_in_series(tmp_path):
+    violations, soak = asyncio.run(
+        scenario.run_seed(1, DURATION_S, ENTRIES, tmp_path, STOP_FAULTS)
+    )
+    stops = [
+        disturbance
+        for disturbance in soak.history.disturbances
+        if disturbance.cause == invariants.STOPPED
+    ]
+    assert not violations, "\n".join(violations)
+    assert len(stops) > 3
+    assert any(
+        one.began_s < other.began_s < one.ended_s
+        for one in stops
+        for other in stops
+    )
+
+
+# Guards against stops in series whose cuts are put down to one another.
+@pytest.mark.parametrize("name", ["entry_stop", "entry_stop_series"])
+@pytest.mark.parametrize(
+    ("other", "is_violation"),
+    [
+        (["entry_stop_series", 99.0, 104.0], True),
+        (["keys", 101.0, 101.0], True),
+        (["runner_silent", 101.0, 102.0], False),
+        (["runner_silent", 95.5, 96.5], False),
+        (["runner_silent", 94.0, 95.5], True),
+    ],
+)
+def test_cut_by_a_planned_shutdown_is_detected(
+    name, other, is_violation, tmp_path
+):
+    soak = scenario.SoakRun(1, 1, tmp_path)
+    attempt = invariants.Attempt("r1", "read", "key-1", "entry-0", 100.0)
+    attempt.turn_s = attempt.sent_s
+    soak.history.attempts["r1"] = attempt
+    soak.history.disturbances.append(
+        invariants.Cut(frozenset(["entry-0"]), 100.0, 103.0, invariants.STOPPED)
+    )
+    soak.faults += [[name, 100.0, 103.0], other]
+    for ending in (callers.Ending.ANSWERED, callers.Ending.IN_ANSWER):
+        attempt.end(callers.Answer(ending, 200, at_s=100.4))
+        soak._check_stops()
+        is_cut = ending is callers.Ending.IN_ANSWER
+        assert bool(soak.history.violations) is (is_cut and is_violation)
+
+
 def make_history(kind="book", key="key-1", sent_s=100.0) -> invariants.History:
     history = invariants.History()
     history.attempts["r1"] = invariants.Attempt("r1", kind, key, "e", sent_s)
@@ -129,11 +181,24 @@
     assert history.violations
 
 
-def test_response_of_another_request_is_detected():
+# Guards against a large answer that is torn or has the end of another one.
+@pytest.mark.parametrize(
+    ("body", "is_large", "is_violation"),
+    [
+        (b"desk:b'r1'", False, False),
+        (b"desk:b'r2'", False, True),
+        (b"other:b'r1'", False, True),
+        (b"xdesk:b'r1'", False, True),
+        (invariants.PADDING + b"desk:b'r1'", True, False),
+        (invariants.PADDING[1:] + b"desk:b'r1'", True, True),
+    ],
+)
+def test_response_of_another_request_is_detected(body, is_large, is_violation):
     history = make_history("read")
+    history.attempts["r1"].is_large = is_large
     history.record_run("r1", "desk", 100.1)
-    answer(history, body=b"desk:b'r2'")
-    assert history.violations
+    answer(history, body=body)
+    assert bool(history.violations) is is_violation
 
 
 @pytest.mark.parametrize(
@@ -359,13 +424,15 @@
 ) -> list[str]:
     """Returns the violations of a request after a route was moved at 10 s."""
     violations: list[str] = []
-    checked = versions.Versions(violations.append, lambda *_: is_disturbed)
-    checked.commit({"/moved/": "desk"}, 0.0)
-    checked.commit({"/moved/": "annex"}, 10.0)
+    checked = versions.Versions(
+        violations.append, lambda *_: is_disturbed, lambda *_: False
+    )
+    checked.commit({"/moved/": versions.Route("desk", 0.6)}, 0.0)
+    checked.commit({"/moved/": versions.Route("annex", 0.6)}, 10.0)
     for at_s, name in ((earlier_s, "annex"), (sent_s, service)):
         if at_s is not None:
             checked.check(
-                versions.Outcome("e", "/moved/", at_s, at_s + 0.1, name)
+                versions.Outcome("e", "/moved/", at_s, at_s + 0.1, 200, name)
             )
     return violations
 
@@ -394,3 +461,44 @@
     # Also at an entry with a fault.
     assert check_version(10.9, "desk", is_disturbed=True, earlier_s=10.5)
     assert not check_version(10.7, "desk", is_disturbed=True, earlier_s=10.5)
+
+
+# Guards against a time limit that is not moved with its route, up or down.
+@pytest.mark.parametrize(
+    ("sent_s", "took_s", "status", "is_violation"),
+    [
+        (9.0, 0.6, 504, False),
+        (9.0, 0.4, 504, True),
+        (9.0, 0.4, 503, False),
+        (8.3, 1.55, 200, False),
+        (8.3, 1.65, 504, True),
+        # The new limit of 2 s may hold.
+        (9.5, 2.9, 504, False),
+        (9.5, 3.1, 504, True),
+        (11.9, 0.6, 504, False),
+        # Only the new limit may hold.
+        (12.1, 0.6, 504, True),
+        (12.1, 2.0, 504, False),
+    ],
+)
+def test_answer_beside_the_time_limit_of_its_route_is_detected(
+    sent_s, took_s, status, is_violation
+):
+    for is_held_up in (False, True):
+        violations: list[str] = []
+        checked = versions.Versions(
+            violations.append,
+            lambda *_: False,
+            lambda *_, is_held_up=is_held_up: is_held_up,
+        )
+        checked.commit({"/moved/": versions.Route("desk", 0.6)}, 0.0)
+        checked.commit({"/moved/": versions.Route("desk", 2.0)}, 10.0)
+        checked.check(
+            versions.Outcome(
+                "e", "/moved/", sent_s, sent_s + took_s, status, None
+            )
+        )
+        is_late = took_s > 1.0 and is_violation
+        assert bool(violations) is (
+            is_violation and not (is_late and is_held_up)
+        )
