Requests without an answer are refused at the time limit of a shutdown

What callers saw: a request whose body was incomplete, that waited for an upstream, or whose upstream was silent was cut at the time limit of a shutdown, though its caller could have been told, and whether it has run.

Cause: at the limit the handlers were cancelled, as for a caller that leaves; a handler that is cancelled answers nothing.

The forwarding service holds the time limit of each request that is read or served, and lets it end at once: the handler leaves it as at its deadline, closes the connection to the upstream and refuses with the reason `stopping`: 503 if nothing was sent, else 504, as it may have run. Later requests are refused before anything is sent. Answers that have begun get two fifths of the margin (0.2 s) to end; then their connections are aborted, with the line `connection_closed`. `stopped` counts both. Nothing is read any more after the limit, so that each request that was read is answered or cut.

--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -51,6 +51,8 @@
 # process can exit: a part of the grace period, up to a maximum.
 SIGKILL_MARGIN_FRACTION = 0.125
 MAX_SIGKILL_MARGIN_S = 0.5
+# Part of this time in which answers are sent; the rest is for the exit.
+ANSWER_FRACTION = 0.4
 DRAIN_POLL_S = 0.05
 # What the listeners beside that for callers serve is small, or can be had from
 # another entry.
@@ -497,15 +499,15 @@
         """Shuts down gracefully: stops accepting and finishes running work.
 
         New connections are accepted for `DEREGISTRATION_DELAY_S`, as the
-        platform still sends them. Work that still runs at the time limit is
-        cut.
+        platform still sends them. At the time limit, requests whose answer has
+        not begun are refused; shortly after it, answers that are not complete
+        are cut.
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         grace_s = self._settings.grace_s
-        limit_s = grace_s - min(
-            MAX_SIGKILL_MARGIN_S, SIGKILL_MARGIN_FRACTION * grace_s
-        )
+        margin_s = min(MAX_SIGKILL_MARGIN_S, SIGKILL_MARGIN_FRACTION * grace_s)
+        limit_s = grace_s - margin_s
         kernel = self.kernel
         forwarding, frontend, listener, reports = (
             kernel.get("forwarding"),
@@ -524,17 +526,44 @@
         await reports.send_now()
         await asyncio.sleep(min(DEREGISTRATION_DELAY_S, limit_s - DRAIN_POLL_S))
         listener.stop_accepting()
-        while True:
-            # Lets requests on connections accepted just now be read first.
-            await asyncio.sleep(DRAIN_POLL_S)
-            listener.close_idle(frontend.busy_connections)
-            is_busy = frontend.busy_connections or count_tunnels()
-            if not is_busy or loop.time() - started_s > limit_s:
-                break
+        limit_at_s = started_s + limit_s
+        await self._finish_requests(limit_at_s, count_tunnels)
+        refused = forwarding.end_requests()
+        # What was read by now is still answered.
+        listener.pause_reading()
+        await self._finish_requests(
+            limit_at_s + ANSWER_FRACTION * margin_s, lambda: 0
+        )
         cut = len(frontend.busy_connections)
         await listener.cut()
         _log.info(
             logs.format_event(
-                "stopped", took_s=round(loop.time() - started_s, 2), cut=cut
+                "stopped",
+                took_s=round(loop.time() - started_s, 2),
+                refused=refused,
+                cut=cut,
             )
         )
+
+    async def _finish_requests(
+        self, until_s: float, count_others: Callable[[], int]
+    ) -> None:
+        """Closes callers' connections as soon as their last answer is sent.
+
+        Args:
+            until_s: Loop time at which it returns in any case.
+            count_others: Returns the number of other things to wait for.
+        """
+        loop = asyncio.get_running_loop()
+        frontend = self.kernel.get("frontend")
+        while True:
+            # Lets requests on connections accepted just now be read first.
+            await asyncio.sleep(
+                min(DRAIN_POLL_S, max(0.0, until_s - loop.time()))
+            )
+            self.kernel.get("frontend_listener").close_idle(
+                frontend.busy_connections
+            )
+            is_busy = frontend.busy_connections or count_others()
+            if not is_busy or loop.time() >= until_s:
+                return
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -135,22 +135,18 @@
     async def serve(self) -> messages.StreamSummary:
         """Forwards the request until the caller has a final answer."""
         request, forwarding = self._request, self._forwarding
-        loop = asyncio.get_running_loop()
         forwarding.add_stream(self)
         try:
-            async with asyncio.timeout(
-                max(0.0, request.answer_deadline_s - loop.time())
+            async with forwarding.limit_time(
+                request.answer_deadline_s, self._writer
             ):
                 with self._path, self._part_check:
                     refusal = await self._run()
         except TimeoutError:
-            refusal = messages.Refusal(
-                messages.RefusalReason.TIMEOUT,
+            refusal = forwarding.make_time_refusal(
+                request,
                 not self._may_have_run,
-                forwarding.draw_retry_after_s(),
-                f"no complete answer before the deadline"
-                f" (route timeout {request.route.timeout_s} s);"
-                f" last path {stream_paths.format_path(self._path.segments)}",
+                f"last path {stream_paths.format_path(self._path.segments)}",
             )
         finally:
             forwarding.remove_stream(self)
--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -4,7 +4,6 @@
 budget.
 """
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import logbook
@@ -62,19 +61,13 @@
     async def serve(self) -> None:
         """Forwards the request until the caller has a final answer."""
         request = self._request
-        loop = asyncio.get_running_loop()
-        remaining_s = request.answer_deadline_s - loop.time() - REFUSAL_MARGIN_S
+        until_s = request.answer_deadline_s - REFUSAL_MARGIN_S
         try:
-            async with asyncio.timeout(max(0.0, remaining_s)):
+            async with self._forwarding.limit_time(until_s, self._writer):
                 refusal = await self._run()
         except TimeoutError:
-            refusal = messages.Refusal(
-                messages.RefusalReason.TIMEOUT,
-                self._run_count == 0,
-                self._forwarding.draw_retry_after_s(),
-                f"no complete answer before the deadline"
-                f" (route timeout {request.route.timeout_s} s);"
-                f" {self._last_tried}",
+            refusal = self._forwarding.make_time_refusal(
+                request, self._run_count == 0, self._last_tried
             )
         finally:
             if self._has_retry:
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import math
 import random
@@ -42,6 +44,8 @@
 PROBE_BACKOFF_RESET_S = 3.0
 # ``Retry-After`` for a request that crashes its upstreams.
 CRASH_RETRY_S = 60.0
+# ``Retry-After`` for a request that another entry can serve.
+OTHER_ENTRY_RETRY_S = 0.05
 
 _log = logbook.Logger(__name__)
 
@@ -88,6 +92,7 @@
 
     Attributes:
         running: Number of requests being served.
+        is_ended: Whether requests are ended because the entry exits.
         crash_counts: Number of upstreams that each request has crashed.
         part_crashes: Evidence for and against parts of prompts.
         upstream_limits: Rate limits that upstreams announced.
@@ -124,6 +129,7 @@
         metrics: metrics_module.ForwardingMetrics,
     ):
         self.running = 0
+        self.is_ended = False
         self.metrics = metrics
         self.directory = directory
         self.load_table = load_table
@@ -153,6 +159,8 @@
         directory.add_listener(self._left_instances.check)
         self._budgets: dict[str, budgets.SharedRetryBudget] = {}
         self._streams: dict[generations.GenerationHandler, None] = {}
+        # Time limits of the requests that are being read or served.
+        self._limits: dict[asyncio.Timeout, messages.ResponseWriter] = {}
         self._probe_results: dict[tuple[str, int], _ProbeResult] = {}
         self._probes: dict[tuple[str, int], asyncio.Task] = {}
         # Upstreams whose last probe had no answer although it was not refused.
@@ -190,6 +198,66 @@
             detail,
         )
 
+    @contextlib.asynccontextmanager
+    async def limit_time(
+        self, until_s: float, writer: messages.ResponseWriter
+    ) -> AsyncIterator[None]:
+        """Ends the work on a request at a loop time, or once the entry exits.
+
+        Raises:
+            TimeoutError: The work was ended; `is_ended` tells why.
+        """
+        if self.is_ended:
+            raise TimeoutError
+        async with asyncio.timeout_at(until_s) as limit:
+            self._limits[limit] = writer
+            try:
+                yield
+            finally:
+                del self._limits[limit]
+
+    def end_requests(self) -> int:
+        """Ends the work on the requests whose answer has not begun.
+
+        Returns:
+            Their number. They are refused, and so are later ones.
+        """
+        self.is_ended = True
+        now_s = asyncio.get_running_loop().time()
+        waiting = [
+            limit
+            for limit, writer in self._limits.items()
+            if not writer.is_started and not limit.expired()
+        ]
+        for limit in waiting:
+            limit.reschedule(now_s)
+        return len(waiting)
+
+    def make_time_refusal(
+        self, request: messages.Request, is_not_run: bool, detail: str
+    ) -> messages.Refusal:
+        """Returns the refusal of a request whose time limit has ended it."""
+        if self.is_ended:
+            return self.make_stop_refusal(is_not_run, detail)
+        return messages.Refusal(
+            messages.RefusalReason.TIMEOUT,
+            is_not_run,
+            self.draw_retry_after_s(),
+            f"no complete answer before the deadline"
+            f" (route timeout {request.route.timeout_s} s); {detail}",
+        )
+
+    def make_stop_refusal(
+        self, is_not_run: bool, detail: str
+    ) -> messages.Refusal:
+        """Returns the refusal of a request that this entry cannot finish."""
+        return messages.Refusal(
+            messages.RefusalReason.STOPPING,
+            is_not_run,
+            OTHER_ENTRY_RETRY_S,
+            f"entry is shutting down; {detail}",
+        )
+
     def watch_left_instance(
         self, upstream: upstreams.Upstream, fingerprint: int
     ) -> None:
--- a/src/fuchsiabarrow/platform/frontend.py
+++ b/src/fuchsiabarrow/platform/frontend.py
@@ -33,9 +33,6 @@
 STOP_ACCEPT_S = 3.0
 # Successful responses logged per second; all other responses are logged.
 SERVED_LINES_PER_S = 20
-# Delay after which a caller may retry at another entry, if that one is not
-# affected by the same failure.
-OTHER_ENTRY_RETRY_S = 0.05
 # Range of the retry delay if all entries are affected: outages of the store
 # last seconds.
 OUTAGE_RETRY_S = (1.5, 3.0)
@@ -172,21 +169,26 @@
                 )
             )
             return
-        if arrived_s - self._stop_began_s > STOP_ACCEPT_S:
+        forwarding = self._forwarding
+        is_late = arrived_s - self._stop_began_s > STOP_ACCEPT_S
+        if is_late or forwarding.is_ended:
             await writer.refuse(
-                messages.Refusal(
-                    messages.RefusalReason.STOPPING,
-                    True,
-                    OTHER_ENTRY_RETRY_S,
-                    "entry is shutting down",
-                )
+                forwarding.make_stop_refusal(True, "arrived too late")
             )
             return
         requests.check_sizes(http_request, catalog.limits)
+        until_s = (
+            asyncio.get_running_loop().time() + catalog.limits.idle_timeout_s
+        )
         try:
-            async with asyncio.timeout(catalog.limits.idle_timeout_s):
+            async with forwarding.limit_time(until_s, writer):
                 body = await requests.read_body(http_request, catalog.limits)
         except TimeoutError:
+            if forwarding.is_ended:
+                await writer.refuse(
+                    forwarding.make_stop_refusal(True, "body is incomplete")
+                )
+                return
             raise requests.BadRequestError(
                 HTTP_REQUEST_TIMEOUT, "request body was not received in time"
             ) from None
@@ -269,7 +271,7 @@
 
     def _draw_stale_retry_s(self) -> float:
         if self._has_confirmed_peer():
-            return OTHER_ENTRY_RETRY_S
+            return forwarding_service.OTHER_ENTRY_RETRY_S
         return self._source.uniform(*OUTAGE_RETRY_S)
 
     async def _refuse_stale(self, writer, age_s: float) -> None:
--- a/src/fuchsiabarrow/platform/response_writers.py
+++ b/src/fuchsiabarrow/platform/response_writers.py
@@ -17,6 +17,10 @@
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 HTTP_TIMEOUT = 504
+LATE_REASONS = (
+    messages.RefusalReason.TIMEOUT,
+    messages.RefusalReason.STOPPING,
+)
 
 _log = logbook.Logger(__name__)
 
@@ -100,7 +104,7 @@
         """Sends a 503 if the request was not run, else a 502 or 504."""
         if refusal.is_not_run:
             status = HTTP_UNAVAILABLE
-        elif refusal.reason is messages.RefusalReason.TIMEOUT:
+        elif refusal.reason in LATE_REASONS:
             status = HTTP_TIMEOUT
         else:
             status = HTTP_BAD_GATEWAY
--- a/src/fuchsiabarrow/platform/tests/fake_upstreams.py
+++ b/src/fuchsiabarrow/platform/tests/fake_upstreams.py
@@ -49,6 +49,7 @@
         self.layers: tuple[int, int] | None = None
         self.cancelled = 0
         self.born = int(time.time() * 1000)
+        self._transports: set[asyncio.Transport] = set()
         app = aiohttp.web.Application(
             client_max_size=1 << 24, handler_args={"handler_cancellation": True}
         )
@@ -68,6 +69,11 @@
     async def __aexit__(self, *details) -> None:
         await self._listener.__aexit__(*details)
 
+    def cut(self) -> None:
+        """Aborts the connections of the requests that it ran."""
+        for transport in self._transports:
+            transport.abort()
+
     def make_entry(self, **changes) -> dict:
         """Returns the object that it registers in the store."""
         layers = None
@@ -102,6 +108,7 @@
         expected = request.headers.get(wire_names.EXPECT_INSTANCE)
         if expected != self.name:
             return aiohttp.web.Response(status=421)
+        self._transports.add(request.transport)
         self.runs.append(
             (
                 request.headers.get(wire_names.ATTEMPT_ID),
--- a/src/fuchsiabarrow/platform/tests/test_process.py
+++ b/src/fuchsiabarrow/platform/tests/test_process.py
@@ -7,6 +7,7 @@
 import sys
 
 import aiohttp
+import pytest
 
 from fuchsiabarrow.entry.tests import process_fleets
 from fuchsiabarrow.platform import wire_names
@@ -180,3 +181,56 @@
             await response.read()
 
     asyncio.run(test())
+
+
+# Guards against callers who learn of the exit only by a closed connection.
+@pytest.mark.parametrize("grace_s", [processes.GRACE_S])
+def test_process_answers_the_requests_that_run_at_its_time_limit(
+    tmp_path, monkeypatch, grace_s
+):
+    monkeypatch.setattr(processes, "GRACE_S", grace_s)
+
+    async def test():
+        async with (
+            fake_upstreams.FakeUpstream("first", "model", "a100") as first,
+            fake_upstreams.FakeUpstream("last", "model", "a100") as last,
+        ):
+            first.layers, last.layers = (0, 40), (40, 80)
+            async with run_entry(tmp_path, engines=[first, last]) as entry:
+                first.event_count, first.gap_s = 100_000, 0.01
+                begun = await send(entry.front, "r1", "/draft/x", 0)
+                await begun.readuntil(b"id: 1\n")
+                first.gap_s = 60.0
+                silent = await send(entry.front, "r2", "/draft/x", 0)
+                unread = await send(entry.front, "r3", "/book/x", 100)
+                async with asyncio.timeout(10.0):
+                    while len(first.runs) < 2:
+                        await asyncio.sleep(0.05)
+                entry.send(signal.SIGTERM)
+                assert await entry.wait_exit(grace_s) == 0
+                assert (await silent.read()).split()[1] == b"504"
+                assert (await unread.read()).split()[1] == b"503"
+                with contextlib.suppress(ConnectionResetError):
+                    assert not (await begun.read()).endswith(b"0\r\n\r\n")
+
+    async def send(port, request_id, path, length):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writers.append(writer)
+        writer.write(
+            f"POST {path} HTTP/1.1\r\nHost: {entry_harness.HOST}\r\n"
+            f"{wire_names.ATTEMPT_ID}: {request_id}\r\n"
+            f"{wire_names.AUTHORIZATION}: Token key-1\r\n"
+            f"{wire_names.DEADLINE_MS}: 20000\r\n"
+            f"{wire_names.TOKEN_COUNTS}: 800,60\r\n"
+            f"Content-Length: {length}\r\n\r\n".encode()
+        )
+        return reader
+
+    writers = []
+    asyncio.run(test())
+    log = (tmp_path / "entry-1.log").read_text()
+    assert "event=connection_closed request_id=r1" in log
+    assert "cause=shutdown_limit" in log
+    assert "event=refused request_id=r2 status=504 reason=stopping" in log
+    assert "event=refused request_id=r3 status=503 reason=stopping" in log
+    assert " refused=2 cut=1" in log
--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -146,11 +146,15 @@
         """
         if self.close_cause is None:
             self.close_cause = CloseCause.SHUTDOWN_LIMIT
+        transport, is_serving = self.transport, self._request_in_progress
         handler_task = self._task_handler
         if handler_task is not None:
             handler_task.cancel()
             await asyncio.wait({handler_task}, timeout=timeout)
         self.force_close()
+        if is_serving and transport is not None:
+            # Would otherwise go on sending.
+            transport.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Implements `asyncio.Protocol.connection_lost`."""
