Read answers to HEAD requests without a body

The caller of a HEAD request to a plain service got a 504 at its time limit, each time, although the upstream had answered at once: the entry waited for as many bytes of the body as the head announces, and none follow the answer to a HEAD request. The upstream counted as busy until then.

The parser of the response is now told that there is no body.

On the code before, test_answer_without_a_body_is_forwarded_at_once fails: 504 instead of 200.

--- a/src/fuchsiabarrow/forwarding/connections.py
+++ b/src/fuchsiabarrow/forwarding/connections.py
@@ -242,6 +242,7 @@
             )
         protocol.begin_response()
         protocol.set_response_params(
+            skip_payload=data.startswith(b"HEAD "),
             read_until_eof=True,
             auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
--- a/src/fuchsiabarrow/platform/tests/test_frontend.py
+++ b/src/fuchsiabarrow/platform/tests/test_frontend.py
@@ -50,6 +50,18 @@
     run(test)
 
 
+# Guards against HEAD requests that end at their time limit.
+def test_answer_without_a_body_is_forwarded_at_once():
+    async def test(harness):
+        for _ in range(3):
+            status, _, body = await harness.fetch("/read/x", "HEAD")
+            assert (status, body) == (200, b"")
+        status, _, body = await harness.fetch("/read/x")
+        assert (status, body[-3:]) == (200, b"b''")
+
+    run(test)
+
+
 def test_organisation_header_of_caller_is_replaced():
     async def test(harness):
         await harness.fetch(
