--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -176,7 +176,7 @@
         """Waits until the caller has taken data; cuts off one that stalls."""
         timer = None
 
-        def check_progress(previous_bytes: int) -> None:
+        def check_progress(previous_bytes: float) -> None:
             nonlocal timer
             if self.transport is None:
                 return
