--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -528,10 +528,10 @@
             # Lets requests on connections accepted just now be read first.
             await asyncio.sleep(DRAIN_POLL_S)
             listener.close_idle(frontend.busy_connections)
-            is_busy = frontend.busy_connections or count_tunnels()
+            is_busy = listener.count_connections() or count_tunnels()
             if not is_busy or loop.time() - started_s > limit_s:
                 break
-        cut = len(frontend.busy_connections)
+        cut = listener.count_connections()
         await listener.cut()
         _log.info(
             logs.format_event(
--- a/src/fuchsiabarrow/platform/tests/test_connection_ends.py
+++ b/src/fuchsiabarrow/platform/tests/test_connection_ends.py
@@ -250,3 +250,27 @@
         assert run(test)[0] is None
     events = [record.message.split()[0] for record in handler.records]
     assert events.count("event=caller_left") == 1
+
+
+# Guards against a shutdown that ends between the arrival of a request and the
+# start of its handler: the request had neither an answer nor a refusal.
+def test_request_read_as_the_shutdown_ends_is_refused():
+    async def test(deployment):
+        caller = await deployment.connect()
+        await asyncio.sleep(1.0)
+        (connection,) = deployment.get_server_connections()
+        listener = deployment.entry.kernel.get("frontend_listener")
+        close_idle = listener.close_idle
+
+        def receive_first(busy):
+            if connection.is_waiting:
+                connection.data_received(
+                    caller_connections.make_request("/read/x")
+                )
+            close_idle(busy)
+
+        listener.close_idle = receive_first
+        await deployment.entry.drain()
+        return await caller.read_answer()
+
+    assert run(test).status == 503
--- a/src/fuchsiabarrow/platform/tests/test_slow_callers.py
+++ b/src/fuchsiabarrow/platform/tests/test_slow_callers.py
@@ -4,6 +4,7 @@
 import logbook
 import pytest
 
+from fuchsiabarrow.entry import forwarding_entry
 from fuchsiabarrow.platform import wire_names
 from fuchsiabarrow.platform.tests import entry_harness
 from fuchsiabarrow.platform.tests import slow_callers
@@ -138,3 +139,39 @@
     assert line.startswith("event=connection_closed request_id=r1 ")
     assert "cause=slow_caller" in line
     assert "is_started=True" in line
+
+
+# Guards against the loss of the rest of an answer that waits in the process for
+# its caller when the process exits.
+@pytest.mark.parametrize("make_loop", [asyncio.new_event_loop, loops.make_loop])
+def test_shutdown_waits_until_the_caller_has_taken_its_answers(make_loop):
+    async def test(harness, caller):
+        listener = harness.entry.kernel.get("frontend_listener")
+        make_desks_answer(harness, 200, 20_000)
+        caller.send("r0", "/open/x")
+        await caller.read_response()
+        (connection,) = listener._server.connections
+        transport = connection.transport
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+        )
+        count = 0
+        while not transport.get_write_buffer_size():
+            count += 1
+            caller.send(f"r{count}", "/open/x")
+            await asyncio.sleep(0.05)
+            assert connection.is_waiting
+        unsent_bytes = []
+
+        async def drain():
+            await harness.entry.drain()
+            unsent_bytes.append(transport.get_write_buffer_size())
+
+        drain_task = asyncio.create_task(drain())
+        await asyncio.sleep(forwarding_entry.DEREGISTRATION_DELAY_S + LATE_S)
+        for _ in range(count):
+            assert (await caller.read_response()).status == 200
+        await drain_task
+        assert unsent_bytes == [0]
+
+    run(test, make_loop)
--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -347,6 +347,10 @@
             self._socket_server.close()
             self._socket_server = None
 
+    def count_connections(self) -> int:
+        """Returns the number of connections, with those that still send."""
+        return len(self._server.connections)
+
     def close_idle(self, busy: Collection[asyncio.BaseProtocol]) -> None:
         """Closes all idle connections.
 
