Streams: count the attempts that may have run (LOST)

What callers saw: 503 "not run" for a request that an instance had, and may have run, when its time limit ended.

Cause: since two attempts of a stream may run beside each other. A refusal by the instance that the stream leaves restored "has not run" as it was before that attempt, although the next instance had the request by then. Only requests that may be repeated are moved.

Fix: the attempts are counted, each refusal takes back its own.

Evidence: test_request_that_runs_after_a_late_refusal_is_not_said_not_to_have_run fails without it (is_not_run=True after the time limit).

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -78,13 +78,11 @@
     Attributes:
         segments: The path.
         is_first_send: Whether that instance had not been sent it before.
-        may_have_run_before: Whether it may have run before it was sent.
         event_count: Number of events received before it was sent.
     """
 
     segments: tuple[paths.PathSegment, ...]
     is_first_send: bool
-    may_have_run_before: bool
     event_count: int
 
 
@@ -157,7 +155,8 @@
         # because of links between them.
         self._missing_ways = 0
         self._connection: connections.Connection | None = None
-        self._may_have_run = False
+        # Number of times that it was sent and may have run.
+        self._run_count = 0
         self._send_count = 0
         self._last_event_id = exchange.request.last_event_id
         self._event_count = 0
@@ -196,7 +195,7 @@
         except TimeoutError:
             refusal = forwarding.make_time_refusal(
                 request,
-                not self._may_have_run,
+                self._run_count == 0,
                 f"last path {stream_paths.format_path(self._path.segments)}",
             )
         finally:
@@ -317,7 +316,7 @@
             return None
         self._log("parts_blocked", verdict=judgement.verdict.name.lower())
         return self._forwarding.make_crash_refusal(
-            not self._may_have_run,
+            self._run_count == 0,
             judgement.remaining_s or self._forwarding.draw_retry_after_s(),
             "a part of the prompt has crashed upstreams",
         )
@@ -388,7 +387,7 @@
     ) -> messages.Refusal:
         return messages.Refusal(
             reason,
-            not self._may_have_run,
+            self._run_count == 0,
             max(min_retry_s, self._forwarding.draw_retry_after_s()),
             detail,
         )
@@ -584,10 +583,9 @@
         sent = _SentRequest(
             segments,
             self._path.record_first_instance(first),
-            self._may_have_run,
             self._event_count,
         )
-        self._may_have_run = True
+        self._run_count += 1
         return sent
 
     async def _receive(
@@ -610,7 +608,7 @@
         """Excludes the instance that refused its segment of the path."""
         directory = self._forwarding.directory
         first = sent.segments[0].upstream
-        self._may_have_run = sent.may_have_run_before
+        self._run_count -= 1
         if sent.is_first_send:
             self._path.remove_first_instance(first)
         # Only instances of the path are considered: another instance may have
--- a/src/fuchsiabarrow/forwarding/tests/test_retries_of_moves.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_retries_of_moves.py
@@ -209,3 +209,21 @@
     )
     assert writer.body == path_instances.ALL_EVENTS
     assert writer.is_finished
+
+
+class _RefusingConnection(fakes.FakeConnection):
+    """Refuses once the next instance has the request; that one hangs."""
+
+    async def _next(self):
+        if self._address != path_instances.FIRST.address:
+            await asyncio.sleep(LIMIT_S)
+        while len(self._sent) == 1:
+            await asyncio.sleep(0.01)
+        return fakes.Head(status=503, is_not_run=True)
+
+
+def test_request_that_runs_after_a_late_refusal_is_not_said_not_to_have_run():
+    # The refusal of the instance that a stream leaves was taken for that of the
+    # instance to which it moves.
+    writer, _ = move_with_one_retry([], [], _RefusingConnection)
+    assert not writer.refusal.is_not_run
