--- a/src/fuchsiabarrow/platform/tests/soak/__main__.py
+++ b/src/fuchsiabarrow/platform/tests/soak/__main__.py
@@ -89,6 +89,7 @@
                     (kept_folder / log.name).write_bytes(log.read_bytes())
                 faults = "\n".join(map(str, soak.faults))
                 (kept_folder / "faults").write_text(faults)
+                (kept_folder / "violations").write_text("\n".join(violations))
     sys.exit(1 if failed else 0)
 
 
