--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -76,7 +76,8 @@
         """Returns the cheapest complete path, if any.
 
         Args:
-            prefix: Segments that the path must begin with.
+            prefix: Segments of the current path that the path must begin with.
+                Other instances of both paths keep the memory of the request.
             is_isolated: Whether the path should begin at an instance with as
                 few requests in progress as possible.
         """
@@ -84,6 +85,9 @@
             segments = self._choose(prefix, limit)
             if segments is not None:
                 return segments
+        if prefix and self._reservation is not None:
+            with self._reservation.suspend():
+                return self._choose(prefix, math.inf)
         return self._choose(prefix, math.inf)
 
     def _choose(
@@ -271,11 +275,17 @@
         full = sum(directory.is_full(upstream) for upstream in usable)
         limits = self._forwarding.upstream_limits
         limited = sum(not limits.has_permit(u.key) for u in usable)
+        domains = {upstream.failure_domain for upstream in usable}
+        complete = path_selection.find_complete_domains(
+            usable, self._service.engine
+        )
         return (
             f"no path has free capacity: {len(usable)} usable instances,"
             f" {full} full, {limited} at their announced limits,"
             f" {len(self.excluded)} excluded,"
             f" {holder_counts.count(0)} layers on no instance,"
+            f" {len(complete)} of {len(domains)} failure domains complete"
+            f" ({' '.join(complete)}),"
             f" {self._size.context_tokens:.0f} tokens needed,"
             f" instance list {directory.get_age_s():.2f} s old"
         )
--- a/src/fuchsiabarrow/platform/tests/test_slow_callers.py
+++ b/src/fuchsiabarrow/platform/tests/test_slow_callers.py
@@ -4,6 +4,7 @@
 import logbook
 import pytest
 
+from fuchsiabarrow.entry import forwarding_entry
 from fuchsiabarrow.platform import wire_names
 from fuchsiabarrow.platform.tests import entry_harness
 from fuchsiabarrow.platform.tests import slow_callers
@@ -19,9 +20,9 @@
 SEND_BUFFER_BYTES = 65_536
 
 
-def run(test, make_loop=asyncio.new_event_loop):
+def run(test, make_loop=asyncio.new_event_loop, grace_s=8.0):
     async def main():
-        async with entry_harness.EntryHarness() as harness:
+        async with entry_harness.EntryHarness(grace_s) as harness:
             async with slow_callers.connect(harness) as caller:
                 return await test(harness, caller)
 
@@ -138,3 +139,57 @@
     assert line.startswith("event=connection_closed request_id=r1 ")
     assert "cause=slow_caller" in line
     assert "is_started=True" in line
+
+
+# Guards against a shutdown that cuts off a slow caller twice or without a line.
+def test_answer_to_a_slow_caller_is_cut_off_once_by_a_shutdown():
+    async def test(harness, caller):
+        make_desks_answer(harness, 200, slow_callers.LARGE_BYTES)
+        caller.send("r1", "/open/x")
+        forwarding = harness.entry.kernel.get("forwarding")
+        await harness.wait(lambda: forwarding.running == 1)
+        await asyncio.sleep(LATE_S)
+        await harness.entry.drain()
+        await harness.entry.__aexit__(None, None, None)
+        counter = forwarding.metrics.incomplete_answers.labels("shutdown_limit")
+        assert counter._value.get() == 1
+
+    (line,) = run_logged(test, grace_s=1.0)
+    assert line.startswith("event=connection_closed request_id=r1 ")
+    assert "cause=shutdown_limit" in line
+
+
+# Guards against the loss of the rest of an answer that waits in the process for
+# its caller when the process exits.
+@pytest.mark.parametrize("make_loop", [asyncio.new_event_loop, loops.make_loop])
+def test_shutdown_waits_until_the_caller_has_taken_its_answers(make_loop):
+    async def test(harness, caller):
+        listener = harness.entry.kernel.get("frontend_listener")
+        make_desks_answer(harness, 200, 20_000)
+        caller.send("r0", "/open/x")
+        await caller.read_response()
+        (connection,) = listener._server.connections
+        transport = connection.transport
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+        )
+        count = 0
+        while not transport.get_write_buffer_size():
+            count += 1
+            caller.send(f"r{count}", "/open/x")
+            await asyncio.sleep(0.05)
+            assert connection.is_waiting
+        unsent_bytes = []
+
+        async def drain():
+            await harness.entry.drain()
+            unsent_bytes.append(transport.get_write_buffer_size())
+
+        drain_task = asyncio.create_task(drain())
+        await asyncio.sleep(forwarding_entry.DEREGISTRATION_DELAY_S + LATE_S)
+        for _ in range(count):
+            assert (await caller.read_response()).status == 200
+        await drain_task
+        assert unsent_bytes == [0]
+
+    run(test, make_loop)
--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -162,6 +162,27 @@
         """Whether a request was read that follows the one being served."""
         return bool(self._messages)
 
+    async def start(self) -> None:
+        """Serves the requests of the connection until it is closed."""
+        transport = self.transport
+        try:
+            await super().start()
+        finally:
+            if transport is not None:
+                self._abort_if_stalled(transport, math.inf)
+
+    def _abort_if_stalled(
+        self, transport: asyncio.Transport, previous_bytes: float
+    ) -> None:
+        """Aborts a closed connection whose caller takes no bytes any more."""
+        unsent_bytes = transport.get_write_buffer_size()
+        if unsent_bytes >= previous_bytes:
+            transport.abort()
+        elif unsent_bytes:
+            self._loop.call_later(
+                STALLED_WRITE_S, self._abort_if_stalled, transport, unsent_bytes
+            )
+
     def data_received(self, data: bytes) -> None:
         """Implements `asyncio.Protocol.data_received`."""
         self.last_received_s = self._loop.time()
@@ -200,11 +221,15 @@
         """
         if self.close_cause is None:
             self.close_cause = CloseCause.SHUTDOWN_LIMIT
+        transport, is_serving = self.transport, self._request_in_progress
         handler_task = self._task_handler
         if handler_task is not None:
             handler_task.cancel()
             await asyncio.wait({handler_task}, timeout=timeout)
         self.force_close()
+        if is_serving and transport is not None:
+            # Would otherwise go on sending.
+            transport.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Implements `asyncio.Protocol.connection_lost`."""
@@ -218,7 +243,7 @@
         """Waits until the caller has taken data; cuts off one that stalls."""
         timer = None
 
-        def check_progress(previous_bytes: int) -> None:
+        def check_progress(previous_bytes: float) -> None:
             nonlocal timer
             if self.transport is None:
                 return
@@ -362,6 +387,10 @@
             if connection not in busy and connection.is_waiting and is_idle:
                 connection.close_as(CloseCause.SHUTDOWN)
 
+    def count_connections(self) -> int:
+        """Returns how many connections are open or have data left to send."""
+        return len(self._server.connections)
+
     def pause_reading(self) -> None:
         """Leaves further requests on the open connections unread."""
         for connection in self._server.connections:
