A shutdown waits until the answers to its callers are sent

What callers saw: a caller that reads slowly lost the end of an answer that the log of the entry calls served; the answer was cut with time left.

Cause: a handler ends once little of its answer (up to 64 KiB) waits to be sent. drain() waited for handlers only, and the process exits with what the kernel has not taken yet.

drain() now waits until the connections are closed, which is after their last byte. Those that still send at the time limit are aborted, counted in `stopped` and logged: connection_closed with the id of their last request.

--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -534,8 +534,7 @@
         await self._finish_requests(
             limit_at_s + ANSWER_FRACTION * margin_s, lambda: 0
         )
-        cut = len(frontend.busy_connections)
-        await listener.cut()
+        cut = await listener.cut()
         _log.info(
             logs.format_event(
                 "stopped",
@@ -556,14 +555,13 @@
         """
         loop = asyncio.get_running_loop()
         frontend = self.kernel.get("frontend")
+        listener = self.kernel.get("frontend_listener")
         while True:
             # Lets requests on connections accepted just now be read first.
             await asyncio.sleep(
                 min(DRAIN_POLL_S, max(0.0, until_s - loop.time()))
             )
-            self.kernel.get("frontend_listener").close_idle(
-                frontend.busy_connections
-            )
-            is_busy = frontend.busy_connections or count_others()
+            listener.close_idle(frontend.busy_connections)
+            is_busy = listener.connections or count_others()
             if not is_busy or loop.time() >= until_s:
                 return
--- a/src/fuchsiabarrow/platform/frontend.py
+++ b/src/fuchsiabarrow/platform/frontend.py
@@ -109,6 +109,7 @@
             self._forwarding.metrics,
         )
         arrived_s = asyncio.get_running_loop().time()
+        http_request.protocol.request_id = request_id
         self.busy_connections.add(http_request.protocol)
         try:
             await self._serve_or_deny(http_request, writer, arrived_s)
@@ -127,16 +128,17 @@
         return writer.response
 
     def _record_cut(self, connection: listeners.Connection) -> None:
-        """Logs a connection closed after a part of a request's head."""
+        """Logs a connection closed while no handler serves its request."""
         cause = connection.close_cause.value
+        is_unread = connection.has_partial_request
         self._forwarding.metrics.incomplete_answers.labels(cause).inc()
         now_s = asyncio.get_running_loop().time()
         _log.info(
             logs.format_event(
                 "connection_closed",
-                request_id="",
+                request_id="" if is_unread else connection.request_id,
                 cause=cause,
-                is_started=False,
+                is_started=not is_unread,
                 silent_s=round(now_s - connection.last_received_s, 4),
             )
         )
--- a/src/fuchsiabarrow/platform/tests/test_stops.py
+++ b/src/fuchsiabarrow/platform/tests/test_stops.py
@@ -133,6 +133,19 @@
     await caller.reader.readuntil(b"\r\n\r\n")
 
 
+async def leave_sent_answer_unread(harness, caller) -> None:
+    """The entry has passed the whole answer on, but not to the kernel."""
+    await caller.send("GET", "/none/x")
+    await caller.reader.readuntil(b"\r\n\r\n")
+    (connection,) = harness.entry.kernel.get("frontend_listener").connections
+    connection.transport.set_write_buffer_limits(4 * len(LARGE_BODY))
+    await caller.send("POST", "/read/x", LARGE_BODY)
+    await harness.wait(lambda: connection.transport.get_write_buffer_size() > 0)
+    await harness.wait(
+        lambda: not harness.entry.kernel.get("frontend").busy_connections
+    )
+
+
 def count_runs(harness, *names: str) -> int:
     return sum(len(harness.upstreams[name].runs) for name in names)
 
@@ -247,3 +260,36 @@
         check_end(begin, received[name], lines, name)
     (line,) = [line for line in lines if line.startswith("event=stopped ")]
     assert " refused=6 cut=4" in line
+
+
+# Guards against the end of an answer that is lost as the process exits.
+def test_shutdown_waits_until_answers_are_sent():
+    async def main():
+        async with entry_harness.EntryHarness(grace_s=5.0) as harness:
+            await use_long_limits(harness)
+            caller = Caller(harness, "r1")
+            await leave_sent_answer_unread(harness, caller)
+            stopping = asyncio.create_task(harness.entry.drain())
+            await asyncio.sleep(3.6)
+            assert not stopping.done()
+            received = await caller.read_rest()
+            await stopping
+            caller.writer.close()
+            return received
+
+    with logbook.TestHandler() as handler:
+        received = asyncio.run(main())
+    assert received.endswith(LARGE_BODY + b"'")
+    lines = [record.message for record in handler.records]
+    assert not any("event=connection_closed" in line for line in lines)
+    assert any(" refused=0 cut=0" in line for line in lines)
+
+
+# Guards against an answer that is cut after its handler has ended, unnoticed.
+def test_answer_that_its_caller_leaves_unread_is_logged_as_cut():
+    received, took_s, lines = run_stop({"r1": leave_sent_answer_unread})
+    assert took_s < GRACE_S
+    (line,) = find_lines(lines, "connection_closed", "r1")
+    assert "cause=shutdown_limit" in line
+    assert len(received) < len(LARGE_BODY)
+    assert any(" refused=0 cut=1" in line for line in lines)
--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -95,13 +95,16 @@
             request, while none was being served.
         close_cause: What ended the connection, None while it is open.
         close_error: Name of the error with which it ended, if any.
+        request_id: Id of its last request, set by the handler for the log.
     """
 
     __slots__ = (
+        "_sending_transport",
         "close_cause",
         "close_error",
         "has_partial_request",
         "last_received_s",
+        "request_id",
     )
 
     def __init__(self, manager, *, loop: asyncio.AbstractEventLoop, **options):
@@ -110,6 +113,22 @@
         self.has_partial_request = False
         self.close_cause: CloseCause | None = None
         self.close_error = ""
+        self.request_id = ""
+        # Still sends after the base class has closed and forgotten it.
+        self._sending_transport: asyncio.Transport | None = None
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether a request is served, or its answer not sent to its end."""
+        transport = self._sending_transport
+        return self._request_in_progress or (
+            transport is not None and transport.get_write_buffer_size() > 0
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Implements `asyncio.Protocol.connection_made`."""
+        self._sending_transport = transport
+        super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
         """Implements `asyncio.Protocol.data_received`."""
@@ -144,17 +163,19 @@
         Args:
             timeout: Time for the handler to end, in seconds.
         """
-        if self.close_cause is None:
+        is_serving, is_answering = self._request_in_progress, self.is_answering
+        if self.close_cause is None or is_answering:
             self.close_cause = CloseCause.SHUTDOWN_LIMIT
-        transport, is_serving = self.transport, self._request_in_progress
         handler_task = self._task_handler
         if handler_task is not None:
             handler_task.cancel()
             await asyncio.wait({handler_task}, timeout=timeout)
         self.force_close()
-        if is_serving and transport is not None:
+        if is_answering and self._sending_transport is not None:
             # Would otherwise go on sending.
-            transport.abort()
+            self._sending_transport.abort()
+            if not is_serving and self._manager is not None:
+                self._manager.report_cut(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Implements `asyncio.Protocol.connection_lost`."""
@@ -162,6 +183,7 @@
             self.close_cause = CloseCause.CALLER
         if exc is not None:
             self.close_error = type(exc).__name__
+        self._sending_transport = None
         super().connection_lost(exc)
 
     def _process_keepalive(self) -> None:
@@ -179,7 +201,8 @@
     Args:
         handler: Serves one request.
         on_cut: Called with each connection that the server closes after only a
-            part of a request's head has arrived.
+            part of a request's head has arrived, or before an answer was sent
+            to its end whose handler has ended.
         options: Options of `aiohttp.web.Server`.
     """
 
@@ -193,7 +216,7 @@
         self._on_cut = on_cut
 
     def report_cut(self, connection: Connection) -> None:
-        """Reports a connection that is closed with a part of a request."""
+        """Reports a connection that is closed without its handler's notice."""
         if self._on_cut is not None:
             self._on_cut(connection)
 
@@ -220,6 +243,11 @@
         self._address = address
         self._socket_server: asyncio.Server | None = None
 
+    @property
+    def connections(self) -> list[Connection]:
+        """The connections that are open or still send."""
+        return self._server.connections
+
     async def __aenter__(self) -> "ServerListener":
         loop = asyncio.get_running_loop()
         host, port = addresses.parse_address(self._address)
@@ -261,9 +289,11 @@
             if connection.transport is not None:
                 connection.transport.pause_reading()
 
-    async def cut(self) -> None:
-        """Closes all connections, also those with a request in progress."""
+    async def cut(self) -> int:
+        """Closes all connections; returns how many answers it cuts."""
+        count = sum(c.is_answering for c in self.connections)
         await self._server.shutdown(CUT_TIMEOUT_S)
+        return count
 
     async def __aexit__(self, *exc_info) -> None:
         self.stop_accepting()
