Tunnels are closed at the time limit of a shutdown

What callers of other entries saw: nothing at first.

drain() now ends them as soon as the time limit comes, as if reset, so that the other entry opens another way, and `stopped` counts them.

Failed before, on the parent commit: test_tunnels_are_closed_at_the_limit (the tunnel was open when drain() had returned).

--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -487,13 +487,17 @@
         )
         _log.info(logs.format_event("reloaded", entry=settings.name))
 
-    def _stop_tunnels(self) -> Callable[[], int]:
-        """Refuses new tunnels; returns a function that counts the open ones."""
+    def _stop_tunnels(self) -> tuple[Callable[[], int], Callable[[], int]]:
+        """Refuses new tunnels.
+
+        Returns:
+            Functions that count the open ones and that cut them.
+        """
         if "tunnel_server" not in self.kernel:
-            return lambda: 0
+            return lambda: 0, lambda: 0
         server = self.kernel.get("tunnel_server")
         server.is_stopping = True
-        return server.count
+        return server.count, server.cut
 
     async def drain(self) -> None:
         """Shuts down gracefully: stops accepting and finishes running work.
@@ -522,12 +526,13 @@
         )
         frontend.stop()
         reports.is_stopping = True
-        count_tunnels = self._stop_tunnels()
+        count_tunnels, cut_tunnels = self._stop_tunnels()
         await reports.send_now()
         await asyncio.sleep(min(DEREGISTRATION_DELAY_S, limit_s - DRAIN_POLL_S))
         listener.stop_accepting()
         limit_at_s = started_s + limit_s
         await self._finish_requests(limit_at_s, count_tunnels)
+        tunnel_count = cut_tunnels()
         refused = forwarding.end_requests()
         # What was read by now is still answered.
         listener.pause_reading()
@@ -541,6 +546,7 @@
                 took_s=round(loop.time() - started_s, 2),
                 refused=refused,
                 cut=cut,
+                tunnels=tunnel_count,
             )
         )
 
--- a/src/fuchsiabarrow/peers/tunnels.py
+++ b/src/fuchsiabarrow/peers/tunnels.py
@@ -292,8 +292,14 @@
 
     async def __aexit__(self, *details) -> None:
         self._socket_server.close()
-        for tunnel in list(self._tunnels):
+        self.cut()
+
+    def cut(self) -> int:
+        """Ends all tunnels, as if reset; returns their number."""
+        cut_tunnels = list(self._tunnels)
+        for tunnel in cut_tunnels:
             tunnel.transport.abort()
+        return len(cut_tunnels)
 
     def count(self) -> int:
         """Returns the number of open tunnels."""
--- a/src/fuchsiabarrow/platform/tests/test_stops.py
+++ b/src/fuchsiabarrow/platform/tests/test_stops.py
@@ -1,8 +1,11 @@
 import asyncio
+import random
 
 import logbook
 import pytest
 
+from fuchsiabarrow.peers import summaries
+from fuchsiabarrow.peers import tunnels
 from fuchsiabarrow.platform import wire_names
 from fuchsiabarrow.platform.tests import entry_harness
 from fuchsiabarrow.platform.tests import sample_objects
@@ -293,3 +296,39 @@
     assert "cause=shutdown_limit" in line
     assert len(received) < len(LARGE_BODY)
     assert any(" refused=0 cut=1" in line for line in lines)
+
+
+# Guards against another entry that learns only by the exit that a tunnel ends.
+def test_tunnels_are_closed_at_the_limit():
+    async def main():
+        async with entry_harness.EntryHarness(grace_s=GRACE_S) as harness:
+            server = await harness.entry.kernel.add(
+                "tunnel_server",
+                tunnels.TunnelServer(
+                    "127.0.0.1:0",
+                    lambda: True,
+                    lambda _: True,
+                    harness.entry.kernel.get(
+                        "connection_pool"
+                    ).connect_directly,
+                ),
+            )
+            helper = summaries.Helper(0.0, server.address, "a", server.token)
+            ended = asyncio.get_running_loop().create_future()
+
+            class Protocol(asyncio.Protocol):
+                def connection_lost(self, exc):
+                    ended.set_result(exc)
+
+            client = tunnels.TunnelClient(
+                "a", lambda: [helper], random.Random(1)
+            )
+            await client.open(harness.upstreams["left"].address, Protocol, 1.0)
+            await harness.entry.drain()
+            async with asyncio.timeout(0.1):
+                return await ended
+
+    with logbook.TestHandler() as handler:
+        assert isinstance(asyncio.run(main()), ConnectionResetError)
+    lines = [record.message for record in handler.records]
+    assert any(" cut=0 tunnels=1" in line for line in lines)
