--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -487,13 +487,17 @@
         )
         _log.info(logs.format_event("reloaded", entry=settings.name))
 
-    def _stop_tunnels(self) -> Callable[[], int]:
-        """Refuses new tunnels; returns a function that counts the open ones."""
+    def _stop_tunnels(self) -> tuple[Callable[[], int], Callable[[], int]]:
+        """Refuses new tunnels.
+
+        Returns:
+            Functions that count the open ones and that cut them.
+        """
         if "tunnel_server" not in self.kernel:
-            return lambda: 0
+            return lambda: 0, lambda: 0
         server = self.kernel.get("tunnel_server")
         server.is_stopping = True
-        return server.count
+        return server.count, server.cut
 
     async def drain(self) -> None:
         """Shuts down gracefully: stops accepting and finishes running work.
@@ -522,28 +526,27 @@
         )
         frontend.stop()
         reports.is_stopping = True
-        count_tunnels = self._stop_tunnels()
+        count_tunnels, cut_tunnels = self._stop_tunnels()
         await reports.send_now()
         await asyncio.sleep(min(DEREGISTRATION_DELAY_S, limit_s - DRAIN_POLL_S))
         listener.stop_accepting()
         limit_at_s = started_s + limit_s
         await self._finish_requests(limit_at_s, count_tunnels)
+        tunnel_count = cut_tunnels()
         refused = forwarding.end_requests()
         # What was read by now is still answered.
         listener.pause_reading()
         await self._finish_requests(
             limit_at_s + ANSWER_FRACTION * margin_s, lambda: 0
         )
-        cut = len(frontend.busy_connections)
-        unsent = max(0, listener.count_connections() - cut)
-        await listener.cut()
+        cut = await listener.cut()
         _log.info(
             logs.format_event(
                 "stopped",
                 took_s=round(loop.time() - started_s, 2),
                 refused=refused,
                 cut=cut,
-                unsent=unsent,
+                tunnels=tunnel_count,
             )
         )
 
@@ -557,18 +560,14 @@
             count_others: Returns the number of other things to wait for.
         """
         loop = asyncio.get_running_loop()
-        frontend, listener = (
-            self.kernel.get("frontend"),
-            self.kernel.get("frontend_listener"),
-        )
+        frontend = self.kernel.get("frontend")
+        listener = self.kernel.get("frontend_listener")
         while True:
             # Lets requests on connections accepted just now be read first.
             await asyncio.sleep(
                 min(DRAIN_POLL_S, max(0.0, until_s - loop.time()))
             )
             listener.close_idle(frontend.busy_connections)
-            # A connection may have data left to send, or a request that has
-            # not reached its handler.
-            is_busy = listener.count_connections() or count_others()
+            is_busy = listener.connections or count_others()
             if not is_busy or loop.time() >= until_s:
                 return
