--- a/src/fuchsiabarrow/platform/tests/test_process.py
+++ b/src/fuchsiabarrow/platform/tests/test_process.py
@@ -212,6 +212,8 @@
                 assert (await unread.read()).split()[1] == b"503"
                 with contextlib.suppress(ConnectionResetError):
                     assert not (await begun.read()).endswith(b"0\r\n\r\n")
+                for writer in writers:
+                    writer.close()
 
     async def send(port, request_id, path, length):
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
