Log the cut of an answer whose handler has ended (LOST)

What callers saw: a caller that took no bytes for 30 s lost the end of an answer that had been handed over as a whole; the log had no line.

Cause: the last 64 KiB of an answer may wait in the process after its handler has ended. The closed connection is aborted then, and nobody tells.

Fix: it is reported as one that is cut by a shutdown, with its own cause. A handler that cuts its answer has told it already.

--- a/src/fuchsiabarrow/utils/listeners.py
+++ b/src/fuchsiabarrow/utils/listeners.py
@@ -197,6 +197,10 @@
         unsent_bytes = transport.get_write_buffer_size()
         if unsent_bytes >= previous_bytes:
             transport.abort()
+            is_told = self.close_cause is CloseCause.SERVER
+            if self._manager is not None and not is_told:
+                self.close_cause = CloseCause.SLOW_CALLER
+                self._manager.report_cut(self)
         elif unsent_bytes:
             self._loop.call_later(
                 STALLED_WRITE_S, self._abort_if_stalled, transport, unsent_bytes
--- a/src/fuchsiabarrow/utils/tests/test_listeners.py
+++ b/src/fuchsiabarrow/utils/tests/test_listeners.py
@@ -146,7 +146,8 @@
 
 
 # Guards against sockets of callers that read nothing and stay open for ever
-# after their connections were closed.
+# after their connections were closed, and against the loss of the rest of an
+# answer without a line.
 @pytest.mark.parametrize("is_cut", [True, False])
 @pytest.mark.parametrize("make_loop", [asyncio.new_event_loop, loops.make_loop])
 def test_closed_connection_ends_although_its_caller_reads_nothing(
@@ -165,10 +166,13 @@
             raise asyncio.CancelledError
         return response
 
+    causes = []
+
     async def run():
         server = listeners.Server(
             handle,
             lambda: listeners.TimeLimits(idle_s=15.0, head_s=3.0),
+            on_cut=lambda connection: causes.append(connection.close_cause),
             access_log=None,
         )
         (port,) = free_ports.find_ports(1)
@@ -185,3 +189,5 @@
 
     with asyncio.Runner(loop_factory=make_loop) as runner:
         assert runner.run(run()) == 1
+    # A handler that cuts its answer has a line of its own.
+    assert causes == ([] if is_cut else [listeners.CloseCause.SLOW_CALLER])
