A stopped process ignores further reloads and stops while it exits

What operators saw: status -1 in place of 0 of an entry that had stopped in order, if a SIGHUP came just after the line stopped.

Cause: closing the event loop brings the default actions of its signals back, and SIGHUP's ends the process.

Change: after the drain SIGHUP and SIGTERM are ignored until the exit.

test_reload_signals_during_a_stop_do_not_change_the_exit_status fails without the change (status -1 in four runs of four, also with the signals blocked in the main thread only) and passed in four runs with it.

--- a/src/fuchsiabarrow/commands/forwarding.py
+++ b/src/fuchsiabarrow/commands/forwarding.py
@@ -80,3 +80,8 @@
         finally:
             polling.cancel()
         await entry.drain()
+        # Closing the loop would bring back their default actions, which end the
+        # process while it exits.
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
--- a/src/fuchsiabarrow/platform/tests/test_process.py
+++ b/src/fuchsiabarrow/platform/tests/test_process.py
@@ -236,3 +236,18 @@
     assert "event=refused request_id=r2 status=504 reason=stopping" in log
     assert "event=refused request_id=r3 status=503 reason=stopping" in log
     assert " refused=2 cut=1" in log
+
+
+# Guards against a reload that ends a process which has stopped, by the signal's
+# default action, so that its exit looks like a failure.
+def test_reload_signals_during_a_stop_do_not_change_the_exit_status(tmp_path):
+    async def test():
+        async with run_entry(tmp_path) as entry:
+            entry.send(signal.SIGTERM)
+            async with asyncio.timeout(processes.GRACE_S):
+                while entry.get_exit_status() is None:
+                    entry.send(signal.SIGHUP)
+                    await asyncio.sleep(0.002)
+            assert entry.get_exit_status() == 0
+
+    asyncio.run(test())
