Simulated entries: connections of callers as the frontend uses them

The request then ended with an AttributeError before it was served. A slip of the tests, which were not run again after that change was merged; nothing else is changed.

--- a/src/fuchsiabarrow/platform/tests/entry_simulation.py
+++ b/src/fuchsiabarrow/platform/tests/entry_simulation.py
@@ -904,7 +904,7 @@
             raw_headers=(),
             content_length=None,
             body_exists=False,
-            protocol=object(),
+            protocol=_CallerConnection(),
             answer=answer,
         )
         self._add_task(self._serve(http_request, answer, patience_s))
@@ -1006,6 +1006,19 @@
         current.catalog = catalog
 
 
+class _CallerConnection:
+    """Connection of a caller that sends one request.
+
+    Attributes:
+        request_id: Id of its last request.
+        has_next_request: Whether a request was read behind that one.
+    """
+
+    def __init__(self):
+        self.request_id = ""
+        self.has_next_request = False
+
+
 class _Unmanaged:
     """Lets an object without a context be a service of a kernel."""
 
