Entries follow two of their failure domain instead of the store

With more than 16 entries, the two aggregators of a failure domain read the store, and the others read it through them (peers.shared_stores, peers.updates): one kept connection, answers on changes and confirmations, at least once a second. An answer carries the time of the store's confirmation relative to the arrival of the request, so that a held-up answer seems older, never newer. An entry lists from the other source, or reads the store itself, as soon as a source is late, behind or gone; followers are no sources, so there is no circle. While nobody reaches the store, followers wait at a source and call rarely. A watcher that another one confirms waits for that one in an outage.

Tests: calls with 76 and 195 entries, lost history, sources killed, frozen, cut off, refused, restarted in series; a version, a withdrawn key and a removed upstream in time; a copy never seems newer than its confirmation.

--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import dataclasses
 import random
+import secrets
 
 import aiohttp.web
 import logbook
@@ -23,8 +25,10 @@
 from fuchsiabarrow.kernel import registry
 from fuchsiabarrow.peers import load_reports
 from fuchsiabarrow.peers import relays
+from fuchsiabarrow.peers import shared_stores
 from fuchsiabarrow.peers import summaries
 from fuchsiabarrow.peers import tunnels
+from fuchsiabarrow.peers import updates
 from fuchsiabarrow.placement import service as placement_service
 from fuchsiabarrow.platform import frontend as frontend_module
 from fuchsiabarrow.platform import settings as settings_module
@@ -47,6 +51,10 @@
 # After SIGTERM the platform keeps sending new connections until two readiness
 # checks have failed: the first comes within 1 s, the second 1 s later.
 DEREGISTRATION_DELAY_S = 3.1
+# Time by which a copy may be older than the wait of a watch and still count as
+# current: the store's answer may be that late.
+SOURCE_DELAY_S = 0.5
+EPOCH_BITS = 64
 # Requests that still run this long before SIGKILL are ended, so that the
 # process can exit: a part of the grace period, up to a maximum. A sixth is what
 # is granted to answers that are cut.
@@ -129,8 +137,18 @@
                 auto_decompress=False,
             ),
         )
-        store = store_module.StoreClient(
-            session, settings.store_address, STORE_TIMEOUT_S
+        wait_s = watchers.compute_wait_s(settings.apply_s)
+        store = shared_stores.SharedStore(
+            store_module.StoreClient(
+                session, settings.store_address, STORE_TIMEOUT_S
+            ),
+            session,
+            self._find_sources,
+            settings.name,
+            wait_s + SOURCE_DELAY_S,
+            wire_names.CONFIGURATION_KIND,
+            self._source,
+            read_time_s,
         )
         await kernel.add("store", contextlib.nullcontext(store))
         directory = directory_module.Directory(read_time_s)
@@ -145,16 +163,22 @@
             directory, wire.decode_upstream
         )
         await kernel.add("list_updater", contextlib.nullcontext(list_updater))
+        update_server = updates.UpdateServer(
+            secrets.randbits(EPOCH_BITS), wait_s + SOURCE_DELAY_S, read_time_s
+        )
+        await kernel.add("update_server", contextlib.nullcontext(update_server))
         catalog_watcher = await kernel.add(
             "catalog_watcher",
             watchers.CollectionWatcher(
                 store,
                 wire_names.CONFIGURATION_KIND,
-                current_catalog.make_sink(),
+                self._announce(
+                    wire_names.CONFIGURATION_KIND, current_catalog.make_sink()
+                ),
                 self._source,
                 lists.OUTAGE_EFFECT_S,
-                watchers.compute_wait_s(settings.apply_s),
-                count_entries=self._count_entries,
+                wait_s,
+                count_entries=self._count_store_readers,
                 has_one_object=True,
                 read_time_s=read_time_s,
             ),
@@ -164,23 +188,97 @@
             watchers.CollectionWatcher(
                 store,
                 wire_names.UPSTREAMS_KIND,
-                list_updater.make_sink(),
+                self._announce(
+                    wire_names.UPSTREAMS_KIND, list_updater.make_sink()
+                ),
                 self._source,
                 lists.OUTAGE_EFFECT_S,
                 watchers.CONFIRMED_WATCH_WAIT_S,
-                self._count_entries,
+                self._count_store_readers,
                 read_time_s=read_time_s,
             ),
         )
         catalog_watcher.share_revisions_with(upstream_watcher)
+        self._share_collections()
+
+    def _share_collections(self) -> None:
+        """Lets other entries follow the collections of this one."""
+        kernel = self.kernel
+        server, store = kernel.get("update_server"), kernel.get("store")
+        current_catalog, directory, list_updater = (
+            kernel.get("current_catalog"),
+            kernel.get("directory"),
+            kernel.get("list_updater"),
+        )
 
-    def _count_entries(self) -> int:
-        """Returns the number of live entries, 1 before load reports start."""
+        def share(kind, watcher, get_objects, get_confirmed_s) -> None:
+            server.add_collection(
+                updates.SharedCollection(
+                    kind,
+                    get_objects,
+                    get_confirmed_s,
+                    lambda: watcher.revision,
+                    lambda: (
+                        not (store.is_following(kind) or watcher.is_unreachable)
+                    ),
+                )
+            )
+
+        share(
+            wire_names.CONFIGURATION_KIND,
+            kernel.get("catalog_watcher"),
+            current_catalog.get_objects,
+            lambda: current_catalog.confirmed_at_s,
+        )
+        share(
+            wire_names.UPSTREAMS_KIND,
+            kernel.get("upstream_watcher"),
+            list_updater.get_objects,
+            lambda: directory.updated_at_s,
+        )
+        # Changes that do not come from the watchers: delayed removals, copies
+        # relayed by other entries.
+        current_catalog.add_listener(
+            lambda _: server.announce(wire_names.CONFIGURATION_KIND)
+        )
+        directory.add_listener(
+            lambda: server.announce(wire_names.UPSTREAMS_KIND)
+        )
+
+    def _announce(self, kind: str, sink: watchers.Sink) -> watchers.Sink:
+        """Returns a sink that also tells followers of confirmations."""
+        server = self.kernel.get("update_server")
+
+        def confirm(at_s: float) -> None:
+            sink.confirm(at_s)
+            server.announce(kind)
+
+        return dataclasses.replace(
+            sink, confirm=confirm, report_outage=lambda: server.announce(kind)
+        )
+
+    def _find_sources(self) -> list[str]:
+        """Returns the entries through which this one reads the store."""
         is_available = "load_reports" in self.kernel
         return (
-            self.kernel.get("load_reports").count_live() if is_available else 1
+            self.kernel.get("load_reports").find_sources()
+            if is_available
+            else []
         )
 
+    def _count_store_readers(self) -> int:
+        """Returns how many entries may read the store like this one.
+
+        These are all live ones if this one cannot follow its sources. Returns 1
+        before load reports start.
+        """
+        if "load_reports" not in self.kernel:
+            return 1
+        reports = self.kernel.get("load_reports")
+        if self.kernel.get("store").has_only_store():
+            return reports.count_live()
+        return reports.count_sources()
+
     async def _add_forwarding(self) -> None:
         kernel, settings = self.kernel, self._settings
         metrics = metrics_module.ForwardingMetrics()
@@ -296,10 +394,12 @@
             self._read_time_s,
         )
         await kernel.add("relay", relay)
+        app = relay.make_app()
+        kernel.get("update_server").add_routes(app)
         await kernel.add(
             "relay_listener",
             listeners.Listener(
-                relay.make_app(),
+                app,
                 f"{settings.ip}:{settings.entry_port}",
                 LISTENER_SHUTDOWN_TIMEOUT_S,
             ),
--- a/src/fuchsiabarrow/exceptions.py
+++ b/src/fuchsiabarrow/exceptions.py
@@ -85,6 +85,14 @@
     """
 
 
+class StoreWayChangedError(StoreHistoryExpiredError):
+    """A collection is read in another way than before; list it again.
+
+    Directly from the store, or through another entry: what one of them sent
+    cannot be continued with the changes that another one sends.
+    """
+
+
 class StoreUnavailableError(StoreError):
     """The call had no effect on the store; retry it after a delay."""
 
--- a/src/fuchsiabarrow/fleet/watchers.py
+++ b/src/fuchsiabarrow/fleet/watchers.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import random
 
@@ -48,6 +49,9 @@
 # Maximum retry delay with many entries, as a multiple of the pause after
 # changes: failed calls are load for the store as well.
 RETRY_BATCHES = 1.5
+# The same for a collection that another watcher confirms, which tells of the
+# end of an outage.
+CONFIRMED_RETRY_S = 4.0
 # Number of consecutive failures after which the store counts as unreachable.
 OUTAGE_FAILURES = 2
 
@@ -68,11 +72,13 @@
             unreachable shortly before.
         confirm: Called with the time, of the watcher's clock, at which the
             received state was current.
+        report_outage: Called when the store has become unreachable.
     """
 
     apply_snapshot: Callable[[collections.Snapshot, bool], None]
     apply_change: Callable[[collections.Change, bool], None]
     confirm: Callable[[float], None]
+    report_outage: Callable[[], None] = lambda: None
 
 
 class CollectionWatcher:
@@ -119,6 +125,8 @@
         self._must_list = False
         self._confirmed_watchers: list[CollectionWatcher] = []
         self._is_confirmed_by_other = False
+        # Set when another watcher, which confirms this one, got an answer.
+        self._other_answered = asyncio.Event()
         self._watch_task: asyncio.Task | None = None
         self._must_ask_now = False
         # Revision from which to watch, None to list the collection.
@@ -141,6 +149,16 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    @property
+    def revision(self) -> int | None:
+        """Revision up to which changes were received; None for no state."""
+        return self._revision
+
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether several calls in a row failed."""
+        return self._is_unreachable
+
     def share_revisions_with(self, other: "CollectionWatcher") -> None:
         """Passes the store revision of each answer on to another watcher.
 
@@ -158,6 +176,7 @@
             revision: Revision of the whole store.
             at_s: Time at which the store had this revision.
         """
+        self._other_answered.set()
         if self._revision is None:
             return
         if revision <= self._revision:
@@ -188,6 +207,8 @@
         while True:
             try:
                 await self._step()
+            except exceptions.StoreWayChangedError:
+                self._revision = None
             except exceptions.StoreHistoryExpiredError as error:
                 self._log("history_gone", why=error)
                 self._revision = None
@@ -214,10 +235,17 @@
             return
         self._lost_histories = 0
         self._handle_answer()
-        is_after_outage = self._is_after_outage()
+        # Another entry has already delayed what it removed after an outage.
+        is_relayed = changes.confirmed_s is not None
+        is_after_outage = not is_relayed and self._is_after_outage()
         for change in changes.changes:
             self._sink.apply_change(change, is_after_outage)
         self._revision = changes.revision
+        if is_relayed:
+            self._confirm(changes.revision, changes.confirmed_s)
+            if changes.changes:
+                await asyncio.sleep(compute_batch_s(self._count_entries()))
+            return
         # The store sends an answer without changes at the end of the wait. When
         # it is handled says nothing: this process or its link may have been
         # held up since.
@@ -247,9 +275,15 @@
                 f" {self._newest_revision} was received before; list again"
             )
         self._handle_answer()
-        self._sink.apply_snapshot(snapshot, self._is_after_outage())
+        is_relayed = snapshot.confirmed_s is not None
+        is_after_outage = not is_relayed and self._is_after_outage()
+        self._sink.apply_snapshot(snapshot, is_after_outage)
         known_revision, self._revision = self._revision, snapshot.revision
         self._must_ask_now = False
+        if is_relayed:
+            self._must_list = False
+            self._confirm(snapshot.revision, snapshot.confirmed_s)
+            return
         self._confirm(snapshot.revision, sent_s)
         self._must_list = (
             self._must_list
@@ -294,6 +328,7 @@
         if self._failures >= OUTAGE_FAILURES and not self._is_unreachable:
             self._is_unreachable = True
             self._log("store_lost", why=error)
+            self._sink.report_outage()
         # The next watch does not wait, so that its answer shows at once that
         # the store is reachable again.
         self._must_ask_now = True
@@ -305,7 +340,23 @@
             max(MAX_RETRY_S, RETRY_BATCHES * batch_s),
             self._source,
         )
+        if self._is_unreachable and self._is_confirmed_by_other:
+            await self._wait_for_other(pause_s)
+        else:
+            await asyncio.sleep(pause_s)
+
+    async def _wait_for_other(self, pause_s: float) -> None:
+        """Waits until the other watcher gets an answer, for some time at most.
+
+        Two watchers that both find out about the end of an outage would double
+        the calls to a store that is overloaded. One that still fails after an
+        answer to the other one pauses as any other does.
+        """
         await asyncio.sleep(pause_s)
+        self._other_answered.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CONFIRMED_RETRY_S):
+                await self._other_answered.wait()
 
     def _log(self, event: str, **fields: object) -> None:
         _log.info(
--- a/src/fuchsiabarrow/peers/aggregation.py
+++ b/src/fuchsiabarrow/peers/aggregation.py
@@ -272,6 +272,15 @@
             self.own.domain, now_s
         )
 
+    def find_own_aggregators(self, now_s: float) -> list[str]:
+        """Returns the addresses of the aggregators of the own domain."""
+        return self._find_aggregators(self.own.domain, now_s)
+
+    def count_aggregators(self) -> int:
+        """Returns the number of aggregators of all known domains."""
+        domains = {peer.contact.domain for peer in self._peers.values()}
+        return AGGREGATORS_PER_DOMAIN * len(domains | {self.own.domain})
+
     def _find_aggregators(self, domain: str, now_s: float) -> list[str]:
         """Returns the addresses of the aggregators of a domain.
 
--- a/src/fuchsiabarrow/peers/load_reports.py
+++ b/src/fuchsiabarrow/peers/load_reports.py
@@ -209,6 +209,26 @@
             return None
         return self.count_live()
 
+    def find_sources(self) -> list[str]:
+        """Returns the entries through which this one reads the store.
+
+        They are the aggregators of its failure domain.
+
+        Returns:
+            Their addresses; none if there are few entries or this one is an
+            aggregator, so that it is to read the store itself.
+        """
+        if not self._aggregation.uses_aggregators():
+            return []
+        found = self._aggregation.find_own_aggregators(self._read_time_s())
+        return [] if self._settings.address in found else found
+
+    def count_sources(self) -> int:
+        """Returns the number of entries that read the store themselves."""
+        if not self._aggregation.uses_aggregators():
+            return self.count_live()
+        return self._aggregation.count_aggregators()
+
     def is_leader(self) -> bool:
         """Returns whether this entry is the leader.
 
--- a/src/fuchsiabarrow/ports/collections.py
+++ b/src/fuchsiabarrow/ports/collections.py
@@ -17,11 +17,15 @@
         revision: Revision of the store from which to watch for changes.
         is_restored: Whether the store has returned to an earlier state since
             the last snapshot, so that it may lack acknowledged changes.
+        confirmed_s: Time, of the reader's clock, at which the objects were
+            last known to be current, if they were read through another entry;
+            None if the store sent them.
     """
 
     objects: tuple[objects.VersionedObject, ...]
     revision: int
     is_restored: bool = False
+    confirmed_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,10 +48,12 @@
     Attributes:
         changes: The changes in the order in which they were made.
         revision: Revision of the store from which to go on watching.
+        confirmed_s: As in `Snapshot`.
     """
 
     changes: tuple[Change, ...]
     revision: int
+    confirmed_s: float | None = None
 
 
 class Collections(Protocol):
