One entry at a time sends placement orders

Cause: an entry took itself for the leader as long as it knew no earlier one. Their plans differ; an order that is lost by one plan and accepted from another leaves layers without a holder until the next plan.

The duty (load_reports.has_duty) now needs that the entry has known others for 1.5 s, or is 4 s old; that it has been the leader for 1.5 s; and that it was not held up or out of reach since.

--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -487,7 +487,7 @@
                 kernel.get("current_catalog").get,
                 kernel.get("upstream_control").place,
                 kernel.get("upstream_control").read_report,
-                kernel.get("load_reports").is_leader,
+                kernel.get("load_reports").has_duty,
             ),
         )
 
--- a/src/fuchsiabarrow/peers/load_reports.py
+++ b/src/fuchsiabarrow/peers/load_reports.py
@@ -42,6 +42,14 @@
 # Time that a new process needs to discover all entries, also if all start
 # together and the first report to a seed is lost.
 DISCOVERY_S = 4.0
+# The same once it has heard of others.
+ACQUAINTANCE_S = 1.5
+# Time for which an entry must have been the leader before it acts as such: the
+# one before it has learned of it by then, and its last orders have arrived.
+HANDOVER_S = 1.5
+# A process that did not check its leadership for this long was held up, and
+# others may have taken over meanwhile.
+MAX_CHECK_INTERVAL_S = 1.0
 # Mean delay, in periods, of a report that goes through aggregators: half a
 # period at each of three hops.
 AGGREGATION_LAG_PERIODS = 1.5
@@ -143,6 +151,14 @@
         loop = asyncio.get_running_loop()
         self._read_time_s = loop.time
         self._started_s = loop.time()
+        # When another entry was first heard of.
+        self._acquainted_s = float("inf")
+        # Since when this entry has been the leader, None if it is not, and when
+        # that was last checked.
+        self._leader_since_s: float | None = None
+        self._leader_checked_s = float("-inf")
+        # When a report was last received.
+        self._received_s = float("-inf")
         self._aggregation = aggregation.AggregationState(
             report_codec.Contact(
                 settings.name, settings.failure_domain, settings.address
@@ -248,6 +264,33 @@
             for summary in sources.values()
         )
 
+    def has_duty(self) -> bool:
+        """Returns whether this entry is to act as the leader now.
+
+        In contrast to `is_leader`, at most one entry does at a time, as long as
+        reports arrive: a new leader waits until the one before it knows, and a
+        new process, or one that was held up, until it knows the others.
+        """
+        now_s = self._read_time_s()
+        self._check_leadership(now_s)
+        is_acquainted = (
+            now_s - self._acquainted_s >= ACQUAINTANCE_S
+            or now_s - self._started_s >= DISCOVERY_S
+        )
+        return (
+            is_acquainted
+            and self._leader_since_s is not None
+            and now_s - self._leader_since_s >= HANDOVER_S
+        )
+
+    def _check_leadership(self, now_s: float) -> None:
+        was_held_up = now_s - self._leader_checked_s > MAX_CHECK_INTERVAL_S
+        self._leader_checked_s = now_s
+        if not self.is_leader():
+            self._leader_since_s = None
+        elif self._leader_since_s is None or was_held_up:
+            self._leader_since_s = now_s
+
     def find_helpers(self) -> list[summaries.Helper]:
         """Returns live entries that connect to upstreams for others."""
         own_ip = self._settings.address.rpartition(":")[0]
@@ -329,6 +372,7 @@
     async def _send_reports(self) -> None:
         """Sends the reports of this period."""
         now_s = self._read_time_s()
+        self._check_leadership(now_s)
         self._aggregation.expire(now_s)
         self._apply_summaries(now_s)
         own_summary = self._summarise_own(now_s)
@@ -502,6 +546,11 @@
             return
         if report.scope is report_codec.Scope.ALL:
             self._aggregate_bytes = len(data)
+        self._acquainted_s = min(self._acquainted_s, now_s)
+        if now_s - self._received_s > self._settings.liveness_timeout_s:
+            # Others may have taken over while this entry could not hear them.
+            self._leader_since_s = None
+        self._received_s = now_s
         address = f"{addr[0]}:{addr[1]}"
         redirect = self._aggregation.receive(report, address, now_s)
         self._apply_summaries(now_s)
--- a/src/fuchsiabarrow/placement/service.py
+++ b/src/fuchsiabarrow/placement/service.py
@@ -1,10 +1,12 @@
 """Sends load orders so that instances hold the layers of the plan.
 
 One entry at a time sends the orders: the leader, which is the first by name of
-the entries that are alive and have the current list. Entries may disagree for
-some time on which one leads; two that send orders at the same time do no harm,
-since an order states how many orders the instance has accepted before and is
-rejected if that number has changed.
+the entries that are alive and have the current list. It waits until the leader
+before it knows, and until it knows the other entries itself: the plans of two
+entries differ, and an instance would take its layers from one or the other, so
+that some layers might have no holder. Entries that cannot hear each other may
+still both lead. An order states how many orders the instance has accepted
+before, and is rejected if that number has changed.
 """
 
 import asyncio
@@ -91,14 +93,14 @@
 
 
 class PlacementService:
-    """Plans the placement and sends load orders while this entry is the leader.
+    """Plans the placement and sends load orders while this entry has this duty.
 
     Args:
         directory: Directory of the instances.
         get_catalog: Returns the configuration in force, or None.
         send_order: Sends one order; never raises.
         read_report: Returns the report of an upstream on itself.
-        is_leader: Returns whether this entry is the leader now.
+        has_duty: Returns whether this entry is to send orders now.
         settings: Periods and limits.
     """
 
@@ -108,7 +110,7 @@
         get_catalog: Callable[[], documents.Catalog | None],
         send_order: SendOrder,
         read_report: ReadReport,
-        is_leader: Callable[[], bool],
+        has_duty: Callable[[], bool],
         settings: Settings = Settings(),
     ):
         self._directory = directory
@@ -118,7 +120,7 @@
         # Upstreams that were sent an order, so that the number of orders that
         # they have accepted must be read from their report.
         self._ordered: set[tuple[str, int]] = set()
-        self._is_leader = is_leader
+        self._has_duty = has_duty
         self._settings = settings
         self._pending: dict[tuple[str, int], _Pending] = {}
         self._known_keys: set[tuple[str, int]] = set()
@@ -164,7 +166,7 @@
         if not instances or not self._is_settled(instances, now_s):
             return
         is_current = self._directory.get_age_s() < self._settings.list_age_s
-        if not is_current or not self._is_leader():
+        if not is_current or not self._has_duty():
             return
         pending = {key: p.layers for key, p in self._pending.items()}
         usable = [i for i in instances if not self._directory.is_avoided(i)]
