Refusals name the layers whose holders have no free memory

Cause: a refusal for lack of memory said "0 full, 0 layers on no instance", so that the resource that lacked could not be told from the log.

fleet.shortages finds the layers whose holders all lack memory for the request; the detail of the refusal lists them. Tests without network.

--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -8,6 +8,7 @@
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet import path_selection
 from fuchsiabarrow.fleet import paths
+from fuchsiabarrow.fleet import shortages
 from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.forwarding import messages
 
@@ -273,17 +274,33 @@
             for layer in range(len(holder_counts)):
                 holder_counts[layer] += upstream.layers.covers(layer, layer + 1)
         full = sum(directory.is_full(upstream) for upstream in usable)
+        model = self._service.engine
+        lacking = shortages.find_full_layers(
+            [
+                paths.make_candidate(
+                    upstream,
+                    model,
+                    self._size,
+                    self._forwarding.load_table.get(upstream.key),
+                    1.0,
+                )
+                for upstream in usable
+                if upstream.kind in model.kinds
+            ],
+            model.layers,
+            self._size,
+        )
         limits = self._forwarding.upstream_limits
         limited = sum(not limits.has_permit(u.key) for u in usable)
         domains = {upstream.failure_domain for upstream in usable}
-        complete = path_selection.find_complete_domains(
-            usable, self._service.engine
-        )
+        complete = path_selection.find_complete_domains(usable, model)
         return (
             f"no path has free capacity: {len(usable)} usable instances,"
             f" {full} full, {limited} at their announced limits,"
             f" {len(self.excluded)} excluded,"
             f" {holder_counts.count(0)} layers on no instance,"
+            " layers without free memory"
+            f" ({shortages.describe_ranges(lacking)}),"
             f" {len(complete)} of {len(domains)} failure domains complete"
             f" ({' '.join(complete)}),"
             f" {self._size.context_tokens:.0f} tokens needed,"
