A stalled instance is used again when the streams that waited for it go on

The first instances that reported it are remembered, as long as nothing else speaks against it. An event of a stream through one of them takes its report back; after the last one the instance is used again. An event over another path, or with another first instance, does not. Tests for several reporters and other evidence.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -702,8 +702,10 @@
     def _record_progress(self, now_s: float, count: int) -> None:
         metrics = self._forwarding.metrics
         self._last_event_s = now_s
+        instances = [segment.upstream for segment in self._path.segments]
         for upstream in self._suspects.values():
-            self._forwarding.record_life(upstream)
+            if upstream in instances:
+                self._forwarding.record_life(upstream, instances[0])
         self._suspects.clear()
         if self._event_count == 0:
             self._path.finish_prefill()
@@ -778,7 +780,7 @@
         for address in addresses:
             upstream = forwarding.directory.find_by_address(address)
             if upstream is not None:
-                forwarding.record_failure(upstream, "stalled", is_shared=True)
+                forwarding.record_stall(upstream, first)
         self._replace_unknown_instances(report.stalled)
 
     def _check_suspects(self) -> None:
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -168,6 +168,9 @@
         self._probes: dict[tuple[str, int], asyncio.Task] = {}
         # Upstreams whose last probe had no answer although it was not refused.
         self._silent: set[tuple[str, int]] = set()
+        # First instances that reported an upstream as stalled, for those that
+        # are avoided only because of it.
+        self._stall_reporters: dict[tuple[str, int], set] = {}
         # Upstreams that refused the last connection to them.
         self._unreachable: set[tuple[str, int]] = set()
 
@@ -445,6 +448,7 @@
             why: Observed failure, for the log.
             is_shared: Whether the failure is reported to other entries.
         """
+        self._stall_reporters.pop(upstream.key, None)
         was_avoided = self.directory.is_avoided(upstream)
         avoid_s = self.directory.record_failure(upstream, is_shared)
         if was_avoided:
@@ -463,11 +467,45 @@
         )
         self.notify_streams(upstream)
 
-    def record_life(self, upstream: upstreams.Upstream) -> None:
-        """Uses an upstream again that was avoided because it was silent."""
+    def record_stall(
+        self, upstream: upstreams.Upstream, reporter: upstreams.Upstream
+    ) -> None:
+        """Avoids an upstream for which another one waits.
+
+        Args:
+            upstream: The upstream.
+            reporter: The one that waits, as first instance of a stream.
+        """
+        reporters = self._stall_reporters.get(upstream.key)
+        if reporters is None and not self.directory.is_avoided(upstream):
+            reporters = set()
+        self.record_failure(upstream, "stalled", is_shared=True)
+        if reporters is not None:
+            # Nothing else speaks against it.
+            self._stall_reporters[upstream.key] = reporters | {reporter.key}
+
+    def record_life(
+        self, upstream: upstreams.Upstream, first: upstreams.Upstream
+    ) -> None:
+        """Uses an upstream again that was avoided because it was silent.
+
+        One that was reported as stalled is used again when streams from all
+        that reported it have gone on: the link of one of them may be cut.
+
+        Args:
+            upstream: The upstream.
+            first: First instance of a stream that has gone on through it.
+        """
         if upstream.key in self._silent:
             self._silent.discard(upstream.key)
             self.directory.record_success(upstream)
+        reporters = self._stall_reporters.get(upstream.key)
+        if reporters is None:
+            return
+        reporters.discard(first.key)
+        if not reporters:
+            del self._stall_reporters[upstream.key]
+            self.directory.record_success(upstream)
 
     def _forget_failure(self, upstream: upstreams.Upstream) -> None:
         self._silent.discard(upstream.key)
--- a/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
@@ -281,6 +281,64 @@
     assert writer.body == path_instances.ALL_EVENTS
 
 
+def judge_stalled(act) -> bool:
+    """Returns whether an instance is avoided after some evidence.
+
+    Args:
+        act: Function of the forwarding service that records the evidence.
+    """
+
+    async def run():
+        harness = fakes.Harness(
+            path_instances.FIRST,
+            path_instances.SPARE_FIRST,
+            path_instances.LAST,
+        )
+        act(harness.forwarding)
+        return harness.directory.is_avoided(path_instances.LAST)
+
+    return virtual_time.run(run())
+
+
+# The link of one of them may be cut.
+def test_stalled_instance_stays_avoided_until_all_that_reported_it_go_on():
+    last, first = path_instances.LAST, path_instances.FIRST
+    other = path_instances.SPARE_FIRST
+
+    def report(forwarding):
+        forwarding.record_stall(last, first)
+        forwarding.record_stall(last, other)
+
+    def go_on_at_one(forwarding):
+        report(forwarding)
+        forwarding.record_life(last, first)
+
+    def go_on_at_both(forwarding):
+        go_on_at_one(forwarding)
+        forwarding.record_life(last, other)
+
+    assert judge_stalled(report)
+    assert judge_stalled(go_on_at_one)
+    assert not judge_stalled(go_on_at_both)
+
+
+def test_stalled_instance_with_other_evidence_stays_avoided():
+    last, first = path_instances.LAST, path_instances.FIRST
+
+    def fail_before(forwarding):
+        forwarding.record_failure(last, "connect: refused")
+        forwarding.record_stall(last, first)
+        forwarding.record_life(last, first)
+
+    def fail_afterwards(forwarding):
+        forwarding.record_stall(last, first)
+        forwarding.record_failure(last, "connect: refused")
+        forwarding.record_life(last, first)
+
+    assert judge_stalled(fail_before)
+    assert judge_stalled(fail_afterwards)
+
+
 def test_crash_of_a_later_instance_that_runs_again_is_counted():
     # The old one counted as silent, though a newer one ran in its place.
     async def run():
