A build replaces the copy of the package only when it is complete

The copy is built beside the last one, compared, compiled and renamed; unfinished copies are removed after ten minutes.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -15,8 +15,21 @@
   python3 -m pip install -q -U --target target/deps -r "$requirements"
   echo "$interpreter" > "$mark"
 fi
-rm -rf target/app
-mkdir -p target/app
-cp -R src/fuchsiabarrow target/app/
-find target/app -name __pycache__ -prune -exec rm -rf {} +
-python3 -m compileall -q target/app
+# Processes may be starting from the last copy: it is replaced by a complete one,
+# and only if something has changed.
+new=target/app.$$
+find target -maxdepth 1 -name 'app.*' -mmin +10 -exec rm -rf {} +
+mkdir -p "$new"
+cp -R src/fuchsiabarrow "$new/"
+find "$new" -name __pycache__ -prune -exec rm -rf {} +
+echo "$interpreter" > "$new/.built-for"
+if diff -rq -x __pycache__ "$new" target/app >/dev/null 2>&1; then
+  rm -rf "$new"
+  exit
+fi
+python3 -m compileall -q "$new"
+if [ -e target/app ]; then
+  mv target/app "$new.old"
+fi
+mv "$new" target/app
+rm -rf "$new.old"
--- a/src/fuchsiabarrow/platform/tests/test_build.py
+++ b/src/fuchsiabarrow/platform/tests/test_build.py
@@ -15,6 +15,10 @@
 case "$*" in
   -c*) echo "$INTERPRETER" ;;
   *pip*) mkdir -p target/deps && echo installed >> installs ;;
+  *compileall*)
+    echo compiled >> compilations
+    cat target/app/fuchsiabarrow/module.py >> during 2>/dev/null
+    mkdir "$4/fuchsiabarrow/__pycache__" ;;
 esac
 """
 
@@ -63,3 +67,46 @@
 def test_dependencies_without_a_mark_are_replaced(tree):
     (tree / "target/deps").mkdir(parents=True)
     assert count_installs(tree, ARM) == 1
+
+
+def build_versions(tree, *versions: str) -> None:
+    """Builds once for each content of the package."""
+    for version in versions:
+        (tree / "src/fuchsiabarrow/module.py").write_text(version)
+        count_installs(tree, ARM)
+
+
+def read_copy(tree) -> str:
+    return (tree / "target/app/fuchsiabarrow/module.py").read_text()
+
+
+# A build emptied the folder from which processes were starting: they ended with
+# import errors.
+def test_last_copy_is_complete_until_the_next_one_is_compiled(tree):
+    build_versions(tree, "first ", "second ")
+    assert (tree / "during").read_text() == "first "
+    assert read_copy(tree) == "second "
+    assert (tree / "target/app/fuchsiabarrow/__pycache__").exists()
+    assert [p.name for p in (tree / "target").glob("app*")] == ["app"]
+
+
+def test_copy_of_the_same_sources_stays_in_place(tree):
+    build_versions(tree, "first ")
+    inode = (tree / "target/app").stat().st_ino
+    build_versions(tree, "first ")
+    assert (tree / "target/app").stat().st_ino == inode
+    assert len((tree / "compilations").read_text().splitlines()) == 1
+
+
+def test_copy_for_another_interpreter_is_replaced(tree):
+    build_versions(tree, "first ")
+    count_installs(tree, X86)
+    assert len((tree / "compilations").read_text().splitlines()) == 2
+
+
+def test_copy_that_was_not_finished_is_removed(tree):
+    unfinished = tree / "target/app.17"
+    unfinished.mkdir(parents=True)
+    os.utime(unfinished, (1, 1))
+    build_versions(tree, "first ")
+    assert [p.name for p in (tree / "target").glob("app*")] == ["app"]
