The list of upstreams returns with the configuration after an outage

Cause: a watcher that another one confirms forgot, after its own pause, that the other one had been answered meanwhile, and waited for its next answer: the list was confirmed up to 2.2 s after the configuration.

It now only forgets answers from before its pause. Test over 40 times of the end of the outage; fails for some of them before.

--- a/src/fuchsiabarrow/fleet/tests/test_watchers.py
+++ b/src/fuchsiabarrow/fleet/tests/test_watchers.py
@@ -203,3 +203,57 @@
 
     limit_s = access.KEY_TRUST_FRACTION * revoke_s
     assert virtual_time.run(run()) < limit_s
+
+
+class ReturningStore(RarelyChangingStore):
+    """A collection whose store answers from some time on only."""
+
+    def __init__(self, back_s: float):
+        super().__init__(float("inf"))
+        self.back_s = back_s
+        self.calls: list[tuple[float, str]] = []
+
+    def _check(self, kind: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.calls.append((now_s, kind))
+        if now_s < self.back_s:
+            raise exceptions.StoreUnavailableError("down")
+
+    async def list(self, kind):
+        self._check(kind)
+        return await super().list(kind)
+
+    async def watch(self, kind, revision, wait_s):
+        self._check(kind)
+        return await super().watch(kind, revision, wait_s)
+
+
+# Both collections were asked for all the time, and each found out about the end
+# of an outage by itself.
+@pytest.mark.parametrize("back_s", [4.0 + 0.1 * n for n in range(40)])
+def test_collection_that_another_confirms_returns_with_it(back_s):
+    async def run():
+        store = ReturningStore(back_s)
+        first, second = (
+            watchers.CollectionWatcher(
+                store,
+                kind,
+                watchers.Sink(lambda *_: None, lambda *_: None, lambda _: None),
+                random.Random(1),
+                1.0,
+            )
+            for kind in ("first", "second")
+        )
+        first.share_revisions_with(second)
+        async with first, second:
+            await asyncio.sleep(back_s + 5.0)
+        return store.calls
+
+    calls = virtual_time.run(run())
+    answered_s = {
+        kind: min(s for s, k in calls if k == kind and s >= back_s)
+        for kind in ("first", "second")
+    }
+    assert answered_s["second"] <= answered_s["first"] + watchers.MAX_RETRY_S
+    failed = [kind for s, kind in calls if s < back_s]
+    assert failed.count("second") <= 0.5 * failed.count("first")
--- a/src/fuchsiabarrow/fleet/watchers.py
+++ b/src/fuchsiabarrow/fleet/watchers.py
@@ -352,8 +352,8 @@
         the calls to a store that is overloaded. One that still fails after an
         answer to the other one pauses as any other does.
         """
-        await asyncio.sleep(pause_s)
         self._other_answered.clear()
+        await asyncio.sleep(pause_s)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CONFIRMED_RETRY_S):
                 await self._other_answered.wait()
