Test of the idle limit: a defined order of two events

Traced: it set a timer for exactly the time of the connection's own timer and expected it to run first. The event loop keeps timers in a heap, in which the order of equal times depends on all other timers; the followers of the store set some more. With the other order the connection is closed before the request is read, which is allowed.

The request is now read, and the limit handled, by one callback at that time. As strict as before: without the check of a request that was just read (is_waiting), and without that of one in progress, it fails, as it did before.

--- a/src/fuchsiabarrow/platform/tests/test_idle_limits.py
+++ b/src/fuchsiabarrow/platform/tests/test_idle_limits.py
@@ -87,12 +87,16 @@
     async def test(deployment):
         caller = await deployment.connect()
         connection = next(iter(deployment.get_server_connections()))
-        loop = asyncio.get_running_loop()
-        # At the same time as the timer, and before it.
-        loop.call_at(
-            connection._idle_since_s + 2.0,
-            connection.data_received,
-            caller_connections.make_request("/read/x"),
+
+        # The order of timers of the same time is not defined. The request is
+        # read first, in the same iteration of the loop.
+        def read_and_expire() -> None:
+            connection.data_received(caller_connections.make_request("/read/x"))
+            connection._process_keepalive()
+
+        connection._keepalive_handle.cancel()
+        asyncio.get_running_loop().call_at(
+            connection._idle_since_s + 2.0, read_and_expire
         )
         await asyncio.sleep(1.0)
         return (await caller.read_answer()).status
