Tests of silent engines: no stream holds a retry from before the test

The test emptied the retry budget after its streams had started. A stream that waited 0.4 s for an engine before that, as beside load, had taken a retry already and moved with it. Shown: with an engine that answers late before the budget is emptied, 7 attempts end as silent before the silence of the test begins, none after it (two runs).

Change: the budget is empty before the streams start, so that no stream can hold a retry; the checks stay. With the same early silence: 0 attempts (two runs).

Result: 35 tests of the module passed.

--- a/src/fuchsiabarrow/streams/tests/test_silent_engines.py
+++ b/src/fuchsiabarrow/streams/tests/test_silent_engines.py
@@ -49,13 +49,21 @@
 
 
 @contextlib.asynccontextmanager
-async def start_streams(profiles=clusters.PROFILES, **sections):
-    """Yields (cluster, entry, chat tasks); callers send requests only once."""
+async def start_streams(
+    profiles=clusters.PROFILES, has_retries=True, **sections
+):
+    """Yields (cluster, entry, chat tasks); callers send requests only once.
+
+    Without retries, the budget is emptied before the streams start: one that
+    waits for a slow engine before the test's silence could take a retry.
+    """
     async with entries_module.start(profiles, **sections) as (
         cluster,
         (entry,),
         caller,
     ):
+        if not has_retries:
+            take_retries(entry)
         chat_tasks = [
             asyncio.create_task(
                 caller.chat(
@@ -99,8 +107,11 @@
 def test_first_request_outlives_silences_if_no_retry_is_left(silence_s, layer):
     # Callers that send the request again hide that an answer ended.
     async def check():
-        async with start_streams() as (cluster, entry, chat_tasks):
-            take_retries(entry)
+        async with start_streams(has_retries=False) as (
+            cluster,
+            entry,
+            chat_tasks,
+        ):
             engine = test_failures.find_busiest(cluster, layer)
             await silence(engine, silence_s)
             await check_answers(chat_tasks)
@@ -205,8 +216,11 @@
 
 def test_waiting_answer_moves_once_a_retry_is_left():
     async def check():
-        async with start_streams() as (cluster, entry, chat_tasks):
-            take_retries(entry)
+        async with start_streams(has_retries=False) as (
+            cluster,
+            entry,
+            chat_tasks,
+        ):
             engine = test_failures.find_busiest(cluster, 5)
             engine.faults.delay_s = LASTING_SILENCE_S
             await asyncio.sleep(SILENCE_S)
@@ -244,8 +258,11 @@
 @pytest.mark.parametrize("was_silent", [False, True])
 def test_death_ends_an_answer_at_once_if_no_retry_is_left(was_silent):
     async def check():
-        async with start_streams() as (cluster, entry, chat_tasks):
-            take_retries(entry)
+        async with start_streams(has_retries=False) as (
+            cluster,
+            entry,
+            chat_tasks,
+        ):
             engine = test_failures.find_busiest(cluster, 5)
             if was_silent:
                 engine.faults.delay_s = LASTING_SILENCE_S
@@ -270,12 +287,13 @@
 
 def test_lasting_silence_ends_an_answer_at_the_step_timeout():
     async def check():
-        async with start_streams(engines={"step_timeout_s": SILENCE_S}) as (
+        async with start_streams(
+            has_retries=False, engines={"step_timeout_s": SILENCE_S}
+        ) as (
             cluster,
             entry,
             chat_tasks,
         ):
-            take_retries(entry)
             engine = test_failures.find_busiest(cluster, 5)
             engine.faults.delay_s = LASTING_SILENCE_S
             async with asyncio.timeout(TEST_TIMEOUT_S):
