The leader has lost layers loaded again without a hand-over to itself

Cause: three failed connections within 1 s count as a fault of an entry's own links until another entry has told otherwise. All entries stepped down from the duty to place at once for 1 s, and the same leader then waited 1.5 s for a hand-over from itself.

Change: failures that another upstream (503 with its address, stalled streams) or another entry reports as well are no fault of the own links. While there is doubt the leader sends no orders, but only steps down if the fault lasts for 1.5 s or a link is known to be cut. The plan is compared every 0.25 s instead of 0.5 s.

Tests: test_links (four new; all fail before), refusals and stalls in test_generations.

--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -16,7 +16,6 @@
 from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet import lists
 from fuchsiabarrow.fleet import loads
-from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.fleet import watchers
 from fuchsiabarrow.forwarding import connections
 from fuchsiabarrow.forwarding import isolation
@@ -331,10 +330,6 @@
     async def _add_load_reports(self) -> None:
         kernel, settings = self.kernel, self._settings
         forwarding = kernel.get("forwarding")
-
-        def record_suspect(upstream: upstreams.Upstream, sender: str) -> None:
-            forwarding.record_failure(upstream, f"reported by {sender}")
-
         reports = await kernel.add(
             "load_reports",
             load_reports.LoadReports(
@@ -343,7 +338,7 @@
                 forwarding.crash_counts,
                 forwarding.part_crashes,
                 forwarding.upstream_limits,
-                record_suspect,
+                forwarding.record_reported,
                 kernel.get("current_catalog").get_age_s,
                 load_reports.Settings(
                     settings.name,
@@ -356,7 +351,7 @@
                 ),
                 self._source,
                 self._make_helper,
-                lambda: not kernel.get("link_table").has_fault(),
+                lambda: not kernel.get("link_table").has_lasting_fault(),
             ),
         )
 
@@ -480,6 +475,14 @@
 
     async def _add_placement(self) -> None:
         kernel = self.kernel
+
+        def has_duty() -> bool:
+            # While upstreams may only seem dead, the leader sends no orders.
+            return (
+                kernel.get("load_reports").has_duty()
+                and not kernel.get("link_table").has_fault()
+            )
+
         await kernel.add(
             "placement",
             placement_service.PlacementService(
@@ -487,7 +490,7 @@
                 kernel.get("current_catalog").get,
                 kernel.get("upstream_control").place,
                 kernel.get("upstream_control").read_report,
-                kernel.get("load_reports").has_duty,
+                has_duty,
             ),
         )
 
--- a/src/fuchsiabarrow/forwarding/connections.py
+++ b/src/fuchsiabarrow/forwarding/connections.py
@@ -613,6 +613,10 @@
                 )
             )
 
+    def record_reported(self, address: str) -> None:
+        """Records that another upstream or entry cannot reach an upstream."""
+        self._links.record_reported(address)
+
     def is_isolated(self) -> bool:
         """Returns whether this entry seems to reach no upstream by itself."""
         return self._links.is_isolated()
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -627,6 +627,8 @@
             self._forwarding.record_misdirected(at_fault)
         elif not directory.is_paused(at_fault):
             directory.record_full(at_fault)
+            if at_fault is not first:
+                self._forwarding.pool.record_reported(at_fault.address)
             self._forwarding.start_probe(at_fault, f"status {head.status}")
         self._failure_detail = (
             f"not run: status {head.status} because of {at_fault.address}"
--- a/src/fuchsiabarrow/forwarding/links.py
+++ b/src/fuchsiabarrow/forwarding/links.py
@@ -33,6 +33,9 @@
 DOUBT_WINDOW_S = 3.0
 # Time in which another entry usually tells whether an upstream is dead.
 VERDICT_S = 1.0
+# A fault that may be over once other entries have told counts as lasting after
+# this time.
+LASTING_FAULT_S = 1.5
 # Range of the time without doubt after another entry has confirmed that an
 # upstream is dead; doubled each time that happens in a row.
 MIN_TRUST_S = 1.0
@@ -84,6 +87,10 @@
         self._read_time_s = read_time_s
         self._random_source = random_source
         self._failed: dict[str, _Link] = {}
+        # When another upstream or entry last found an upstream out of reach.
+        self._reported_at_s: dict[str, float] = {}
+        # Since when checks have found a fault.
+        self._fault_since_s: float | None = None
         self._reached_at_s = float("-inf")
         self._tried_at_s = float("-inf")
         # When the first failure after the last success was recorded.
@@ -148,10 +155,18 @@
         self._trust_s = min(MAX_TRUST_S, max(MIN_TRUST_S, 2 * self._trust_s))
         self._trusted_until_s = self._read_time_s() + self._trust_s
 
+    def record_reported(self, address: str) -> None:
+        """Records that another upstream or entry cannot reach an upstream.
+
+        Then it is not only the link of this entry that is at fault.
+        """
+        self._reported_at_s[address] = self._read_time_s()
+
     def retain(self, addresses: Collection[str]) -> None:
         """Forgets all links but those to the given upstreams."""
-        for address in [a for a in self._failed if a not in addresses]:
-            del self._failed[address]
+        for by_address in (self._failed, self._reported_at_s):
+            for address in [a for a in by_address if a not in addresses]:
+                del by_address[address]
 
     def get_state(self, address: str) -> LinkState:
         """Returns how an upstream is to be reached."""
@@ -176,12 +191,42 @@
 
     def has_fault(self) -> bool:
         """Returns whether upstreams may seem dead because of cut links."""
-        oldest_s = self._read_time_s() - VERDICT_S
+        now_s = self._read_time_s()
+        unexplained = [
+            link.failed_at_s
+            for address, link in self._failed.items()
+            if not link.is_dead and not self._is_reported(address, now_s)
+        ]
+        expired_s = now_s - FAILURE_EXPIRY_S
+        isolating = sum(
+            failed_at_s > max(self._reached_at_s, expired_s)
+            for failed_at_s in unexplained
+        )
         pending = sum(
-            link.failed_at_s > oldest_s and not link.is_dead
-            for link in self._failed.values()
+            failed_at_s > now_s - VERDICT_S for failed_at_s in unexplained
+        )
+        return (
+            self.has_cuts()
+            or isolating >= MIN_ISOLATED_LINKS
+            or pending >= DOUBT_LINKS
         )
-        return self.is_isolated() or self.has_cuts() or pending >= DOUBT_LINKS
+
+    def has_lasting_fault(self) -> bool:
+        """Returns whether links are cut, or a fault was found for some time.
+
+        To be called at least a few times a second.
+        """
+        now_s = self._read_time_s()
+        if not self.has_fault():
+            self._fault_since_s = None
+            return False
+        if self._fault_since_s is None:
+            self._fault_since_s = now_s
+        return self.has_cuts() or now_s - self._fault_since_s >= LASTING_FAULT_S
+
+    def _is_reported(self, address: str, now_s: float) -> bool:
+        reported_at_s = self._reported_at_s.get(address, float("-inf"))
+        return now_s - reported_at_s < FAILURE_EXPIRY_S
 
     def _has_doubt(self) -> bool:
         """Returns whether the links of this entry may be at fault."""
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -479,11 +479,19 @@
         reporters = self._stall_reporters.get(upstream.key)
         if reporters is None and not self.directory.is_avoided(upstream):
             reporters = set()
+        self.pool.record_reported(upstream.address)
         self.record_failure(upstream, "stalled", is_shared=True)
         if reporters is not None:
             # Nothing else speaks against it.
             self._stall_reporters[upstream.key] = reporters | {reporter.key}
 
+    def record_reported(
+        self, upstream: upstreams.Upstream, reporter: str
+    ) -> None:
+        """Avoids an upstream that another entry reports as failed."""
+        self.pool.record_reported(upstream.address)
+        self.record_failure(upstream, f"reported by {reporter}")
+
     def record_life(
         self, upstream: upstreams.Upstream, first: upstreams.Upstream
     ) -> None:
--- a/src/fuchsiabarrow/forwarding/tests/fakes.py
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -126,6 +126,11 @@
         self.sent: list[tuple] = []
         self.connections: list[FakeConnection] = []
         self.connection_type = FakeConnection
+        # Upstreams that others were reported not to reach.
+        self.reported: list[str] = []
+
+    def record_reported(self, address: str) -> None:
+        self.reported.append(address)
 
     def is_isolated(self) -> bool:
         return False
--- a/src/fuchsiabarrow/forwarding/tests/test_generations.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_generations.py
@@ -175,6 +175,7 @@
     _, harness = serve(prepare, FIRST, LAST, SPARE_LAST)
     assert len(harness.control.path_changes) == 1
     assert [u for u, _ in harness.directory.get_shared_failures()] == [LAST]
+    assert LAST.address in harness.pool.reported
 
 
 def test_request_is_resent_if_the_path_change_is_refused():
@@ -216,6 +217,7 @@
     writer, harness = serve(prepare, FIRST, LAST, SPARE_LAST)
     assert writer.body == ALL_EVENTS
     assert get_path(harness.pool.sent[1]) == ["first", "spare-last"]
+    assert not harness.pool.reported
 
 
 def test_dead_instance_named_in_a_refusal_is_probed_and_avoided():
@@ -229,6 +231,8 @@
 
     _, harness = serve(prepare, FIRST, LAST, SPARE_LAST)
     assert harness.directory.is_avoided(LAST)
+    # The links of this entry are not the reason that it does not answer.
+    assert harness.pool.reported == [LAST.address]
 
 
 def test_refusal_by_the_new_owner_of_an_address_excludes_the_old_one():
--- a/src/fuchsiabarrow/forwarding/tests/test_links.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_links.py
@@ -135,6 +135,55 @@
     assert table.has_fault()
 
 
+# The instances that most paths share died together: each entry took its own
+# links for the cause, and no entry had lost layers loaded again for 2.6 s.
+def test_upstreams_that_others_do_not_reach_are_no_fault_of_the_links():
+    table, _ = make_table()
+    isolate(table)
+    assert table.has_fault()
+    table.record_reported(FIRST)
+    assert not table.has_fault()
+    assert not table.has_lasting_fault()
+    table.record_cut(THIRD)
+    assert table.has_fault()
+
+
+def test_reports_of_others_on_dead_upstreams_expire():
+    table, clock = make_table()
+    for address in (FIRST, SECOND, THIRD):
+        table.record_reported(address)
+    clock.now_s += links.FAILURE_EXPIRY_S + 0.1
+    isolate(table)
+    assert table.has_fault()
+
+
+def test_doubt_about_links_is_a_lasting_fault_only_after_some_time():
+    # The leader would wait for the hand-over of its duty to itself.
+    table, clock = make_table()
+    table.record_reached(FOURTH)
+    for _ in range(round(links.LASTING_FAULT_S / 0.1)):
+        clock.now_s += 0.1
+        isolate(table)
+        assert table.has_fault()
+        assert not table.has_lasting_fault()
+    clock.now_s += 0.2
+    isolate(table)
+    assert table.has_lasting_fault()
+    table.record_reached(FOURTH)
+    clock.now_s += links.VERDICT_S + 0.1
+    assert not table.has_lasting_fault()
+    isolate(table)
+    assert not table.has_lasting_fault()
+
+
+def test_cut_link_is_a_lasting_fault_at_once():
+    table, _ = make_table()
+    table.record_unreachable(FIRST)
+    assert not table.has_lasting_fault()
+    table.record_cut(FIRST)
+    assert table.has_lasting_fault()
+
+
 def test_cut_link_is_tried_again_after_a_pause():
     table, clock = make_table()
     table.record_unreachable(FIRST)
--- a/src/fuchsiabarrow/placement/service.py
+++ b/src/fuchsiabarrow/placement/service.py
@@ -77,7 +77,7 @@
         parallel_orders: Maximum number of orders sent at the same time.
     """
 
-    period_s: float = 0.5
+    period_s: float = 0.25
     settle_s: float = 1.2
     longest_settle_s: float = 5.0
     list_age_s: float = 3.0
--- a/src/fuchsiabarrow/platform/tests/entry_simulation.py
+++ b/src/fuchsiabarrow/platform/tests/entry_simulation.py
@@ -473,6 +473,9 @@
     async def __aexit__(self, *details):
         pass
 
+    def record_reported(self, address: str) -> None:
+        pass
+
     def is_isolated(self) -> bool:
         return False
 
