Tests of followers: silent store, refused followers, one-way cuts, reused addresses

Left over from the followers of the store: a store that is silent for 6 s, one that refuses the followers only, links between followers and sources that drop packets in one direction, and an address that another service takes over. The simulated network can drop packets one way.

Still without a test: 9 and 402 entries.

--- a/src/fuchsiabarrow/platform/tests/configuration_days.py
+++ b/src/fuchsiabarrow/platform/tests/configuration_days.py
@@ -283,14 +283,22 @@
 
     # What the operator and the upstreams write.
 
-    async def register_upstream(self, number: int) -> None:
-        """Writes the entry of an upstream, as if its version had changed."""
+    async def register_upstream(
+        self, number: int, place: int | None = None, service: str = "desk"
+    ) -> None:
+        """Writes the entry of an upstream, as if its version had changed.
+
+        Args:
+            number: Its number.
+            place: Number of its address; None for the same.
+            service: Its service.
+        """
         await self.store.put(
             "servers",
             f"i-{number}",
             sample_objects.make_server(
-                service="desk",
-                address=f"10.2.0.{number}:80",
+                service=service,
+                address=f"10.2.0.{number if place is None else place}:80",
                 version=f"v{self.store.revision}",
                 models=[],
                 layers=None,
--- a/src/fuchsiabarrow/platform/tests/simulated_network.py
+++ b/src/fuchsiabarrow/platform/tests/simulated_network.py
@@ -55,15 +55,21 @@
 
 @dataclasses.dataclass(frozen=True, eq=False)
 class Fault:
-    """A fault between each host of one set and each of another."""
+    """A fault between each host of one set and each of another.
+
+    With `is_one_way`, only packets from the first set to the other are dropped.
+    """
 
     shape: Shape
     hosts: frozenset[str]
     others: frozenset[str]
+    is_one_way: bool = False
 
     def affects(self, first: str, second: str) -> bool:
         return (first in self.hosts and second in self.others) or (
-            second in self.hosts and first in self.others
+            not self.is_one_way
+            and second in self.hosts
+            and first in self.others
         )
 
 
@@ -193,10 +199,16 @@
         self._flush()
 
     def begin_fault(
-        self, shape: Shape, hosts: Collection[str], others: Collection[str]
+        self,
+        shape: Shape,
+        hosts: Collection[str],
+        others: Collection[str],
+        is_one_way: bool = False,
     ) -> Fault:
         """Cuts off the hosts of one set from those of another."""
-        fault = Fault(shape, frozenset(hosts), frozenset(others))
+        if is_one_way and shape is not Shape.HANG:
+            raise ValueError("only packets that are dropped have a direction")
+        fault = Fault(shape, frozenset(hosts), frozenset(others), is_one_way)
         self._faults.append(fault)
         if shape is Shape.RESET:
             for transport in list(self._transports):
@@ -211,10 +223,14 @@
 
     @contextlib.contextmanager
     def cut(
-        self, shape: Shape, hosts: Collection[str], others: Collection[str]
+        self,
+        shape: Shape,
+        hosts: Collection[str],
+        others: Collection[str],
+        is_one_way: bool = False,
     ):
         """Cuts off hosts from others during a ``with`` block."""
-        fault = self.begin_fault(shape, hosts, others)
+        fault = self.begin_fault(shape, hosts, others, is_one_way)
         try:
             yield fault
         finally:
@@ -326,7 +342,11 @@
         own = _host.get()
         record = ConnectionRecord(loop.time(), own.address, address, port)
         self.connections.append(record)
-        while own.is_frozen or self.is_dark(own.address, address):
+        while (
+            own.is_frozen
+            or self.is_dark(own.address, address)
+            or self.is_dark(address, own.address)
+        ):
             await self._changed.wait()
         peer = self.hosts.get(address)
         if peer is None or not own.is_alive:
--- a/src/fuchsiabarrow/platform/tests/test_store_followers.py
+++ b/src/fuchsiabarrow/platform/tests/test_store_followers.py
@@ -196,6 +196,94 @@
     assert max(ages_s) <= watchers.compute_wait_s(2.0) + 1.0
 
 
+def test_store_that_refuses_followers_only_concerns_nobody():
+    ages_s = []
+
+    async def script(deployment):
+        await asyncio.sleep(CHOICE_S)
+        followers = set(deployment.entries) - set(find_sources(deployment))
+        ips = deployment.get_ips(followers)
+        deployment.store.refused = dict.fromkeys(ips, 503)
+        deployment.network.reset_connections(ips, {configuration_days.STORE_IP})
+        await deployment.change_repeatedly(10, 0.5)
+        ages_s.extend(find_ages_s(deployment, followers))
+        deployment.store.refused = {}
+
+    result = configuration_days.play(script, 18)
+    assert result.violations == []
+    assert max(ages_s) <= watchers.compute_wait_s(2.0) + 1.0
+
+
+# A store that is silent keeps its connections open, and those of the sources
+# to their followers live on.
+def test_versions_are_in_force_in_time_after_a_silence_of_the_store():
+    async def script(deployment):
+        await asyncio.sleep(CHOICE_S)
+        for _ in range(2):
+            silence = asyncio.create_task(deployment.silence_store(6.0))
+            await deployment.change_repeatedly(5, 1.0)
+            await silence
+            await asyncio.sleep(CHOICE_S)
+            await deployment.change_repeatedly(5, 0.5)
+
+    result = configuration_days.play(script, 18)
+    assert result.violations == []
+
+
+# Requests arrive and answers do not, or the other way round.
+@pytest.mark.parametrize("is_answer_lost", [False, True])
+def test_links_that_are_cut_one_way_delay_no_version(is_answer_lost):
+    async def script(deployment):
+        await asyncio.sleep(CHOICE_S)
+        followed = find_followed(deployment)
+        source = deployment.get_ips(followed[:1])
+        others = deployment.get_ips(set(deployment.entries) - set(followed[:1]))
+        hosts, peers = (source, others) if is_answer_lost else (others, source)
+        hang = simulated_network.Shape.HANG
+        cut = deployment.network.cut(hang, hosts, peers, is_one_way=True)
+        # Only the time until the cut is noticed is excused.
+        with cut:
+            with deployment.excuse(deployment.entries):
+                await asyncio.sleep(0.1)
+            await deployment.change_repeatedly(16, 0.5)
+
+    result = configuration_days.play(script, 18)
+    assert result.violations == []
+    assert result.lateness_s[-1] <= 2.0
+
+
+# The address of an upstream that left is used again by another service.
+def test_address_that_is_used_again_belongs_to_its_new_owner_at_all_entries():
+    delays_s = []
+
+    async def script(deployment):
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(CHOICE_S)
+        for number in range(4):
+            address = f"10.2.0.{number}:80"
+            await deployment.store.remove("servers", f"i-{number}")
+            await deployment.register_upstream(100 + number, number, "model")
+            changed_s = loop.time()
+            left = set(deployment.entries)
+            while left:
+                await asyncio.sleep(0.02)
+                directories = {
+                    name: deployment.entries[name].kernel.get("directory")
+                    for name in left
+                }
+                left = {
+                    name
+                    for name, directory in directories.items()
+                    if directory.get(f"i-{number}") is not None
+                    or directory.find_by_address(address) is None
+                    or directory.find_by_address(address).service != "model"
+                }
+            delays_s.append(loop.time() - changed_s)
+
+    configuration_days.play(script, 18)
+    assert max(delays_s) <= 1.0
+
+
 # An upstream that is gone, whose address may belong to another service soon.
 @pytest.mark.parametrize("is_source_lost", [False, True])
 def test_upstream_that_was_removed_is_removed_at_all_followers(is_source_lost):
