Idle instances are moved first to layers without a holder

Change: of the redundant instances those with the fewest requests in flight are moved, then as before those with the fewest layers.

--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -491,6 +491,7 @@
                 kernel.get("upstream_control").place,
                 kernel.get("upstream_control").read_report,
                 has_duty,
+                lambda u: kernel.get("load_table").get(u.key).requests,
             ),
         )
 
--- a/src/fuchsiabarrow/placement/plans.py
+++ b/src/fuchsiabarrow/placement/plans.py
@@ -10,6 +10,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
@@ -113,11 +114,20 @@
     instances: Iterable[upstreams.Upstream],
     model: engines.EnginePerformance,
     pending: dict[tuple[str, int], upstreams.LayerRange],
+    count_requests: Callable[[upstreams.Upstream], float] = lambda _: 0.0,
 ) -> list[Assignment]:
     """Returns moves of instances to layers that nobody in their pool holds.
 
     Only instances whose layers are all held by others of the pool too are
-    moved, those with the fewest layers first, as they load fastest.
+    moved: those with the fewest requests first, as an instance loads other
+    layers only once the requests that pass through it have ended, and of these
+    those with the fewest layers, as they load fastest.
+
+    Args:
+        instances: All instances that may get load orders.
+        model: Performance model of the engine.
+        pending: Layers that instances are loading, by the instances' keys.
+        count_requests: Returns the requests in flight at an instance.
     """
     moves = []
     for pool in make_pools(instances, model):
@@ -133,7 +143,9 @@
             and i.key not in pending
             and _is_redundant(coverage, i.layers)
         ]
-        redundant.sort(key=lambda i: (len(i.layers), i.instance_id))
+        redundant.sort(
+            key=lambda i: (count_requests(i), len(i.layers), i.instance_id)
+        )
         for instance in redundant:
             if 0 not in coverage:
                 break
--- a/src/fuchsiabarrow/placement/service.py
+++ b/src/fuchsiabarrow/placement/service.py
@@ -103,6 +103,7 @@
         send_order: Sends one order; never raises.
         read_report: Returns the report of an upstream on itself.
         has_duty: Returns whether this entry is to send orders now.
+        count_requests: Returns the requests in flight at an instance.
         settings: Periods and limits.
     """
 
@@ -113,6 +114,7 @@
         send_order: SendOrder,
         read_report: ReadReport,
         has_duty: Callable[[], bool],
+        count_requests: Callable[[upstreams.Upstream], float] = lambda _: 0.0,
         settings: Settings = Settings(),
     ):
         self._directory = directory
@@ -123,6 +125,7 @@
         # they have accepted must be read from their report.
         self._ordered: set[tuple[str, int]] = set()
         self._has_duty = has_duty
+        self._count_requests = count_requests
         self._settings = settings
         self._pending: dict[tuple[str, int], _Pending] = {}
         self._known_keys: set[tuple[str, int]] = set()
@@ -176,7 +179,9 @@
         usable = await self._find_usable(instances)
         assignments = plans.plan_assignments(usable, service.engine, pending)
         if not assignments:
-            assignments = plans.plan_moves(usable, service.engine, pending)
+            assignments = plans.plan_moves(
+                usable, service.engine, pending, self._count_requests
+            )
         limit = asyncio.Semaphore(self._settings.parallel_orders)
         await asyncio.gather(*(self._order(a, limit) for a in assignments))
 
--- a/src/fuchsiabarrow/placement/tests/test_plans.py
+++ b/src/fuchsiabarrow/placement/tests/test_plans.py
@@ -116,6 +116,25 @@
     assert move.layers.covers(14, 20)
 
 
+# The instances that most paths share died; others that had to load their layers
+# did so only when the streams through them had ended, after up to 6 s.
+def test_idle_instance_is_moved_to_missing_layers_before_a_busy_one():
+    instances = [
+        fleets.make_instance("i1", "a", "fast", (0, 40)),
+        fleets.make_instance("i2", "a", "fast", (0, 40)),
+        fleets.make_instance("i3", "a", "fast", (0, 40)),
+    ]
+    requests = {"i1": 4.0, "i2": 0.0, "i3": 9.0}
+    (move,) = plans.plan_moves(
+        instances,
+        fleets.make_model(layer_mb=200.0),
+        {},
+        lambda instance: requests[instance.instance_id],
+    )
+    assert move.upstream.instance_id == "i2"
+    assert move.layers.covers(40, 80)
+
+
 def test_only_holder_of_layers_is_not_moved():
     model = fleets.make_model(layers=20, kv_bytes_per_token=459_000.0)
     instances = [
