A leader that takes over waits for the orders of the one before it

Cause: the list shows the layers of an instance only once it has loaded them. The orders that had been lost on the way would have been carried out by both plans.

Change: before a plan for instances without layers that this entry has not ordered, three of them are asked; while one executes an order, the plan is put off, for 6 s at most.

Tests: test_leader_that_takes_over_waits_for_the_plan_of_the_one_before and test_leader_does_not_wait_for_ever_for_the_plan_of_another; the first one fails before.

--- a/src/fuchsiabarrow/placement/service.py
+++ b/src/fuchsiabarrow/placement/service.py
@@ -58,6 +58,10 @@
 REPORT_TIMEOUT_S = 0.5
 # An avoided instance that did not answer is asked again after this time.
 DEAD_RETRY_S = 2.0
+# Instances without layers that are asked before a plan whether they execute
+# orders of another entry, and the longest time for which a plan is put off.
+SAMPLE_SIZE = 3
+MAX_PUT_OFF_S = 6.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,6 +137,8 @@
         self._dead_until_s: dict[tuple[str, int], float] = {}
         self._changed_at_s = 0.0
         self._first_run_s: float | None = None
+        # Since when plans are put off; None if the last one was not.
+        self._put_off_since_s: float | None = None
         self._task: asyncio.Task | None = None
 
     async def __aenter__(self) -> "PlacementService":
@@ -182,9 +188,46 @@
             assignments = plans.plan_moves(
                 usable, service.engine, pending, self._count_requests
             )
+        if not assignments or await self._must_put_off(assignments, now_s):
+            return
         limit = asyncio.Semaphore(self._settings.parallel_orders)
         await asyncio.gather(*(self._order(a, limit) for a in assignments))
 
+    async def _must_put_off(
+        self, assignments: list[plans.Assignment], now_s: float
+    ) -> bool:
+        """Returns whether the plan of another entry is being carried out.
+
+        The list shows the layers of an instance only once it has loaded them.
+        Until then a leader that has taken over would send a plan of its own,
+        which differs from that of the leader before it.
+        """
+        unknown = [
+            a.upstream
+            for a in assignments
+            if a.upstream.layers is None and a.upstream.key not in self._ordered
+        ]
+        sample = unknown[:SAMPLE_SIZE]
+        answers = await asyncio.gather(*map(self._is_busy, sample))
+        busy = [
+            upstream.instance_id
+            for upstream, is_busy in zip(sample, answers, strict=True)
+            if is_busy
+        ]
+        if not busy:
+            self._put_off_since_s = None
+            return False
+        if self._put_off_since_s is None:
+            self._put_off_since_s = now_s
+        if now_s - self._put_off_since_s > MAX_PUT_OFF_S:
+            return False
+        _log.info(
+            logs.format_event(
+                "plan_put_off", busy=",".join(busy), orders=len(assignments)
+            )
+        )
+        return True
+
     async def _find_usable(
         self, instances: list[upstreams.Upstream]
     ) -> list[upstreams.Upstream]:
@@ -222,6 +265,19 @@
             return False
         return True
 
+    async def _is_busy(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether an instance says that it executes an order."""
+        try:
+            report = await self._read_report(upstream, REPORT_TIMEOUT_S)
+        except exceptions.UpstreamError as error:
+            _log.info(
+                logs.format_event(
+                    "report_not_read", instance=upstream.instance_id, why=error
+                )
+            )
+            return False
+        return report.is_busy
+
     def _is_settled(
         self, instances: list[upstreams.Upstream], now_s: float
     ) -> bool:
--- a/src/fuchsiabarrow/placement/tests/test_service.py
+++ b/src/fuchsiabarrow/placement/tests/test_service.py
@@ -1,6 +1,7 @@
 """Orders of the placement service."""
 
 import asyncio
+import dataclasses
 import types
 
 import pytest
@@ -124,3 +125,79 @@
     orders = run_with_dead_holder(error, delay_s)
     assert [layers.first for _, layers in orders] == [24]
     assert orders[0][0] <= limit_s
+
+
+def run_second_leader(loading_s: float) -> tuple[list, list]:
+    """Returns the orders of two leaders, the second of which takes over.
+
+    Args:
+        loading_s: Time until the list shows the layers of the first plan.
+    """
+    instances = {f"i{n}": make_instance(n, None) for n in range(1, 9)}
+    accepted: dict[str, object] = {}
+    sent: tuple[list, list] = ([], [])
+
+    async def read_report(upstream, timeout_s):
+        has_order = upstream.instance_id in accepted
+        return types.SimpleNamespace(
+            is_busy=has_order, order_count=int(has_order)
+        )
+
+    def make_service(directory, orders):
+        async def send_order(upstream, layers, after_orders):
+            orders.append((upstream.instance_id, layers))
+            is_accepted = after_orders == (upstream.instance_id in accepted)
+            if is_accepted:
+                accepted[upstream.instance_id] = layers
+            return service_module.OrderOutcome(
+                is_accepted, not is_accepted, "status"
+            )
+
+        catalog = types.SimpleNamespace(
+            services={
+                "s": types.SimpleNamespace(name=fleets.SERVICE, engine=MODEL)
+            }
+        )
+        return service_module.PlacementService(
+            directory, lambda: catalog, send_order, read_report, lambda: True
+        )
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        directory = directory_module.Directory(loop.time)
+        directory.replace(list(instances.values()))
+        first, second = (make_service(directory, orders) for orders in sent)
+        for service in (first, first, second):
+            directory.confirm(loop.time())
+            await service.run_once()
+            await asyncio.sleep(2.0)
+        for _ in range(round(loading_s / PERIOD_S)):
+            directory.confirm(loop.time())
+            await second.run_once()
+            await asyncio.sleep(PERIOD_S)
+        directory.replace(
+            [
+                dataclasses.replace(instance, layers=accepted[name])
+                for name, instance in instances.items()
+            ]
+        )
+        directory.confirm(loop.time())
+        await second.run_once()
+
+    virtual_time.run(run())
+    return sent
+
+
+# Around a hand-over orders went out twice: on a large deployment the whole
+# first plan, as the list does not show layers while they are being loaded.
+def test_leader_that_takes_over_waits_for_the_plan_of_the_one_before():
+    first, second = run_second_leader(loading_s=3.0)
+    assert len(first) == 8
+    assert not second
+
+
+def test_leader_does_not_wait_for_ever_for_the_plan_of_another():
+    _, second = run_second_leader(
+        loading_s=service_module.MAX_PUT_OFF_S + 2 * PERIOD_S
+    )
+    assert second
