--- a/src/fuchsiabarrow/actions/tests/test_keys.py
+++ b/src/fuchsiabarrow/actions/tests/test_keys.py
@@ -26,7 +26,11 @@
     return keys.parse_key(text, organisation, action, now_s, SETTINGS)
 
 
-@pytest.mark.parametrize("text", ["", "x", str(uuid.uuid4()), "1" * 36])
+@pytest.mark.parametrize(
+    "text",
+    ["", "x", str(uuid.uuid4()), "1" * 36],
+    ids=["empty", "word", "uuid4", "digits"],
+)
 def test_key_that_is_not_a_uuid7_is_refused(text):
     with pytest.raises(exceptions.IdempotencyKeyError, match="UUIDv7"):
         parse(text)
--- a/src/fuchsiabarrow/entry/tests/test_actions.py
+++ b/src/fuchsiabarrow/entry/tests/test_actions.py
@@ -171,6 +171,7 @@
             400,
         ),
     ],
+    ids=["unknown", "read-only", "no key", "no uuid", "no object"],
 )
 def test_invalid_triggered_action_is_refused_before_generation(
     action, key, expected
