--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -16,6 +16,7 @@
 from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet import lists
 from fuchsiabarrow.fleet import loads
+from fuchsiabarrow.fleet import store_calls
 from fuchsiabarrow.fleet import watchers
 from fuchsiabarrow.forwarding import connections
 from fuchsiabarrow.forwarding import isolation
@@ -138,8 +139,11 @@
         )
         wait_s = watchers.compute_wait_s(settings.apply_s)
         store = shared_stores.SharedStore(
-            store_module.StoreClient(
-                session, settings.store_address, STORE_TIMEOUT_S
+            store_calls.CountedStore(
+                store_module.StoreClient(
+                    session, settings.store_address, STORE_TIMEOUT_S
+                ),
+                read_time_s,
             ),
             session,
             self._find_sources,
--- a/src/fuchsiabarrow/fleet/__init__.py
+++ b/src/fuchsiabarrow/fleet/__init__.py
@@ -1,3 +1,11 @@
 """Upstreams, their state and load, and the choice of paths through them."""
 
-__all__ = ["directory", "lists", "loads", "paths", "upstreams", "watchers"]
+__all__ = [
+    "directory",
+    "lists",
+    "loads",
+    "paths",
+    "store_calls",
+    "upstreams",
+    "watchers",
+]
