Two entries that plan at the same time drop the rest of their plans

Around a hand-over both acted, and orders went out twice.

Cause: d-12 knew six entries after 6 s and had heard of the leader by name only, as 195 processes that start together are slow; nothing told it that it was not the first. An order that an instance refuses, as it has had one, did not end the plan.

Change: an entry that has heard of an earlier one by name waits for a report that covers it, for 6 s at most (a link may be cut one way). The first order to a new instance that is refused ends the plan; what was loaded is listed, and the rest is planned from that.

--- a/src/fuchsiabarrow/peers/aggregation.py
+++ b/src/fuchsiabarrow/peers/aggregation.py
@@ -364,6 +364,22 @@
                 sources[peer.contact.name] = peer.report.summary
         return sources
 
+    def knows_all_before(self, now_s: float) -> bool:
+        """Returns whether the load of all earlier entries by name is known.
+
+        That is not so for live entries that others have named, while no report
+        that covers them has arrived.
+        """
+        oldest_s = now_s - self._liveness_timeout_s
+        sources = self.get_sources(now_s)
+        return TOTAL_SOURCE in sources or not any(
+            peer.contact.name < self.own.name
+            and max(peer.mentioned_at_s, peer.last_received_at_s) > oldest_s
+            and peer.contact.name not in sources
+            and f"domain {peer.contact.domain}" not in sources
+            for peer in self._peers.values()
+        )
+
     def _subtract_own(self, report: report_codec.Report) -> summaries.Summary:
         for contact in report.contacts:
             if contact.address == self.own.address:
--- a/src/fuchsiabarrow/peers/load_reports.py
+++ b/src/fuchsiabarrow/peers/load_reports.py
@@ -47,6 +47,9 @@
 # Time for which an entry must have been the leader before it acts as such: the
 # one before it has learned of it by then, and its last orders have arrived.
 HANDOVER_S = 1.5
+# Longest time for which an entry waits for a report that covers an earlier one
+# which others name: the link between the two may be cut.
+MAX_UNKNOWN_S = 6.0
 # A process that did not check its leadership for this long was held up, and
 # others may have taken over meanwhile.
 MAX_CHECK_INTERVAL_S = 1.0
@@ -157,6 +160,8 @@
         # that was last checked.
         self._leader_since_s: float | None = None
         self._leader_checked_s = float("-inf")
+        # Since when no report has covered an earlier entry that others name.
+        self._unknown_since_s: float | None = None
         # When a report was last received.
         self._received_s = float("-inf")
         self._aggregation = aggregation.AggregationState(
@@ -269,7 +274,8 @@
 
         In contrast to `is_leader`, at most one entry does at a time, as long as
         reports arrive: a new leader waits until the one before it knows, and a
-        new process, or one that was held up, until it knows the others.
+        new process, or one that was held up, until it knows the others. One
+        that has heard of an earlier entry waits for a report that covers it.
         """
         now_s = self._read_time_s()
         self._check_leadership(now_s)
@@ -281,8 +287,18 @@
             is_acquainted
             and self._leader_since_s is not None
             and now_s - self._leader_since_s >= HANDOVER_S
+            and self._knows_all_before(now_s)
         )
 
+    def _knows_all_before(self, now_s: float) -> bool:
+        """Returns whether earlier entries are known, or were not for long."""
+        if self._aggregation.knows_all_before(now_s):
+            self._unknown_since_s = None
+            return True
+        if self._unknown_since_s is None:
+            self._unknown_since_s = now_s
+        return now_s - self._unknown_since_s >= MAX_UNKNOWN_S
+
     def _check_leadership(self, now_s: float) -> None:
         was_held_up = now_s - self._leader_checked_s > MAX_CHECK_INTERVAL_S
         self._leader_checked_s = now_s
--- a/src/fuchsiabarrow/peers/tests/test_aggregation.py
+++ b/src/fuchsiabarrow/peers/tests/test_aggregation.py
@@ -334,3 +334,40 @@
     newcomer.is_up = True
     network.run(5 * PERIOD_S)
     network.check_consistency()
+
+
+# Among 195 entries that start together, one that had heard of six others, and
+# of the leader only by name, sent a plan of its own beside the leader.
+def test_entry_named_by_others_counts_as_unknown_until_its_load_is_known():
+    own = report_codec.Contact("d-12", "d", "10.4.0.12:1")
+    first = report_codec.Contact("a-1", "a", "10.1.0.1:1")
+    later = report_codec.Contact("e-1", "e", "10.5.0.1:1")
+    state = aggregation.AggregationState(
+        own, LIVENESS_TIMEOUT_S, EXPIRY_TIMEOUT_S, lambda contact, is_new: None
+    )
+
+    def receive(contact, scope, now_s, contacts=()):
+        report = report_codec.Report(
+            contact.name,
+            contact.domain,
+            1,
+            round(now_s * 1000) + 1,
+            scope,
+            summaries.Summary(1, contact.name),
+            contacts,
+        )
+        state.receive(report, contact.address, now_s)
+
+    assert state.knows_all_before(0.0)
+    receive(later, report_codec.Scope.ENTRY, 0.1, (first,))
+    assert not state.knows_all_before(0.2)
+    receive(first, report_codec.Scope.ENTRY, 0.3)
+    assert state.knows_all_before(0.3)
+    # Its report is too old, but others go on naming it.
+    after_s = 0.4 + LIVENESS_TIMEOUT_S
+    receive(later, report_codec.Scope.ENTRY, after_s, (first,))
+    assert not state.knows_all_before(after_s)
+    receive(first, report_codec.Scope.DOMAIN, after_s)
+    assert state.knows_all_before(after_s)
+    # Nobody names it any more.
+    assert state.knows_all_before(2 * after_s + LIVENESS_TIMEOUT_S)
--- a/src/fuchsiabarrow/placement/service.py
+++ b/src/fuchsiabarrow/placement/service.py
@@ -191,7 +191,10 @@
         if not assignments or await self._must_put_off(assignments, now_s):
             return
         limit = asyncio.Semaphore(self._settings.parallel_orders)
-        await asyncio.gather(*(self._order(a, limit) for a in assignments))
+        stop = asyncio.Event()
+        await asyncio.gather(
+            *(self._order(a, limit, stop) for a in assignments)
+        )
 
     async def _must_put_off(
         self, assignments: list[plans.Assignment], now_s: float
@@ -329,10 +332,27 @@
         return report.order_count
 
     async def _order(
-        self, assignment: plans.Assignment, limit: asyncio.Semaphore
+        self,
+        assignment: plans.Assignment,
+        limit: asyncio.Semaphore,
+        stop: asyncio.Event,
     ) -> None:
+        """Sends one order of a plan.
+
+        An instance that should have had no order, but refuses this one as it
+        has, shows that another entry sends a plan at the same time. The rest of
+        this one is dropped then, and planned again by what is loaded.
+
+        Args:
+            assignment: Instance and layers.
+            limit: Limits the orders that are sent at the same time.
+            stop: Set when the other orders of the plan are to be dropped.
+        """
         upstream, layers = assignment.upstream, assignment.layers
         async with limit:
+            if stop.is_set():
+                return
+            is_new = upstream.key not in self._ordered
             try:
                 count = await self._count_orders(upstream)
             except exceptions.UpstreamError as error:
@@ -362,6 +382,8 @@
         )
         self._ordered.add(upstream.key)
         if outcome.is_refused:
+            if is_new and upstream.layers is None:
+                stop.set()
             return
         wait_s = (
             settings.pending_s
--- a/src/fuchsiabarrow/placement/tests/test_service.py
+++ b/src/fuchsiabarrow/placement/tests/test_service.py
@@ -201,3 +201,66 @@
         loading_s=service_module.MAX_PUT_OFF_S + 2 * PERIOD_S
     )
     assert second
+
+
+# On a large deployment two entries sent the whole first plan 40 ms apart: 128
+# instances loaded layers of one plan, 68 of the other.
+def test_entries_that_plan_at_the_same_time_drop_the_rest_of_their_plans():
+    instances = {f"i{n:03}": make_instance(n, None) for n in range(190)}
+    accepted: dict[str, object] = {}
+    owners: dict[str, int] = {}
+
+    async def read_report(upstream, timeout_s):
+        await asyncio.sleep(0.002)
+        has_order = upstream.instance_id in accepted
+        return types.SimpleNamespace(
+            is_busy=has_order, order_count=int(has_order)
+        )
+
+    def make_service(directory, number):
+        async def send_order(upstream, layers, after_orders):
+            await asyncio.sleep(0.002)
+            is_accepted = after_orders == (upstream.instance_id in accepted)
+            if is_accepted:
+                accepted[upstream.instance_id] = layers
+                owners[upstream.instance_id] = number
+            await asyncio.sleep(0.002)
+            return service_module.OrderOutcome(
+                is_accepted, not is_accepted, "status"
+            )
+
+        catalog = types.SimpleNamespace(
+            services={
+                "s": types.SimpleNamespace(name=fleets.SERVICE, engine=MODEL)
+            }
+        )
+        return service_module.PlacementService(
+            directory, lambda: catalog, send_order, read_report, lambda: True
+        )
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        directory = directory_module.Directory(loop.time)
+        directory.replace(list(instances.values()))
+        services = [make_service(directory, number) for number in (0, 1)]
+        for _ in range(4):
+            directory.confirm(loop.time())
+            await asyncio.gather(*(s.run_once() for s in services))
+            await asyncio.sleep(PERIOD_S)
+        owned = sum(owners.values())
+        limit = 2 * service_module.Settings().parallel_orders
+        assert min(owned, len(owners) - owned) <= limit
+        # What was loaded is listed; the rest follows from that.
+        for _ in range(20):
+            directory.replace(
+                [
+                    dataclasses.replace(i, layers=accepted.get(name))
+                    for name, i in instances.items()
+                ]
+            )
+            directory.confirm(loop.time())
+            await services[0].run_once()
+            await asyncio.sleep(PERIOD_S)
+        assert len(accepted) == len(instances)
+
+    virtual_time.run(run())
