--- a/src/fuchsiabarrow/forwarding/links.py
+++ b/src/fuchsiabarrow/forwarding/links.py
@@ -226,7 +226,7 @@
 
     def _is_reported(self, address: str, now_s: float) -> bool:
         reported_at_s = self._reported_at_s.get(address, float("-inf"))
-        return now_s - reported_at_s < FAILURE_EXPIRY_S
+        return now_s - reported_at_s < DOUBT_WINDOW_S
 
     def _has_doubt(self) -> bool:
         """Returns whether the links of this entry may be at fault."""
