--- a/src/fuchsiabarrow/conftest.py
+++ b/src/fuchsiabarrow/conftest.py
@@ -17,6 +17,7 @@
         "test_path_selection",
         "test_placement_duty",
         "test_relayed_copies",
+        "test_shared_failures",
         "test_silent_upstreams",
         "test_store_followers",
     }
--- a/src/fuchsiabarrow/fleet/directory.py
+++ b/src/fuchsiabarrow/fleet/directory.py
@@ -58,6 +58,11 @@
         self._slowdowns: dict[tuple[str, int], tuple[float, float]] = {}
         self._paused_until_s: dict[tuple[str, int], float] = {}
         self._listeners: list[Callable[[], None]] = []
+        self._failure_listeners: list[Callable[[], None]] = []
+
+    def add_failure_listener(self, listener: Callable[[], None]) -> None:
+        """Registers a callback for failures that other entries are to learn."""
+        self._failure_listeners.append(listener)
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Registers a callback for changes of the list."""
@@ -192,9 +197,15 @@
         if now_s >= health.avoid_until_s:
             health.failures += 1
         health.failed_at_s = now_s
+        is_news = is_shared and not (
+            health.is_shared and now_s < health.avoid_until_s
+        )
         health.is_shared = is_shared
         avoid_s = min(MAX_AVOID_S, MIN_AVOID_S * 2 ** (health.failures - 1))
         health.avoid_until_s = now_s + avoid_s
+        if is_news:
+            for listener in self._failure_listeners:
+                listener()
         return avoid_s
 
     def record_full(self, upstream: upstreams.Upstream) -> None:
--- a/src/fuchsiabarrow/forwarding/connections.py
+++ b/src/fuchsiabarrow/forwarding/connections.py
@@ -617,6 +617,10 @@
         """Records that another upstream or entry cannot reach an upstream."""
         self._links.record_reported(address)
 
+    def is_reported(self, address: str) -> bool:
+        """Returns whether an upstream seems dead not only to this entry."""
+        return self._links.is_reported(address)
+
     def is_isolated(self) -> bool:
         """Returns whether this entry seems to reach no upstream by itself."""
         return self._links.is_isolated()
--- a/src/fuchsiabarrow/forwarding/links.py
+++ b/src/fuchsiabarrow/forwarding/links.py
@@ -162,6 +162,16 @@
         """
         self._reported_at_s[address] = self._read_time_s()
 
+    def is_reported(self, address: str) -> bool:
+        """Returns whether an upstream seems dead, and not only to this entry.
+
+        Others were reported not to reach it, and the links of this entry have
+        no fault.
+        """
+        return not self.has_fault() and self._is_reported(
+            address, self._read_time_s()
+        )
+
     def retain(self, addresses: Collection[str]) -> None:
         """Forgets all links but those to the given upstreams."""
         for by_address in (self._failed, self._reported_at_s):
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -628,7 +628,11 @@
             return  # The links of this entry are at fault.
         except exceptions.UpstreamError as error:
             self._probe_results.pop(upstream.key, None)
-            self.record_failure(upstream, f"{cause}; probe failed: {error}")
+            self.record_failure(
+                upstream,
+                f"{cause}; probe failed: {error}",
+                self._is_confirmed_dead(upstream, error),
+            )
             self._forget_failure(upstream)
             if isinstance(error, exceptions.UpstreamUnreachableError):
                 self._unreachable.add(upstream.key)
@@ -651,6 +655,17 @@
         )
         self.directory.set_slowdown(upstream, report.slowdown)
 
+    def _is_confirmed_dead(
+        self, upstream: upstreams.Upstream, error: exceptions.UpstreamError
+    ) -> bool:
+        """Returns whether an upstream refuses this entry and another one.
+
+        One that is only silent accepts connections.
+        """
+        return isinstance(
+            error.__cause__, ConnectionRefusedError
+        ) and self.pool.is_reported(upstream.address)
+
     def notify_streams(self, upstream: upstreams.Upstream) -> None:
         """Notifies the streams of a suspected upstream."""
         for stream in list(self._streams):
--- a/src/fuchsiabarrow/forwarding/tests/fakes.py
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -132,6 +132,9 @@
     def record_reported(self, address: str) -> None:
         self.reported.append(address)
 
+    def is_reported(self, address: str) -> bool:
+        return address in self.reported
+
     def is_isolated(self) -> bool:
         return False
 
@@ -167,10 +170,14 @@
 
 
 class FakeControl:
-    """Answers probes; those to addresses in ``silent`` time out."""
+    """Answers probes; those to addresses in ``silent`` time out.
+
+    Those in ``refusing`` accept no connection.
+    """
 
     def __init__(self):
         self.silent: set[str] = set()
+        self.refusing: set[str] = set()
         self.stalled: dict[str, tuple] = {}
         self.accepts_paths = True
         self.path_changes: list[tuple] = []
@@ -179,6 +186,10 @@
     async def read_report(self, upstream, timeout_s):
         now_s = asyncio.get_running_loop().time()
         self.probes.append((upstream.address, now_s))
+        if upstream.address in self.refusing:
+            raise exceptions.UpstreamUnreachableError(
+                "cannot connect"
+            ) from ConnectionRefusedError()
         if upstream.address in self.silent:
             await asyncio.sleep(timeout_s)
             raise exceptions.UpstreamResponseLostError("no answer")
--- a/src/fuchsiabarrow/forwarding/tests/test_generations.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_generations.py
@@ -233,6 +233,22 @@
     assert harness.directory.is_avoided(LAST)
     # The links of this entry are not the reason that it does not answer.
     assert harness.pool.reported == [LAST.address]
+    # It may only be silent.
+    assert not harness.directory.get_shared_failures()
+
+
+# Each of 195 entries found dead instances by requests of its own.
+def test_instance_that_refuses_another_and_this_entry_is_reported_to_others():
+    def prepare(harness):
+        harness.script(
+            FIRST.address,
+            [fakes.Head(503, is_not_run=True, at_fault=LAST.address)],
+            fakes.stream(1, 11, gap_s=0.05),
+        )
+        harness.control.refusing.add(LAST.address)
+
+    _, harness = serve(prepare, FIRST, LAST, SPARE_LAST)
+    assert [u for u, _ in harness.directory.get_shared_failures()] == [LAST]
 
 
 def test_refusal_by_the_new_owner_of_an_address_excludes_the_old_one():
--- a/src/fuchsiabarrow/forwarding/tests/test_links.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_links.py
@@ -152,11 +152,20 @@
     table, clock = make_table()
     for address in (FIRST, SECOND, THIRD):
         table.record_reported(address)
+    assert table.is_reported(FIRST)
     clock.now_s += links.DOUBT_WINDOW_S + 0.1
+    assert not table.is_reported(FIRST)
     isolate(table)
     assert table.has_fault()
 
 
+def test_entry_with_a_fault_does_not_confirm_that_upstreams_are_dead():
+    table, _ = make_table()
+    isolate(table)
+    table.record_reported(FOURTH)
+    assert not table.is_reported(FOURTH)
+
+
 def test_doubt_about_links_is_a_lasting_fault_only_after_some_time():
     # The leader would wait for the hand-over of its duty to itself.
     table, clock = make_table()
--- a/src/fuchsiabarrow/peers/load_reports.py
+++ b/src/fuchsiabarrow/peers/load_reports.py
@@ -33,6 +33,8 @@
 
 MILLISECONDS_PER_S = 1000.0
 MAX_CRASHES_SENT = 8
+# Maximum number of failed upstreams in a report of evidence.
+MAX_SUSPECTS_SENT = 32
 # Delay in which changes of evidence are collected, and least time between two
 # reports of it.
 EVIDENCE_DELAY_S = 0.02
@@ -183,6 +185,9 @@
             if seed != settings.address
         }
         self._upstreams_by_hash: dict[int, upstreams.Upstream] = {}
+        # Failed upstreams that others sent ahead of the period, and until when
+        # they are avoided, by hash.
+        self._heard_suspects: dict[int, float] = {}
         self._evidence_timer: asyncio.TimerHandle | None = None
         self._evidence_sent_s = float("-inf")
         self._transport: asyncio.DatagramTransport | None = None
@@ -197,6 +202,7 @@
         self._directory.add_listener(self._index_upstreams)
         self._index_upstreams()
         self._part_crashes.add_listener(self._schedule_evidence)
+        self._directory.add_failure_listener(self._schedule_evidence)
         self._task = asyncio.create_task(
             tasks.run_periodically(
                 "load_reports", self._send_reports, self._get_period_s
@@ -491,7 +497,7 @@
         )
 
     def _schedule_evidence(self) -> None:
-        """Sends the evidence about parts of prompts soon after a change."""
+        """Sends evidence on upstreams and parts of prompts after a change."""
         if self._evidence_timer is not None:
             return
         due_s = max(
@@ -509,6 +515,7 @@
         now_s = self._evidence_sent_s = self._read_time_s()
         summary = summaries.Summary(
             0,
+            suspects=self._find_suspects(now_s),
             part_crashes=self._part_crashes.get_crashes(
                 report_codec.MAX_PART_CRASHES_SENT
             ),
@@ -530,6 +537,23 @@
                 data, addresses_module.parse_address(address)
             )
 
+    def _find_suspects(self, now_s: float) -> dict[int, float]:
+        """Returns the failed upstreams to send ahead of the next period.
+
+        Aggregators pass on what they were sent.
+        """
+        self._heard_suspects = {
+            upstream_hash: until_s
+            for upstream_hash, until_s in self._heard_suspects.items()
+            if until_s > now_s
+        }
+        suspects = self._heard_suspects | {
+            hash_upstream_key(upstream.key): now_s + remaining_s
+            for upstream, remaining_s in self._directory.get_shared_failures()
+        }
+        latest = sorted(suspects.items(), key=lambda s: s[1], reverse=True)
+        return dict(latest[:MAX_SUSPECTS_SENT])
+
     # Receiving.
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
@@ -559,6 +583,7 @@
             self._part_crashes.merge_report(
                 report.summary.part_crashes, report.summary.part_begins
             )
+            self._apply_suspects(report, now_s)
             return
         if report.scope is report_codec.Scope.ALL:
             self._aggregate_bytes = len(data)
@@ -573,6 +598,25 @@
         if redirect is not None:
             self._send(redirect, summaries.Summary(0), now_s)
 
+    def _apply_suspects(
+        self, report: report_codec.Report, now_s: float
+    ) -> None:
+        """Avoids failed upstreams that were sent ahead of the next period."""
+        is_news = False
+        for upstream_hash, until_s in report.summary.suspects.items():
+            heard_until_s = self._heard_suspects.get(upstream_hash, 0.0)
+            if until_s <= now_s or heard_until_s > now_s:
+                continue
+            is_news = True
+            self._heard_suspects[upstream_hash] = until_s
+            upstream = self._upstreams_by_hash.get(upstream_hash)
+            if upstream is not None and not self._directory.is_avoided(
+                upstream
+            ):
+                self._on_suspect(upstream, report.sender)
+        if is_news and self._aggregation.is_aggregator(now_s):
+            self._schedule_evidence()
+
     def _apply_summaries(self, now_s: float) -> None:
         """Applies the known summaries to the load table and crash counts."""
         sources = self._aggregation.get_sources(now_s)
--- a/src/fuchsiabarrow/platform/tests/entry_simulation.py
+++ b/src/fuchsiabarrow/platform/tests/entry_simulation.py
@@ -476,6 +476,9 @@
     def record_reported(self, address: str) -> None:
         pass
 
+    def is_reported(self, address: str) -> bool:
+        return False
+
     def is_isolated(self) -> bool:
         return False
 
