Reports of an unknown age are taken as they are

A restarted entry does not know the number of entries for 4 s, and with it the age of the reports. It took them as worthless for that time, also among few entries, whose reports are fresh.

--- a/src/fuchsiabarrow/fleet/expected_loads.py
+++ b/src/fuchsiabarrow/fleet/expected_loads.py
@@ -55,11 +55,12 @@
         model: Performance model of their engine.
         load_table: Own and reported load in flight.
         unreported_requests: Expected number of requests that other entries
-            have placed but not yet reported.
+            have placed but not yet reported; infinite if it is unknown, so that
+            nothing is known on the age of the reports.
     """
     instances = list(instances)
     known = {i.key: load_table.get(i.key) for i in instances}
-    if not unreported_requests:
+    if not unreported_requests or math.isinf(unreported_requests):
         return ExpectedLoads(known, 1.0)
     own = load_table.get_own()
     others = {
