--- a/src/fuchsiabarrow/fleet/expected_loads.py
+++ b/src/fuchsiabarrow/fleet/expected_loads.py
@@ -63,36 +63,38 @@
     if not unreported_requests or math.isinf(unreported_requests):
         return ExpectedLoads(known, 1.0)
     own = load_table.get_own()
-    others = {
-        key: load.add(own.get(key, loads_module.IDLE), -1)
-        for key, load in known.items()
-    }
     # By Little's law, the requests that begin in the time of the delay are to
     # those in flight as the delay is to the time that requests last.
-    in_flight = max(1, sum(load.path_starts for load in others.values()))
+    in_flight = max(1, sum(load.path_starts for load in known.values()))
     weight = math.exp(-DECAY * unreported_requests / in_flight)
-    capacities = {
-        i.key: model.count_context_tokens(i.kind, len(i.layers)) * len(i.layers)
-        for i in instances
-    }
-    sums: dict[str, tuple[float, float, float]] = {}
+    # Context, requests and capacity of others by kind.
+    sums: dict[str, list[float]] = {}
+    capacities = []
     for instance in instances:
-        load = others[instance.key]
-        context, requests, capacity = sums.get(instance.kind, (0.0, 0.0, 0.0))
-        sums[instance.kind] = (
-            context + load.context,
-            requests + load.requests,
-            capacity + capacities[instance.key],
-        )
+        held = len(instance.layers)
+        capacity = model.count_context_tokens(instance.kind, held) * held
+        capacities.append(capacity)
+        load = known[instance.key]
+        own_load = own.get(instance.key, loads_module.IDLE)
+        total = sums.setdefault(instance.kind, [0.0, 0.0, 0.0])
+        total[0] += load.context - own_load.context
+        total[1] += load.requests - own_load.requests
+        total[2] += capacity
     expected = {}
-    for instance in instances:
-        key, load = instance.key, others[instance.key]
-        context, requests, capacity = sums[instance.kind]
-        share = capacities[key] / capacity if capacity else 0.0
-        expected[key] = dataclasses.replace(
-            load,
-            context=weight * load.context + (1 - weight) * context * share,
-            requests=weight * load.requests + (1 - weight) * requests * share,
-        ).add(own.get(key, loads_module.IDLE))
+    for instance, capacity in zip(instances, capacities, strict=True):
+        key = instance.key
+        context, requests, total_capacity = sums[instance.kind]
+        share = (1 - weight) * capacity / total_capacity if capacity else 0.0
+        load, own_load = known[key], own.get(key, loads_module.IDLE)
+        expected[key] = loads_module.Load(
+            own_load.requests
+            + weight * (load.requests - own_load.requests)
+            + share * requests,
+            load.path_starts,
+            own_load.context
+            + weight * (load.context - own_load.context)
+            + share * context,
+            load.prefill,
+        )
     sensitivity = MIN_SENSITIVITY + (1 - MIN_SENSITIVITY) * weight
     return ExpectedLoads(expected, sensitivity)
