--- a/src/fuchsiabarrow/placement/tests/test_service.py
+++ b/src/fuchsiabarrow/placement/tests/test_service.py
@@ -204,7 +204,7 @@
 
 
 # On a large deployment two entries sent the whole first plan 40 ms apart: 128
-# instances loaded layers of one plan, 68 of the other.
+# instances loaded layers of one plan, 62 of the other.
 def test_entries_that_plan_at_the_same_time_drop_the_rest_of_their_plans():
     instances = {f"i{n:03}": make_instance(n, None) for n in range(190)}
     accepted: dict[str, object] = {}
