Event loop: start without a standard error that is a file

The same happens to a process whose standard error is closed (Python sets it to None).

Cause: aiomisc asks for the descriptor of the standard error when it is imported, which `loops.run` does at its first call. In the test that was the first call of its process, while the standard error was replaced.

Change: the import gets the null device in place of a standard error without a descriptor.

--- a/src/fuchsiabarrow/utils/loops.py
+++ b/src/fuchsiabarrow/utils/loops.py
@@ -2,7 +2,10 @@
 
 import asyncio
 from collections.abc import Coroutine
+import contextlib
 import os
+import sys
+import types
 from typing import Any
 
 import uvloop
@@ -29,10 +32,7 @@
     # Skips the search of all installed packages for aiomisc plugins; this
     # package needs none.
     os.environ.setdefault("AIOMISC_NO_PLUGINS", "1")
-    # Imported here because the import takes a tenth of a second and some
-    # processes do not need it.
-    import aiomisc
-
+    aiomisc = _import_aiomisc()
     entrypoint = aiomisc.entrypoint(
         log_config=False,
         pool_size=EXECUTOR_THREADS,
@@ -41,3 +41,27 @@
     )
     with entrypoint as loop:
         return loop.run_until_complete(main)
+
+
+def _import_aiomisc() -> types.ModuleType:
+    """Imports aiomisc, also without a standard error that is a file.
+
+    The import takes a tenth of a second, and some processes do not need it. It
+    asks whether the descriptor of the standard error is a terminal, and fails
+    if there is none.
+    """
+    with contextlib.ExitStack() as stack:
+        if not _is_file(sys.stderr):
+            null = stack.enter_context(open(os.devnull, "w"))
+            stack.enter_context(contextlib.redirect_stderr(null))
+        import aiomisc
+
+    return aiomisc
+
+
+def _is_file(stream: Any) -> bool:
+    try:
+        stream.fileno()
+    except (AttributeError, OSError, ValueError):
+        return False
+    return True
