--- a/src/fuchsiabarrow/conftest.py
+++ b/src/fuchsiabarrow/conftest.py
@@ -1,5 +1,7 @@
 """Pytest fixtures and the distribution of tests over worker processes."""
 
+import pathlib
+
 import pytest
 
 from fuchsiabarrow.entry.tests import process_fleets
@@ -24,11 +26,19 @@
 )
 
 
-def pytest_collection_modifyitems(items):
-    for item in items:
-        name = item.module.__name__.rpartition(".")[2]
-        if name not in VIRTUAL_TIME_MODULES:
-            item.add_marker(pytest.mark.xdist_group("real time"))
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_make_scheduler(config, log):
+    """Keeps the tests in real time in one worker, in order."""
+    from xdist.scheduler import loadscope
+
+    # Groups set with `xdist_group` have no effect with pytest 9.2: it no longer
+    # reads the attribute to which pytest-xdist 3.8.0 adds them.
+    class ModuleScheduling(loadscope.LoadScopeScheduling):
+        def _split_scope(self, nodeid):
+            module = pathlib.PurePosixPath(nodeid.partition("::")[0]).stem
+            return nodeid if module in VIRTUAL_TIME_MODULES else "real time"
+
+    return ModuleScheduling(config, log)
 
 
 @pytest.fixture
