A stopped process exits within its grace period, whatever still waits

Change: shortly before the end of the grace period the process exits with status 0 and logs what it still waited for (exit_forced). All requests have ended by then. The fault soak asks a process that does not exit for its stack before it kills it.

Test: test_process_exits_while_a_service_does_not_end; failed before (exit status None).

--- a/src/fuchsiabarrow/commands/forwarding.py
+++ b/src/fuchsiabarrow/commands/forwarding.py
@@ -7,9 +7,12 @@
 
 import asyncio
 import gc
+import os
 import signal
 import sys
 
+import logbook
+
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.entry import forwarding_entry
 from fuchsiabarrow.platform import settings as platform_settings
@@ -25,6 +28,8 @@
 # The settings file is polled because it may change without a SIGHUP.
 POLL_PERIOD_S = 2.0
 
+_log = logbook.Logger(__name__)
+
 
 def main(path: str = "") -> None:
     """Runs one forwarding entry until SIGTERM or SIGINT.
@@ -79,9 +84,21 @@
             await signals.wait_for_stop()
         finally:
             polling.cancel()
-        await entry.drain()
+        loop.call_at(await entry.drain(), _exit_now)
         # Closing the loop would bring back their default actions, which end the
         # process while it exits.
         for number in (signal.SIGHUP, signal.SIGTERM):
             loop.remove_signal_handler(number)
             signal.signal(number, signal.SIG_IGN)
+
+
+def _exit_now() -> None:
+    """Exits although something has not ended: SIGKILL would come next.
+
+    All requests have ended by then. Runs as long as the event loop does, which
+    is until all services are closed and all tasks have ended.
+    """
+    waiting = sorted(t.get_coro().__qualname__ for t in asyncio.all_tasks())
+    _log.error(logs.format_event("exit_forced", waiting=",".join(waiting)))
+    sys.stdout.flush()
+    os._exit(0)
--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -62,6 +62,8 @@
 MAX_SIGKILL_MARGIN_S = 0.5
 # Part of this time in which answers are sent; the rest is for the exit.
 ANSWER_FRACTION = 0.4
+# Part of it after which the process exits in any case.
+EXIT_FRACTION = 0.8
 DRAIN_POLL_S = 0.05
 # What the listeners beside that for callers serve is small, or can be had from
 # another entry.
@@ -608,13 +610,16 @@
         server.is_stopping = True
         return server.count, server.cut
 
-    async def drain(self) -> None:
+    async def drain(self) -> float:
         """Shuts down gracefully: stops accepting and finishes running work.
 
         New connections are accepted for `DEREGISTRATION_DELAY_S`, as the
         platform still sends them. At the time limit, requests whose answer has
         not begun are refused; shortly after it, answers that are not complete
         are cut.
+
+        Returns:
+            Loop time by which the process has to exit.
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
@@ -658,6 +663,7 @@
                 tunnels=tunnel_count,
             )
         )
+        return limit_at_s + EXIT_FRACTION * margin_s
 
     async def _finish_requests(
         self, until_s: float, count_others: Callable[[], int]
--- a/src/fuchsiabarrow/platform/tests/soak/redirected_entry.py
+++ b/src/fuchsiabarrow/platform/tests/soak/redirected_entry.py
@@ -5,6 +5,7 @@
 get the same addresses, at `UPSTREAM_HOST`, where nothing listens.
 """
 
+import faulthandler
 import os
 import signal
 
@@ -42,6 +43,8 @@
     """Runs the command line of the package."""
     # As in `fuchsiabarrow.__main__`, before the imports.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # For the stack of a process that does not exit, see `scenario`.
+    faulthandler.register(signal.SIGUSR1)
     _redirect_connections(os.environ[PROXY_HOST_VARIABLE])
     from fuchsiabarrow import __main__ as program
 
--- a/src/fuchsiabarrow/platform/tests/soak/scenario.py
+++ b/src/fuchsiabarrow/platform/tests/soak/scenario.py
@@ -651,6 +651,9 @@
                     f"{entry.name} exited with status {status} after SIGTERM"
                     f" and {processes.GRACE_S} s"
                 )
+                # Its stack goes to its log.
+                entry.send(signal.SIGUSR1)
+                await asyncio.sleep(LOG_DELAY_S)
                 entry.close()
             self.versions.forget_entry(entry.name)
             await self._start_entry(entry)
--- a/src/fuchsiabarrow/platform/tests/test_process.py
+++ b/src/fuchsiabarrow/platform/tests/test_process.py
@@ -28,6 +28,7 @@
     path: pathlib.Path,
     startup_signal: signal.Signals | None = None,
     engines: Collection[fake_upstreams.FakeUpstream] = (),
+    module: str = "fuchsiabarrow",
 ):
     """Runs an entry as a process with a fake store and a fake upstream.
 
@@ -35,6 +36,7 @@
         path: Directory for the settings file and the log.
         startup_signal: Signal that is sent while the process starts.
         engines: Further upstreams, which are running.
+        module: Module that the process runs.
     """
     async with (
         fake_stores.FakeStore() as store,
@@ -52,6 +54,7 @@
         host = "127.0.0.1"
         inner = free_ports.find_ports(1)[0]
         entry = processes.EntryProcess("entry-1", host, inner, path)
+        entry.module = module
         entry.write_settings(store.address, [host])
         entry.start()
         try:
@@ -251,3 +254,19 @@
             assert entry.get_exit_status() == 0
 
     asyncio.run(test())
+
+
+# Guards against a process that has ended all requests and then does not exit
+# before it is killed, as one of its services waits for something.
+def test_process_exits_while_a_service_does_not_end(tmp_path):
+    async def test():
+        module = "fuchsiabarrow.platform.tests.hanging_entry"
+        async with run_entry(tmp_path, module=module) as entry:
+            assert await fetch(entry.front) == 200
+            entry.send(signal.SIGTERM)
+            assert await entry.wait_exit(processes.GRACE_S) == 0
+
+    asyncio.run(test())
+    log = (tmp_path / "entry-1.log").read_text()
+    assert "event=stopped" in log
+    assert "event=exit_forced" in log
