Soaks beside each other use addresses of their own, and end with their entries

Change: the addresses contain a part of the process id; entries end when the process that started them is killed.

--- a/src/fuchsiabarrow/platform/tests/processes.py
+++ b/src/fuchsiabarrow/platform/tests/processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import os
 import pathlib
 import signal
@@ -17,6 +18,10 @@
 
 START_TIMEOUT_S = 30.0
 GRACE_S = 6
+# From linux/prctl.h.
+PR_SET_PDEATHSIG = 1
+
+_libc = ctypes.CDLL(None, use_errno=True)
 
 
 class EntryProcess:
@@ -96,6 +101,7 @@
                     **self.environment,
                     "FUCHSIABARROW_SETTINGS": str(self.settings_path),
                 },
+                preexec_fn=_end_with_parent,
             )
 
     def send(self, number: signal.Signals) -> None:
@@ -143,3 +149,11 @@
             self._process.send_signal(signal.SIGCONT)
             self._process.kill()
             self._process.wait()
+
+
+def _end_with_parent() -> None:
+    """Ends this process when the one that started it is killed.
+
+    It would go on using its addresses beside the next run.
+    """
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
--- a/src/fuchsiabarrow/platform/tests/soak/scenario.py
+++ b/src/fuchsiabarrow/platform/tests/soak/scenario.py
@@ -7,6 +7,7 @@
 import contextlib
 import dataclasses
 import functools
+import os
 import pathlib
 import random
 import signal
@@ -29,12 +30,15 @@
 
 __all__ = ["SoakRun", "run_seed"]
 
-# Last octet of the loopback addresses of the first entry, its proxies, and the
-# connections that these open.
+# Second octet of the loopback addresses of the entries, their proxies, and the
+# connections that these open. Soaks that run beside each other use others, so
+# that an entry cannot take a port of another soak, or hear its entries.
+HOST_OCTET = 10 + 3 * (os.getpid() % 80)
+# Their last octet for the first entry.
 FIRST_HOST_OCTET = 11
-ENTRY_HOSTS = "127.0.0"
-PROXY_HOSTS = "127.1.0"
-SOURCE_HOSTS = "127.3.0"
+ENTRY_HOSTS = f"127.{HOST_OCTET}.0"
+PROXY_HOSTS = f"127.{HOST_OCTET + 1}.0"
+SOURCE_HOSTS = f"127.{HOST_OCTET + 2}.0"
 DEFAULT_CALLERS = 8
 REQUEST_TIMEOUT_S = 5.0
 # Time limit of a share of the streams, beyond the grace period of an entry.
