Refusals name layers whose holders have room for a part of a path only

Cause: an instance counted as one with room if it had memory for one layer. Paths change from one instance to another only where a range of layers begins or ends, and need memory for all layers up to there.

Test: test_layers_whose_holders_have_room_for_a_part_of_them_are_named, failed before.

--- a/src/fuchsiabarrow/fleet/shortages.py
+++ b/src/fuchsiabarrow/fleet/shortages.py
@@ -1,6 +1,7 @@
 """Finds out what lacked when no path was found; without I/O."""
 
 from collections.abc import Iterable
+import itertools
 
 from fuchsiabarrow.fleet import paths
 
@@ -23,28 +24,24 @@
         Ranges of layers, from the first to one past the last. Layers without
         any holder are not among them.
     """
-    holders = [0] * layers
-    with_room = [0] * layers
-    for candidate in candidates:
-        held = candidate.upstream.layers
-        if held is None:
-            continue
-        has_room = candidate.free_context >= size.context_tokens
-        for layer in range(held.first, min(held.end, layers)):
-            holders[layer] += 1
-            with_room[layer] += has_room
-    full = [
-        held > 0 and not room
-        for held, room in zip(holders, with_room, strict=True)
-    ]
+    holding = [c for c in candidates if c.upstream.layers is not None]
+    edges = {0, layers}
+    for candidate in holding:
+        edges.update(
+            (candidate.upstream.layers.first, candidate.upstream.layers.end)
+        )
+    ordered = sorted(edge for edge in edges if 0 <= edge <= layers)
     ranges: list[tuple[int, int]] = []
-    for layer, is_full in enumerate(full):
-        if not is_full:
+    # Paths change from one instance to another at these layers only.
+    for first, end in itertools.pairwise(ordered):
+        holders = [c for c in holding if c.upstream.layers.covers(first, end)]
+        needed = size.context_tokens * (end - first)
+        if not holders or any(c.free_context >= needed for c in holders):
             continue
-        if ranges and ranges[-1][1] == layer:
-            ranges[-1] = (ranges[-1][0], layer + 1)
+        if ranges and ranges[-1][1] == first:
+            ranges[-1] = (ranges[-1][0], end)
         else:
-            ranges.append((layer, layer + 1))
+            ranges.append((first, end))
     return ranges
 
 
--- a/src/fuchsiabarrow/fleet/tests/test_shortages.py
+++ b/src/fuchsiabarrow/fleet/tests/test_shortages.py
@@ -40,6 +40,17 @@
     assert found == ranges
 
 
+# A refusal named no layers, as one layer would have had room: paths change the
+# instance only where a range begins or ends.
+def test_layers_whose_holders_have_room_for_a_part_of_them_are_named():
+    instance = fleets.make_instance("i", layers=(0, 80))
+    free = 10 * SIZE.context_tokens
+    found = shortages.find_full_layers(
+        [paths.Candidate(instance, 1.0, free, True)], 80, SIZE
+    )
+    assert found == [(0, 80)]
+
+
 def test_layers_beyond_those_of_the_model_are_ignored():
     found = shortages.find_full_layers(
         make_candidates((70, 90, True)), 80, SIZE
