Tests of followers with 9, 76 and 402 entries

The calls to the store of 402 entries, and the loss of followed entries among 9 (which all read the store) and 76.

--- a/src/fuchsiabarrow/platform/tests/test_store_followers.py
+++ b/src/fuchsiabarrow/platform/tests/test_store_followers.py
@@ -49,7 +49,7 @@
 
 
 # All entries asked the store at the end of each wait and for each change.
-@pytest.mark.parametrize("entries", [76, 195])
+@pytest.mark.parametrize("entries", [76, 195, 402])
 def test_calls_to_the_store_do_not_grow_with_the_entries(entries):
     counts = {}
 
@@ -136,13 +136,28 @@
 
 # An entry that follows one that is lost must find out and take its own way in
 # time: a version in force, and a key that is withdrawn.
-@pytest.mark.parametrize("fault", ["killed", "frozen", "hang", "refuse"])
-@pytest.mark.parametrize("share", [0.5, 1.0])
-def test_loss_of_followed_entries_delays_no_version(fault, share):
+@pytest.mark.parametrize(
+    ("entries", "fault", "share"),
+    [
+        *(
+            (18, fault, share)
+            for fault in ("killed", "frozen", "hang", "refuse")
+            for share in (0.5, 1.0)
+        ),
+        # Few entries follow nobody: the first ones are lost.
+        (9, "killed", 0.5),
+        (9, "frozen", 0.5),
+        (76, "frozen", 1.0),
+        (76, "hang", 0.5),
+    ],
+)
+def test_loss_of_followed_entries_delays_no_version(entries, fault, share):
     async def script(deployment):
         await asyncio.sleep(CHOICE_S)
         for _ in range(2):
             followed = find_followed(deployment)
+            assert bool(followed) == (entries > 16)
+            followed = followed or sorted(deployment.entries)[:4]
             names = followed[:: round(1 / share)]
             disturbing = asyncio.create_task(
                 _disturb(deployment, fault, names, 5.0)
@@ -152,7 +167,7 @@
             await disturbing
             await asyncio.sleep(CHOICE_S)
 
-    result = configuration_days.play(script, 18)
+    result = configuration_days.play(script, entries)
     assert result.violations == []
     # Two waits of a follower, one of the source that it asks next.
     assert result.lateness_s[-1] <= 2.0
