Garbage collections leave out the objects of the imported modules

Seen: a full collection takes 22 ms of CPU time (47,462 objects, nearly all of modules). All streams wait meanwhile: 43 ms on an instance with half a core, 187 ms on one with 0.12 (computed).

Test: test_full_collections_do_not_scan_the_imported_modules; failed before, as nothing was left out.

--- a/src/fuchsiabarrow/commands/forwarding.py
+++ b/src/fuchsiabarrow/commands/forwarding.py
@@ -22,7 +22,7 @@
 from fuchsiabarrow.utils import signals
 from fuchsiabarrow.utils import tasks
 
-__all__ = ["main", "run_forwarding_entry"]
+__all__ = ["freeze_modules", "main", "run_forwarding_entry"]
 
 EXIT_INVALID = 2
 # The settings file is polled because it may change without a SIGHUP.
@@ -37,6 +37,7 @@
     Args:
         path: Settings file; if empty, `platform.settings.find_path` finds it.
     """
+    freeze_modules()
     try:
         with asyncio.Runner(loop_factory=loops.make_loop) as runner:
             runner.run(
@@ -49,6 +50,16 @@
     gc.freeze()
 
 
+def freeze_modules() -> None:
+    """Leaves the objects of the imported modules out of garbage collections.
+
+    They live as long as the process. Full collections would scan them, which
+    takes 20 ms of CPU time, and all streams wait meanwhile.
+    """
+    gc.freeze()
+    gc.enable()
+
+
 async def run_forwarding_entry(path: str) -> None:
     """Runs one forwarding entry until SIGTERM or SIGINT, then stops it.
 
--- a/src/fuchsiabarrow/platform/tests/test_process.py
+++ b/src/fuchsiabarrow/platform/tests/test_process.py
@@ -270,3 +270,25 @@
     log = (tmp_path / "entry-1.log").read_text()
     assert "event=stopped" in log
     assert "event=exit_forced" in log
+
+
+# A full collection stalled all streams for 20 ms of CPU time, 170 ms on an
+# instance with 0.12 of a core.
+def test_full_collections_do_not_scan_the_imported_modules():
+    program = (
+        "import gc; gc.disable()\n"
+        "from fuchsiabarrow.commands import forwarding\n"
+        "imported = len(gc.get_objects())\n"
+        "forwarding.freeze_modules()\n"
+        "print(imported, len(gc.get_objects()), gc.isenabled())"
+    )
+    result = subprocess.run(
+        [sys.executable, "-c", program],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=True,
+    )
+    imported, scanned, is_enabled = result.stdout.split()
+    assert int(scanned) < 0.01 * int(imported)
+    assert is_enabled == "True"
