Streams try instances that failed them once more before they end for lack of others

Cause: an attempt on a silent engine is given up for a chain that seems available, which another stream's silence then takes away. The stream waits for its own engine to become available, for no_chain_limit_s only, and ends, although the engines go on.

Change: at the limit one attempt is made on instances that failed the stream before, if nothing else is left; a silent one is then waited for. Once between two tokens.

--- a/src/fuchsiabarrow/streams/drivers.py
+++ b/src/fuchsiabarrow/streams/drivers.py
@@ -129,6 +129,9 @@
         # Chain and retry that were secured before the attempt was given up.
         self._next_chain: tuple[chains.Hop, ...] | None = None
         self._has_retry = False
+        # Whether an attempt was made on instances that had failed this stream,
+        # as there were no others, since its last token.
+        self._has_returned = False
         # Suspected parts of the prompt that the current attempt tests.
         self._tested: frozenset[int] = frozenset()
 
@@ -206,6 +209,7 @@
         self._context.suspects.clear_crashes(self._request.fingerprint)
         if not self._stream.tokens:
             self._context.part_crashes.record_begin(self._request.shared_parts)
+        self._has_returned = False
         if self._tested:
             self._end_test()
         if self._failed_at_s is not None:
@@ -323,6 +327,10 @@
     async def _find_chain(self) -> tuple[chains.Hop, ...]:
         """Waits for a chain on which the next attempt may run.
 
+        At the time limit one attempt is made on instances that failed this
+        stream before, if all others are gone: they may only have been silent,
+        and go on.
+
         Raises:
             StreamFailedError: There was none within `no_chain_limit_s`.
         """
@@ -334,11 +342,25 @@
             if chain is not None:
                 return chain
             if loop.time() > limit_s:
-                raise self._make_failure("no chain of live instances")
+                if self._has_returned:
+                    raise self._make_failure("no chain of live instances")
+                self._has_returned = True
+                chain = self._try_place_attempt(loop.time(), may_return=True)
+                if chain is None:
+                    raise self._make_failure("no chain of live instances")
+                return chain
             await asyncio.sleep(settings.no_chain_poll_s)
 
-    def _try_place_attempt(self, now_s: float) -> tuple[chains.Hop, ...] | None:
-        """Returns a chain, None if there is none or the attempt must wait."""
+    def _try_place_attempt(
+        self, now_s: float, may_return: bool = False
+    ) -> tuple[chains.Hop, ...] | None:
+        """Returns a chain, None if there is none or the attempt must wait.
+
+        Args:
+            now_s: Loop time.
+            may_return: Whether instances that ended an attempt of this stream
+                may be used before they are available again.
+        """
         suspects, fingerprint = (
             self._context.suspects,
             self._request.fingerprint,
@@ -354,7 +376,9 @@
         except exceptions.ChainUnavailableError:
             return None
         names = [hop.instance_id for hop in chain]
-        if any(self._is_still_unavailable(name, now_s) for name in names):
+        if not may_return and any(
+            self._is_still_unavailable(name, now_s) for name in names
+        ):
             return None
         self._pending_attempt = suspects.start_attempt(
             fingerprint, names, now_s, bool(self._tested)
