Retry budgets are refilled from the start of the process on

Cause: an entry makes the budget of a service at its first request to it, with a quarter of its share, as an earlier process may have used the rest in the same window. Among many entries that is less than one retry (0.6 of 2.3), and it takes 4 s of refill, so that the first requests of an entry to a service had no retry, however long its process had run.

Change: a budget that is made later is as full as one from the start of the process. The limit in any window is unchanged, also after a restart.

Test: test_budget_that_is_first_used_late_is_as_full_as_one_from_the_start, failed before (the argument did not exist; such a budget had 0.6).

--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -145,6 +145,7 @@
         self._count_entries = count_entries
         self._get_report_delay_s = get_report_delay_s
         self._rate_meters: dict[str, request_rates.RateMeter] = {}
+        self._started_s = asyncio.get_running_loop().time()
         self.crash_counts = crash_counts.CrashCounts(
             asyncio.get_running_loop().time
         )
@@ -399,6 +400,7 @@
                 settings.budget_extra,
                 settings.budget_window_s,
                 asyncio.get_running_loop().time,
+                self._started_s,
             )
             self._budgets[service] = budget
         budget.set_entry_count(self._count_entries())
--- a/src/fuchsiabarrow/limits/budgets.py
+++ b/src/fuchsiabarrow/limits/budgets.py
@@ -52,15 +52,17 @@
     each request plus its share of `extra`. Up to half of the share can be
     accumulated, and the other half is refilled over one window. A new budget
     starts with a quarter of the share, as a previous process of this entry may
-    have used a part of it within the same window, and has no share at all while
-    the number of entries is unknown: entries that start together and assume too
-    small a number would exceed the limit together.
+    have used a part of it within the same window, and is refilled from the
+    start of this process on. It has no share at all while the number of entries
+    is unknown: entries that start together and assume too small a number would
+    exceed the limit together.
 
     Args:
         ratio: Retries added to the budget by each admitted request.
         extra: Additional retries in a window, for all entries together.
         window_s: Length of the window in seconds.
         read_time_s: Monotonic clock.
+        started_s: Its time at the start of this process; None for now.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         extra: float,
         window_s: float,
         read_time_s: Callable[[], float],
+        started_s: float | None = None,
     ):
         self._ratio = ratio
         self._extra = extra
@@ -76,7 +79,7 @@
         self._read_time_s = read_time_s
         self._share = 0.0
         self._balance = 0.0
-        self._refilled_s = read_time_s()
+        self._refilled_s = read_time_s() if started_s is None else started_s
 
     def set_limits(self, ratio: float, extra: float) -> None:
         """Changes the limits."""
--- a/src/fuchsiabarrow/limits/tests/test_budgets.py
+++ b/src/fuchsiabarrow/limits/tests/test_budgets.py
@@ -88,3 +88,23 @@
         pass
     now_s[0] = 5.0
     assert budget.try_withdraw()
+
+
+# An entry among many had no retry for its first requests to a service, however
+# long its process had run: a budget begins with less than one.
+def test_budget_that_is_first_used_late_is_as_full_as_one_from_the_start():
+    count, now_s = 76, 0.0
+
+    def make_budget(started_s: float) -> budgets.SharedRetryBudget:
+        budget = budgets.SharedRetryBudget(
+            0.2, 202.0, 10.0, lambda: now_s, started_s
+        )
+        budget.set_entry_count(count)
+        return budget
+
+    assert not make_budget(0.0).try_withdraw()
+    early = make_budget(0.0)
+    now_s = 12.0
+    late = make_budget(0.0)
+    assert late.try_withdraw() and early.try_withdraw()
+    assert not late.try_withdraw() and not early.try_withdraw()
