--- a/src/fuchsiabarrow/streams/tests/test_silent_engines.py
+++ b/src/fuchsiabarrow/streams/tests/test_silent_engines.py
@@ -158,6 +158,27 @@
     loops.run(check())
 
 
+def test_answer_returns_to_the_only_holder_after_a_reset_and_a_silence():
+    # The reset ended the attempt, and the stream ended at its limit for a
+    # chain, as the engine was silent and no other holds its layers.
+    async def check():
+        limits = {"no_chain_limit_s": 0.3}
+        async with start_streams(SINGLE_PROFILES, streams=limits) as (
+            cluster,
+            entry,
+            chat_tasks,
+        ):
+            engine = cluster.engines["b-1"]
+            silencing = asyncio.create_task(silence(engine, SILENCE_S))
+            await asyncio.sleep(0.05)
+            engine.server.reset_connections()
+            await silencing
+            await check_answers(chat_tasks)
+            assert count_attempts(entry, "died")
+
+    loops.run(check())
+
+
 def test_silence_does_not_use_up_the_last_attempt():
     # "too many attempts failed", although the engine only was silent.
     async def check():
