--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -253,11 +253,16 @@
     HEARTBEAT_S = 1.2
 
     def __init__(self, record, store, service, number, zone="a", slots=6,
-                 queue=2, work_s=0.02, back_s=2.0):
+                 queue=2, work_s=0.02, back_s=2.0, layers=None, events=0,
+                 gap_s=0.1):
         self._record, self._store = record, store
         self.service, self.number, self.zone = service, number, zone
         self.slots, self.queue, self.work_s = slots, queue, work_s
         self._back_s = back_s
+        # (first, end) of its layers; None for a service without an engine.
+        self.layers = layers
+        # Events of a stream, and the time between them.
+        self.events, self.gap_s = events, gap_s
         self._server = None
         self._writers = set()
         self._free = None
@@ -287,12 +292,17 @@
         self._record.add("runner_started", id=self.id, address=self.address)
 
     def describe(self):
-        return {
+        described = {
             "service": self.service, "address": self.address,
             "zone": self.zone, "version": "v1", "slots": self.slots,
             "state": self.state, "cold_left_ms": 0, "stage": "both",
             "models": [], "sequence": 1, "born": self._born,
         }
+        if self.layers is not None:
+            first, end = self.layers
+            described["kind"] = "a100"
+            described["layers"] = {"start_key": first, "to": end, "version": 1}
+        return described
 
     def register(self):
         self._store.put("servers", self.id, self.describe())
@@ -328,7 +338,7 @@
         self._writers.add(writer)
         try:
             while (message := await read_message(reader)) is not None:
-                answer = await self._handle(*message)
+                answer = await self._handle(*message, writer)
                 if answer is None:
                     return
                 writer.write(answer)
@@ -339,7 +349,23 @@
             self._writers.discard(writer)
             writer.close()
 
-    async def _handle(self, start_line, headers, body):
+    async def _stream(self, headers, writer):
+        """Sends the events after Last-Event-Id, each as one chunk."""
+        attempt = headers["attempt-id"]
+        first = int(headers.get("last-event-id", "0")) + 1
+        writer.write((
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            f"Attempt-Id: {attempt}\r\nResponse-Seal: {SEAL}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        ).encode())
+        for number in range(first, self.events + 1):
+            await asyncio.sleep(self.gap_s)
+            event = f"id: {number}\ndata: {self.id}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        return b"0\r\n\r\n"
+
+    async def _handle(self, start_line, headers, body, writer):
         method, target, _ = start_line.split(" ")
         attempt = headers.get("attempt-id", "")
         if headers.get("expect-instance", self.id) != self.id:
@@ -347,6 +373,8 @@
         if target == "/healthz":
             status = 200 if self.state == "ready" else 503
             return encode(status, [("Instance-Id", self.id)])
+        if target == "/order":
+            return encode(409)
         if target == "/report":
             report = {"stage": "both", "models": [], "busy": False,
                       "sequence": 0, "queued": self._waiting, "running": 0,
@@ -360,11 +388,16 @@
         self._waiting += 1
         async with self._free:
             self._waiting -= 1
-            self._record.add("runs", id=self.id, attempt=attempt, at=target)
+            self._record.add(
+                "runs", id=self.id, attempt=attempt, at=target,
+                last_event_id=headers.get("last-event-id", "none"),
+            )
             if target.endswith("poison"):
                 self._spawn(self._crash())
                 return None
             await asyncio.sleep(self.work_s)
+            if self.events:
+                return await self._stream(headers, writer)
         return encode(
             200,
             [("Attempt-Id", attempt), ("Response-Seal", SEAL),
@@ -373,7 +406,22 @@
         )
 
 
-def make_config(services, routes, version=1):
+ENGINE = {
+    "slots": 96, "kv_capacity": 50000, "kv_token_bytes": 1836000,
+    "link_mbps": 400000.0, "stride": 3,
+    "models": [{"name": "daka510000", "pace": 1.0, "load_s": 14.0,
+                "warm_s": 1.0}],
+    "step_ms": 1.02, "per_seq_ms": 0.01428, "context_per_k": 0.01912,
+    "read_per_s": 105000.0, "pairs_per_m": 0.309, "chunk": 512,
+    "report_lag_ms": 200.0, "loads_at_once": 5,
+    "delays": [{"start_key": "a", "to": "b", "delay_ms": 0.75}],
+    "usual": {"prompt": 774, "answer": 200}, "layers": 80,
+    "layer_mb": 1750.0, "act_bytes": 91800, "pipe_mbps": 26000.0,
+    "kinds": [{"name": "a100", "mb": 72000.0, "pace": 2.4, "read_x": 3.2}],
+}
+
+
+def make_config(services, routes, version=1, engines=()):
     """Returns a configuration; `routes` are (name, kind, service, changes)."""
     return {
         "version": version,
@@ -388,7 +436,8 @@
             for name, kind, service, changes in routes
         ],
         "services": [
-            {"name": name, "health_path": "/healthz", "max_conns": 110}
+            {"name": name, "health_path": "/healthz", "max_conns": 110,
+             **({"engine": ENGINE} if name in engines else {})}
             for name in services
         ],
         "tenants": [{"name": TENANT, "api_keys": [KEY], "priority": 1}],
