--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -254,7 +254,7 @@
 
     def __init__(self, record, store, service, number, zone="a", slots=6,
                  queue=2, work_s=0.02, back_s=2.0, layers=None, events=0,
-                 gap_s=0.1):
+                 gap_s=0.1, crash_after=0):
         self._record, self._store = record, store
         self.service, self.number, self.zone = service, number, zone
         self.slots, self.queue, self.work_s = slots, queue, work_s
@@ -263,6 +263,8 @@
         self.layers = layers
         # Events of a stream, and the time between them.
         self.events, self.gap_s = events, gap_s
+        # Events of a poison stream before the crash.
+        self.crash_after = crash_after
         self._server = None
         self._writers = set()
         self._free = None
@@ -349,8 +351,11 @@
             self._writers.discard(writer)
             writer.close()
 
-    async def _stream(self, headers, writer):
-        """Sends the events after Last-Event-Id, each as one chunk."""
+    async def _stream(self, headers, writer, crash_after=None):
+        """Sends the events after Last-Event-Id, each as one chunk.
+
+        With `crash_after`, the runner crashes after that many events.
+        """
         attempt = headers["attempt-id"]
         first = int(headers.get("last-event-id", "0")) + 1
         writer.write((
@@ -363,6 +368,10 @@
             event = f"id: {number}\ndata: {self.id}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
+            if crash_after is not None and number - first + 1 >= crash_after:
+                await asyncio.sleep(self.gap_s / 2)
+                self._spawn(self._crash())
+                return None
         return b"0\r\n\r\n"
 
     async def _handle(self, start_line, headers, body, writer):
@@ -393,6 +402,9 @@
                 last_event_id=headers.get("last-event-id", "none"),
             )
             if target.endswith("poison"):
+                if self.crash_after:
+                    return await self._stream(headers, writer,
+                                              self.crash_after)
                 self._spawn(self._crash())
                 return None
             await asyncio.sleep(self.work_s)
