--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import pathlib
@@ -25,6 +26,10 @@
 KEY = "n2ctnfzs989anu6wsjnb"
 TENANT = "hule930"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# From linux/prctl.h.
+PR_SET_PDEATHSIG = 1
+
+_libc = ctypes.CDLL(None)
 
 SETTINGS = """\
 node_name={name}
@@ -514,6 +519,7 @@
             self._process = subprocess.Popen(
                 ["python3", "deploy/launch.py"], cwd=ROOT, env=environment,
                 stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                preexec_fn=_end_with_parent,
             )
         self.disturbed_s = self._record.now_s()
         self._record.add("entry_started", name=self.name)
@@ -568,6 +574,11 @@
             self._process.wait()
 
 
+def _end_with_parent():
+    """Lets an entry end if the script that started it is killed."""
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Caller:
     """Sends requests on new channels and records their answers."""
 
