Review: the stand-ins are a file beside the cases

review/lib was taken for a sixth case; cases are review/1 to review/5. No check, bound or disruption changed.

--- a/review/lib/standins.py
+++ b/review/standins.py
@@ -19,7 +19,7 @@
 import tempfile
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 HOST = "ficu95.example"
@@ -522,7 +522,9 @@
                 preexec_fn=_end_with_parent,
             )
         self.disturbed_s = self._record.now_s()
-        self._record.add("entry_started", name=self.name)
+        self._record.add(
+            "entry_started", name=self.name, pid=self._process.pid
+        )
 
     def send(self, number):
         self._process.send_signal(number)
