A stream that its caller resumes at a plain service goes on after the last event

Cause: the caller's Last-Event-Id is decoded and removed from the headers that are passed on. plain_requests sent an empty id in its place; generations sends the right one. The record of the case shows the id at the entry and none at the upstream, with status 200 and no retry.

Change: plain_requests sends the caller's id in each attempt. Nothing reaches the caller before an answer has arrived as a whole, so that the id is the same in all attempts.

--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -248,7 +248,15 @@
     ) -> str | None:
         forwarding, request = self._forwarding, self._request
         target = messages.AttemptTarget(upstream)
-        forwarding.send(connection, request, target, "", self._send_count > 0)
+        # Nothing has been sent to the caller: each attempt resumes its stream
+        # after the same event.
+        forwarding.send(
+            connection,
+            request,
+            target,
+            request.last_event_id,
+            self._send_count > 0,
+        )
         self._send_count += 1
         self._has_retry = False
         self._run_count += 1
--- a/src/fuchsiabarrow/forwarding/tests/test_plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_plain_requests.py
@@ -11,6 +11,7 @@
 
 ONCE = documents.RequestKind.ONCE
 IDEMPOTENT = documents.RequestKind.IDEMPOTENT
+STREAM = documents.RequestKind.STREAM
 NEAR = fleets.make_instance(
     "near", "a", "", service=fakes.PLAIN_SERVICE, address="10.0.0.1:80"
 )
@@ -69,6 +70,41 @@
     assert writer.body == b"far"
 
 
+# The upstream began with the first event again, so that callers of streams
+# whose route had moved to a plain service received events twice.
+@pytest.mark.parametrize(
+    ("service", "generation"),
+    [
+        (fakes.PLAIN_SERVICE, messages.GenerationParameters(800, 200)),
+        (fakes.PLAIN_SERVICE, None),
+        (fleets.SERVICE, None),
+    ],
+)
+@pytest.mark.parametrize(
+    "near_script", [fakes.Unreachable, [fakes.ConnectionLost]]
+)
+def test_upstream_is_told_the_event_after_which_a_stream_resumes(
+    service, generation, near_script
+):
+    async def run():
+        near, far = (
+            dataclasses.replace(instance, service=service)
+            for instance in (NEAR, FAR)
+        )
+        harness = fakes.Harness(near, far)
+        harness.script(near.address, near_script)
+        harness.script(far.address, fakes.answer())
+        route = fakes.make_route(STREAM, service, is_resumable=True)
+        await harness.serve(
+            fakes.make_request(route, last_event_id="34", generation=generation)
+        )
+        return harness.pool.sent
+
+    sent = virtual_time.run(run())
+    assert sent[-1][0] == FAR.address
+    assert {last_event_id for *_, last_event_id in sent} == {"34"}
+
+
 def test_answer_to_another_request_is_not_forwarded():
     writer, _ = serve([fakes.answer(request_id="other")], IDEMPOTENT)
     assert writer.body == b"far"
