Scheduling: ranks of requests, and the decisions that follow from them

Change: make_catalog computes the ranks that each service may receive, from the routes that lead to it and the organisations that hold keys. The path search, the retry budget, the codec and the metrics accept these values; all defaults are the identity, and nothing in forwarding passes them yet, so that no decision changes.

The reserve of the retry budget is a part of what exceeds one retry, since an entry among 86 accumulates 1.8 and one among 400 exactly one. The memory left free is a part of what a request does not need itself, so that it fits beside 0.85 of the load whatever its size.

RankOrder and get_rank are in catalogs.documents, not in scheduling, as catalogs must not import scheduling and the order belongs to a version of the configuration.

Not measured: any effect under load.

--- a/src/fuchsiabarrow/catalogs/documents.py
+++ b/src/fuchsiabarrow/catalogs/documents.py
@@ -1,5 +1,7 @@
 """Configuration in force: routes, services, organisations and limits."""
 
+import bisect
+from collections.abc import Mapping
 import dataclasses
 import enum
 
@@ -8,10 +10,12 @@
 __all__ = [
     "Catalog",
     "Organisation",
+    "RankOrder",
     "RequestKind",
     "RequestLimits",
     "Route",
     "Service",
+    "get_rank",
     "make_catalog",
 ]
 
@@ -115,6 +119,41 @@
     idle_timeout_s: float = 15.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankOrder:
+    """The distinct ranks of the requests that a service may receive.
+
+    Attributes:
+        ranks: The ranks, the most urgent (lowest) one first.
+    """
+
+    ranks: tuple[int, ...] = ()
+
+    @property
+    def is_mixed(self) -> bool:
+        """Whether requests of different ranks share the service."""
+        return len(self.ranks) > 1
+
+    def get_position(self, rank: int) -> float:
+        """Returns 0.0 for the most urgent rank to 1.0 for the least urgent one.
+
+        The position is always 0.0 if the ranks are not mixed. A rank that is
+        not among them, as that of a request that arrived before the
+        configuration changed, has the position of the next less urgent one.
+
+        Args:
+            rank: Rank of a request.
+        """
+        if not self.is_mixed:
+            return 0.0
+        more_urgent = bisect.bisect_left(self.ranks, rank)
+        return min(1.0, more_urgent / (len(self.ranks) - 1))
+
+
+# Order of a service that no route leads to.
+NO_RANKS = RankOrder()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Catalog:
     """One version of the configuration, indexed for look-up.
@@ -126,6 +165,8 @@
         requires_keys: Whether routes that are not anonymous need an API key.
         routes_by_host: Routes of each host, longest path prefix first.
         organisations_by_key: Organisations by API key.
+        rank_orders: Ranks of the requests of each service that a route leads
+            to, by its name.
     """
 
     version: int
@@ -134,6 +175,7 @@
     requires_keys: bool
     routes_by_host: dict[str, tuple[Route, ...]]
     organisations_by_key: dict[str, Organisation]
+    rank_orders: dict[str, RankOrder]
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix that matches the path."""
@@ -146,6 +188,22 @@
         """Returns the organisation that holds a key, or None."""
         return self.organisations_by_key.get(key)
 
+    def get_rank_order(self, service: str) -> RankOrder:
+        """Returns the ranks of the requests that a service may receive."""
+        return self.rank_orders.get(service, NO_RANKS)
+
+
+def get_rank(route: Route, organisation: Organisation | None) -> int:
+    """Returns the rank of a request; 0 is the most urgent.
+
+    Args:
+        route: Route of the request.
+        organisation: Holder of its API key; None for anonymous requests.
+    """
+    if organisation is not None and organisation.priority is not None:
+        return organisation.priority
+    return route.priority
+
 
 def make_catalog(
     version: int,
@@ -158,18 +216,69 @@
     by_host: dict[str, list[Route]] = {}
     for route in routes:
         by_host.setdefault(route.host.lower(), []).append(route)
+    requires_keys = bool(organisations)
+    routes_by_host = {
+        host: tuple(sorted(group, key=lambda r: -len(r.path_prefix)))
+        for host, group in by_host.items()
+    }
+    organisations_by_key = {
+        key: organisation
+        for organisation in organisations
+        for key in organisation.keys
+    }
     return Catalog(
         version,
         {service.name: service for service in services},
         limits,
-        bool(organisations),
-        {
-            host: tuple(sorted(group, key=lambda r: -len(r.path_prefix)))
-            for host, group in by_host.items()
-        },
-        {
-            key: organisation
-            for organisation in organisations
-            for key in organisation.keys
-        },
+        requires_keys,
+        routes_by_host,
+        organisations_by_key,
+        _find_rank_orders(routes_by_host, requires_keys, organisations_by_key),
     )
+
+
+def _find_rank_orders(
+    routes_by_host: Mapping[str, tuple[Route, ...]],
+    requires_keys: bool,
+    organisations_by_key: Mapping[str, Organisation],
+) -> dict[str, RankOrder]:
+    """Returns the ranks of the requests of each service that a route leads to.
+
+    Args:
+        routes_by_host: Routes of each host, in the order of their look-up.
+        requires_keys: Whether routes that are not anonymous need an API key.
+        organisations_by_key: Organisations by API key. Those without a key
+            send no requests.
+    """
+    # One organisation for each distinct priority: there may be thousands of
+    # organisations and hundreds of routes.
+    holders = {o.priority: o for o in organisations_by_key.values()}
+    found: dict[str, set[int]] = {}
+    for routes in routes_by_host.values():
+        prefixes = set()
+        for route in routes:
+            # The first of several routes with the same prefix gets the
+            # requests.
+            if route.path_prefix in prefixes:
+                continue
+            prefixes.add(route.path_prefix)
+            if route.is_anonymous or not requires_keys:
+                ranks = {get_rank(route, None)}
+            else:
+                ranks = {get_rank(route, o) for o in holders.values()}
+            for service in _list_receiving_services(route):
+                found.setdefault(service, set()).update(ranks)
+    return {
+        service: RankOrder(tuple(sorted(ranks)))
+        for service, ranks in found.items()
+    }
+
+
+def _list_receiving_services(route: Route) -> list[str]:
+    """Returns the services to which requests of a route are sent.
+
+    The weight of a single service has no effect.
+    """
+    if len(route.services) == 1:
+        return [route.services[0][0]]
+    return [service for service, weight in route.services if weight > 0]
--- a/src/fuchsiabarrow/fleet/paths.py
+++ b/src/fuchsiabarrow/fleet/paths.py
@@ -108,9 +108,16 @@
     may_be_first: bool = True,
     sensitivity: float = 1.0,
     deviation: float = 0.0,
+    memory_fraction: float = 1.0,
 ) -> Candidate:
     """Estimates the cost and free memory of an instance for a request.
 
+    With a memory fraction below 1, a small request may use the instance up to
+    this fraction of its usable memory. The memory that is left free is smaller
+    for larger requests, so that the load beside which a request fits is reduced
+    by the same factor for all sizes, and an idle instance is never too full for
+    a request that would fit otherwise.
+
     Args:
         upstream: Instance that holds layers.
         model: Performance model of its engine.
@@ -122,6 +129,9 @@
             load is known exactly.
         deviation: By how much less context may be in use than `load` says, in
             tokens times layers.
+        memory_fraction: Fraction of the usable context memory that the request
+            may fill; less than 1 leaves memory free for more urgent ones. It
+            does not change the cost.
     """
     held = len(upstream.layers)
     capacity = model.count_context_tokens(upstream.kind, held) * held
@@ -144,10 +154,12 @@
     if usable:
         free_fraction = max(free / usable, MIN_FREE_FRACTION)
         total_ms *= free_fraction**-sensitivity
+    needed = size.context_tokens * held
+    left_free = (1.0 - memory_fraction) * max(0.0, usable - needed)
     return Candidate(
         upstream,
         total_ms / model.layers,
-        free + deviation,
+        free + deviation - left_free,
         may_be_first and load.path_starts < model.slots,
     )
 
--- a/src/fuchsiabarrow/fleet/tests/test_paths.py
+++ b/src/fuchsiabarrow/fleet/tests/test_paths.py
@@ -263,3 +263,63 @@
         ("first", 0, 40),
         ("last", 40, 80),
     ]
+
+
+WHOLE = fleets.make_instance("whole", "a", "fast", (0, 20))
+SMALL_MODEL = fleets.make_model(layers=20, layer_mb=200.0)
+USABLE = (
+    SMALL_MODEL.count_context_tokens("fast", 20) * 20 * paths.CONTEXT_FRACTION
+)
+
+
+def fits(size_fraction: float, load_fraction: float, memory_fraction: float):
+    """Returns whether a request fits on an instance beside other load.
+
+    Args:
+        size_fraction: Context of the request as a fraction of the memory.
+        load_fraction: Fraction of the memory that is in use.
+        memory_fraction: Fraction that the request may fill.
+    """
+    size = paths.RequestSize(0.0, size_fraction * USABLE / 20)
+    candidate = paths.make_candidate(
+        WHOLE,
+        SMALL_MODEL,
+        size,
+        loads.Load(1, 1, load_fraction * USABLE),
+        1.0,
+        memory_fraction=memory_fraction,
+    )
+    found = paths.choose_path([candidate], SMALL_MODEL, size, "a")
+    return found is not None
+
+
+def test_less_urgent_requests_leave_memory_for_urgent_ones():
+    # Guards against an instance that less urgent requests fill up, so that an
+    # urgent one has to wait for the end of their streams.
+    assert fits(0.01, 0.80, 0.85)
+    assert not fits(0.01, 0.88, 0.85)
+    assert fits(0.01, 0.88, 1.0)
+
+
+@pytest.mark.parametrize("size_fraction", [0.05, 0.3, 0.6, 0.9, 0.999])
+def test_large_less_urgent_requests_are_not_starved_by_the_memory_left_free(
+    size_fraction,
+):
+    # Guards against large requests that fit on no instance, not even an idle
+    # one, or only on an idle one while small ones of their rank fit everywhere.
+    room = 1.0 - size_fraction
+    assert fits(size_fraction, 0.0, 0.85)
+    assert fits(size_fraction, 0.84 * room, 0.85)
+    assert not fits(size_fraction, 0.86 * room, 0.85)
+
+
+@pytest.mark.parametrize("size_fraction", [0.05, 0.6, 1.2])
+def test_full_memory_fraction_changes_no_candidate(size_fraction):
+    # Guards against changed decisions where ranks are not mixed.
+    size = paths.RequestSize(10.0, size_fraction * USABLE / 20)
+    load = loads.Load(2, 1, 0.3 * USABLE, 50.0)
+    arguments = (WHOLE, SMALL_MODEL, size, load, 1.3, True, 0.7, 9.0)
+    before = paths.make_candidate(*arguments)
+    assert paths.make_candidate(*arguments, 1.0) == before
+    scaled = paths.make_candidate(*arguments, 0.85)
+    assert scaled.layer_cost_ms == before.layer_cost_ms
--- a/src/fuchsiabarrow/forwarding/messages.py
+++ b/src/fuchsiabarrow/forwarding/messages.py
@@ -65,6 +65,8 @@
         generation: Token counts; None if no language model is requested.
         catalog_version: Version of the configuration in which the route was
             looked up.
+        rank: Rank of the request when it arrived; 0 is the most urgent. A later
+            configuration does not change it.
     """
 
     request_id: str
@@ -79,6 +81,7 @@
     last_event_id: str = ""
     generation: GenerationParameters | None = None
     catalog_version: int = 0
+    rank: int = 0
 
     @property
     def answer_deadline_s(self) -> float:
@@ -94,10 +97,13 @@
         upstream: Upstream to which the request is sent.
         segments: Layer ranges and the instances that run them, in order; empty
             for services without a language model.
+        wire_priority: Priority by which the upstream is to admit the request, 0
+            to 9, 0 first; None to state none.
     """
 
     upstream: upstreams.Upstream
     segments: tuple[paths.PathSegment, ...] = ()
+    wire_priority: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/fuchsiabarrow/limits/budgets.py
+++ b/src/fuchsiabarrow/limits/budgets.py
@@ -57,6 +57,12 @@
     is unknown: entries that start together and assume too small a number would
     exceed the limit together.
 
+    Less urgent requests can be made to leave a reserve. It is a part of the
+    balance beyond one retry, since an entry among many accumulates less than
+    two: a balance that is not used otherwise always rises above the reserve, so
+    that any request gets a retry in time. A maximum balance of one retry has no
+    reserve.
+
     Args:
         ratio: Retries added to the budget by each admitted request.
         extra: Additional retries in a window, for all entries together.
@@ -107,10 +113,21 @@
         added = self._ratio * (1 - SAFETY_FRACTION)
         self._balance = min(self._get_max_balance(), self._balance + added)
 
-    def try_withdraw(self) -> bool:
-        """Takes one retry from the budget; returns False if it is empty."""
+    def try_withdraw(self, reserve: float = 0.0) -> bool:
+        """Takes one retry from the budget.
+
+        Args:
+            reserve: Part of the maximum balance beyond one retry that must
+                remain, from 0 to 1.
+
+        Returns:
+            Whether there was one; False if only the reserve is left.
+        """
         self._refill()
-        if self._balance < 1:
+        max_balance = self._get_max_balance()
+        # The minimum excludes that a rounding error makes a full balance
+        # insufficient.
+        if self._balance < min(max_balance, 1 + reserve * (max_balance - 1)):
             return False
         self._balance -= 1
         return True
--- a/src/fuchsiabarrow/limits/tests/test_budgets.py
+++ b/src/fuchsiabarrow/limits/tests/test_budgets.py
@@ -108,3 +108,58 @@
     late = make_budget(0.0)
     assert late.try_withdraw() and early.try_withdraw()
     assert not late.try_withdraw() and not early.try_withdraw()
+
+
+# Share of one entry: the deployments with 86 and 114 entries, the target size
+# (a maximum balance of exactly one retry), and a few entries.
+@pytest.mark.parametrize(
+    ("count", "extra"), [(86, 356.0), (114, 523.0), (400, 336.0), (9, 200.0)]
+)
+@pytest.mark.parametrize("reserve", [0.5, 1.0])
+def test_less_urgent_requests_alone_get_as_many_retries_over_time(
+    count, extra, reserve
+):
+    # Guards against a reserve that starves less urgent requests: one that is a
+    # part of the whole balance exceeds what an entry among many can accumulate.
+    now_s = 0.0
+    window_s = 10.0
+    plain, reserved = (
+        budgets.SharedRetryBudget(0.0, extra, window_s, lambda: now_s)
+        for _ in range(2)
+    )
+    counts = [0, 0]
+    for step in range(6000):
+        now_s = step / 100
+        for budget in (plain, reserved):
+            budget.set_entry_count(count)
+        counts[0] += plain.try_withdraw()
+        counts[1] += reserved.try_withdraw(reserve)
+    assert counts[1] >= 2
+    assert counts[0] - counts[1] <= 1 + reserve * extra / count / 2
+
+
+def test_less_urgent_requests_leave_retries_for_an_urgent_one():
+    # Guards against a burst of failures in which less urgent requests, which
+    # are more, spend all retries before the first urgent one fails.
+    now_s = 0.0
+    budget = budgets.SharedRetryBudget(0.2, 200.0, 10.0, lambda: now_s)
+    budget.set_entry_count(9)
+    for _ in range(60):
+        budget.deposit()
+    while budget.try_withdraw(reserve=0.5):
+        pass
+    assert [budget.try_withdraw() for _ in range(6)] == [True] * 4 + [False] * 2
+
+
+def test_urgent_and_less_urgent_retries_together_stay_within_the_budget():
+    # Guards against a reserve that adds to the budget: the limit of a window
+    # holds for all ranks together.
+    now_s = 0.0
+    source = random.Random(3)
+    budget = budgets.SharedRetryBudget(0.2, 356.0, 10.0, lambda: now_s)
+    budget.set_entry_count(86)
+    retries = 0
+    for step in range(1000):
+        now_s = step / 100
+        retries += budget.try_withdraw(source.choice((0.0, 0.25, 0.5)))
+    assert 0 < retries <= 356.0 / 86
--- a/src/fuchsiabarrow/platform/requests.py
+++ b/src/fuchsiabarrow/platform/requests.py
@@ -144,6 +144,7 @@
         last_event_id=headers.get(wire_names.LAST_EVENT_ID, ""),
         generation=_parse_generation(headers),
         catalog_version=version,
+        rank=documents.get_rank(route, organisation),
     )
 
 
--- a/src/fuchsiabarrow/platform/tests/test_upstream_codec.py
+++ b/src/fuchsiabarrow/platform/tests/test_upstream_codec.py
@@ -15,10 +15,12 @@
 OTHER = fleets.make_instance("i-2", address="10.0.0.2:80", layers=(40, 80))
 
 
-def encode(segments=(), last_event_id="", **changes) -> list[str]:
+def encode(
+    segments=(), last_event_id="", wire_priority=None, **changes
+) -> list[str]:
     async def run():
         request = fakes.make_request(fakes.make_route(), **changes)
-        target = messages.AttemptTarget(UPSTREAM, segments)
+        target = messages.AttemptTarget(UPSTREAM, segments, wire_priority)
         codec = upstream_codec.UpstreamCodec()
         return codec.encode_request(request, target, 1.5, last_event_id)
 
@@ -50,6 +52,15 @@
     assert "Hop-Count: 10.0.0.1:80=0-40,10.0.0.2:80=40-80" in encode(segments)
 
 
+def test_priority_is_sent_only_if_it_is_set():
+    # Guards against a header where ranks are not mixed: instances would admit
+    # the requests of this entry before those of entries that send none.
+    assert not any(line.startswith("Request-Priority") for line in encode())
+    # 0 is the most urgent, and not the same as none.
+    assert "Request-Priority: 0" in encode(wire_priority=0)
+    assert "Request-Priority: 9" in encode(wire_priority=9)
+
+
 def test_resumed_request_has_last_event_id():
     assert "Last-Event-Id: 12" in encode(last_event_id="12")
 
@@ -72,6 +83,7 @@
         "Tenant",
         "Expect-Instance",
         "Hop-Count",
+        "Request-Priority",
         "Deadline-Ms",
         "Content-Length",
         "X-Named",
--- a/src/fuchsiabarrow/platform/upstream_codec.py
+++ b/src/fuchsiabarrow/platform/upstream_codec.py
@@ -90,6 +90,8 @@
             )
         if last_event_id:
             lines.append(f"{wire_names.LAST_EVENT_ID}: {last_event_id}")
+        if target.wire_priority is not None:
+            lines.append(f"{wire_names.PRIORITY}: {target.wire_priority}")
         if target.segments:
             lines.append(f"{wire_names.PATH}: {format_path(target.segments)}")
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
--- a/src/fuchsiabarrow/platform/wire_names.py
+++ b/src/fuchsiabarrow/platform/wire_names.py
@@ -45,6 +45,8 @@
 # Despite its name not a count: addresses of the upstreams that the request
 # passes through in turn, each with its layers.
 PATH = "Hop-Count"
+# Order in which an upstream admits requests: 0 to 9, 0 first. It assumes 5 for
+# a request without it.
 PRIORITY = "Request-Priority"
 # Parts of the prompt in order, as comma-separated ID:TOKENS. The last one
 # belongs to the request itself or to its session.
--- /dev/null
+++ b/src/fuchsiabarrow/scheduling/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions on competing requests when capacity is short; without I/O."""
+
+__all__ = ["ranks"]
--- /dev/null
+++ b/src/fuchsiabarrow/scheduling/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions on competing requests."""
--- a/src/fuchsiabarrow/telemetry/metrics.py
+++ b/src/fuchsiabarrow/telemetry/metrics.py
@@ -11,6 +11,9 @@
     0.001, 0.002, 0.005, 0.01, 0.02, 0.029, 0.05, 0.1, 0.2, 0.4, 0.78, 1.5, 3,
     10,
 )  # fmt: skip
+# Largest rank with a label of its own; less urgent ranks share it, as operators
+# may assign any number of ranks.
+MAX_RANK_LABEL = 9
 
 
 class _MetricSet:
@@ -28,10 +31,13 @@
             f"fuchsiabarrow_{name}", description, labels, registry=self.registry
         )
 
-    def _make_histogram(self, name: str, description: str):
+    def _make_histogram(
+        self, name: str, description: str, labels: tuple[str, ...] = ()
+    ):
         return prometheus_client.Histogram(
             f"fuchsiabarrow_{name}",
             description,
+            labels,
             registry=self.registry,
             buckets=LATENCY_BUCKETS_S,
         )
@@ -49,9 +55,9 @@
 class ForwardingMetrics(_MetricSet):
     """Metrics of an entry that forwards whole requests to upstreams.
 
-    Labels are request kinds, outcomes, reasons and causes. Each has a small
-    fixed set of values, so that the number of time series does not grow with
-    routes, organisations or upstreams.
+    Labels are request kinds, outcomes, reasons, causes and ranks. Each has a
+    small fixed set of values, so that the number of time series does not grow
+    with routes, organisations or upstreams.
     """
 
     def __init__(self):
@@ -105,6 +111,17 @@
             "Time from the arrival of a request to the first event of its"
             " stream.",
         )
+        self.scheduling = self._make_counter(
+            "scheduling",
+            "Scheduling decisions by rank and outcome.",
+            ["rank", "outcome"],
+        )
+        self.first_event_by_rank_s = self._make_histogram(
+            "first_event_by_rank_seconds",
+            "Time from the arrival of a request to the first event of its"
+            " stream, by rank.",
+            ("rank",),
+        )
         self.event_gap_s = self._make_histogram(
             "event_gap_seconds",
             "Time between consecutive events of a stream.",
@@ -143,6 +160,26 @@
         )
         self.entries = self._make_gauge("entries", "Entries known to be alive.")
 
+    def count_scheduling(self, rank: int, outcome: str) -> None:
+        """Counts one scheduling decision.
+
+        Args:
+            rank: Rank of the request.
+            outcome: Outcome of the decision, one of a fixed set.
+        """
+        self.scheduling.labels(_format_rank(rank), outcome).inc()
+
+    def observe_first_event(self, rank: int, first_event_s: float) -> None:
+        """Records when the first event of a stream arrived, for its rank."""
+        self.first_event_by_rank_s.labels(_format_rank(rank)).observe(
+            first_event_s
+        )
+
+
+def _format_rank(rank: int) -> str:
+    """Returns the label of a rank, one of ten."""
+    return str(min(max(rank, 0), MAX_RANK_LABEL))
+
 
 class PipelineMetrics(_MetricSet):
     """Metrics of an entry that drives pipelines of engines step by step."""
