Forwarding: handlers take a context instead of the service

Cause: plain_requests, generations, stream_paths and part_checks called the service back that imports them, so that none could be read or changed alone.

Change: the service's state moves to ledgers (requests in progress, time limits, streams to notify, refusals), evidence (probes, silence, stalls, crashes) and retries (retry budgets). The frozen Context has these and what the handlers need beside them. HeldRetry replaces the same code in two handlers. The service connects the modules and chooses the service; it keeps its interface for entry/ and platform/, except that OTHER_ENTRY_RETRY_S is in ledgers. No change of behaviour.

Tests call record_stall, record_life, record_misdirected and start_probe of the evidence, and read MAX_PROBE_INTERVAL_S there; what they check is unchanged.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -13,7 +13,6 @@
 from collections.abc import Awaitable
 import dataclasses
 import enum
-from typing import TYPE_CHECKING
 
 import logbook
 
@@ -21,19 +20,19 @@
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet import paths
 from fuchsiabarrow.fleet import upstreams
+from fuchsiabarrow.forwarding import attempts
 from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import contexts
 from fuchsiabarrow.forwarding import events
 from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.forwarding import part_checks
+from fuchsiabarrow.forwarding import retries
 from fuchsiabarrow.forwarding import stream_monitors
 from fuchsiabarrow.forwarding import stream_paths
 from fuchsiabarrow.limits import crash_counts
 from fuchsiabarrow.limits import crashing_parts
 from fuchsiabarrow.telemetry import logs
 
-if TYPE_CHECKING:
-    from fuchsiabarrow.forwarding import service as service_module
-
 __all__ = ["GenerationHandler"]
 
 MS_PER_S = 1000.0
@@ -126,22 +125,22 @@
     """Serves one request to a language model.
 
     Args:
-        forwarding: Forwarding service that owns the handler.
+        context: What the handlers of all requests share.
         exchange: The request, its service and its response writer.
     """
 
     def __init__(
         self,
-        forwarding: "service_module.ForwardingService",
+        context: contexts.Context,
         exchange: messages.Exchange,
     ):
-        self._forwarding = forwarding
+        self._context = context
         self._request = exchange.request
         self._writer = exchange.writer
         self._service = exchange.service
         self._fingerprint = exchange.fingerprint
-        self._path = stream_paths.StreamPath(forwarding, exchange)
-        self._part_check = part_checks.PartCheck(forwarding, exchange.request)
+        self._path = stream_paths.StreamPath(context, exchange)
+        self._part_check = part_checks.PartCheck(context, exchange.request)
         # Whether this entry itself ended the connection of the attempt.
         self._was_disconnected = False
         # Prepared before the connection of the present attempt was ended.
@@ -150,7 +149,9 @@
         self._unanswered_addresses: set[str] = set()
         # Suspected instances of the path that the stream could not leave yet.
         self._suspects: dict[tuple[str, int], upstreams.Upstream] = {}
-        self._has_retry = False
+        self._retry = retries.HeldRetry(
+            context.retry_budgets, exchange.service.name
+        )
         # Instances that neither this nor another entry could connect to,
         # because of links between them.
         self._missing_ways = 0
@@ -184,25 +185,25 @@
         The time limit is that of the instances: a caller may take longer to
         read the rest of an answer that has arrived as a whole.
         """
-        request, forwarding = self._request, self._forwarding
-        forwarding.add_stream(self)
+        request, context = self._request, self._context
+        context.ledger.add_stream(self)
         try:
-            async with forwarding.limit_time(
+            async with context.ledger.limit_time(
                 request.answer_deadline_s, self._writer
             ):
                 with self._path, self._part_check:
                     refusal = await self._run()
         except TimeoutError:
-            refusal = forwarding.make_time_refusal(
+            refusal = context.ledger.make_time_refusal(
                 request,
                 self._run_count == 0,
                 f"last path {stream_paths.format_path(self._path.segments)}",
             )
         finally:
-            forwarding.remove_stream(self)
+            context.ledger.remove_stream(self)
             self._stop_monitoring()
             self._discard_next()
-            self._return_retry()
+            self._retry.put_back()
         if refusal is None:
             await self._finish()
         elif self._writer.is_started:
@@ -229,15 +230,15 @@
 
     def _record_abort(self, refusal: messages.Refusal) -> None:
         """Logs and counts an answer that has begun and cannot continue."""
-        request, forwarding = self._request, self._forwarding
+        request, context = self._request, self._context
         now_s = asyncio.get_running_loop().time()
-        forwarding.metrics.incomplete_answers.labels(refusal.reason.value).inc()
+        context.metrics.incomplete_answers.labels(refusal.reason.value).inc()
         self._log(
             "stream_aborted",
             reason=refusal.reason.value,
             why=refusal.detail,
             version=request.catalog_version,
-            current_version=forwarding.get_catalog_version(),
+            current_version=context.get_catalog().version,
             silent_s=round(now_s - self._last_event_s, 4),
             took_s=round(now_s - request.arrived_s, 4),
             limit_s=round(request.answer_deadline_s - request.arrived_s, 4),
@@ -247,7 +248,7 @@
 
     async def _run(self) -> messages.Refusal | None:
         """Tries paths; returns a refusal, or None if an answer has arrived."""
-        forwarding = self._forwarding
+        context = self._context
         while True:
             refusal = await self._check_parts()
             if refusal is not None:
@@ -256,7 +257,7 @@
             if segments is None or self._missing_ways >= MAX_MISSING_WAYS:
                 if not self._writer.is_started:
                     return self._make_path_refusal()
-                self._return_retry()
+                self._retry.put_back()
                 await asyncio.sleep(PATH_RETRY_S)
                 self._path.excluded.clear()
                 self._missing_ways = 0
@@ -266,7 +267,7 @@
                 return self._make_refusal(
                     messages.RefusalReason.UPSTREAM_FAILED, self._failure_detail
                 )
-            if not is_sent and self._send_count and not self._try_take_retry():
+            if not is_sent and self._send_count and not self._retry.try_take():
                 return self._make_refusal(
                     messages.RefusalReason.UPSTREAM_FAILED,
                     f"retry budget exhausted; {self._failure_detail}",
@@ -277,7 +278,7 @@
             self._path.release()
             has_progressed = self._event_count > events_before
             if has_progressed:
-                forwarding.clear_crashes(self._fingerprint)
+                context.evidence.clear_crashes(self._fingerprint)
             if result is _AttemptResult.DONE:
                 return None
             # A silent instance whose connection this entry ended itself may
@@ -289,11 +290,11 @@
             )
             if has_crashed and not has_progressed:
                 self._record_part_crash()
-                count = forwarding.count_crash(
+                count = context.evidence.count_crash(
                     self._fingerprint, self._path.segments[0].upstream
                 )
                 if count >= crash_counts.CRASH_LIMIT:
-                    return forwarding.make_crash_refusal(False)
+                    return context.ledger.make_crash_refusal(False)
             if (
                 result is _AttemptResult.LOST
                 and not self._request.route.may_repeat
@@ -317,9 +318,9 @@
         ):
             return None
         self._log("parts_blocked", verdict=judgement.verdict.name.lower())
-        return self._forwarding.make_crash_refusal(
+        return self._context.ledger.make_crash_refusal(
             self._run_count == 0,
-            judgement.remaining_s or self._forwarding.draw_retry_after_s(),
+            judgement.remaining_s or self._context.ledger.draw_retry_after_s(),
             "a part of the prompt has crashed upstreams",
         )
 
@@ -332,7 +333,7 @@
         if self._event_count:
             return
         first = self._path.segments[0].upstream
-        if not self._was_disconnected and self._forwarding.directory.is_avoided(
+        if not self._was_disconnected and self._context.directory.is_avoided(
             first
         ):
             self._part_check.record_crash(first)
@@ -348,21 +349,21 @@
         The first one has lost the answer. A later one that is only silent may
         be sound.
         """
-        forwarding = self._forwarding
+        context = self._context
         instances = [segment.upstream for segment in self._path.segments]
         answers = await asyncio.gather(
             *(
-                forwarding.check_alive(instance, instance is instances[0])
+                context.evidence.check_alive(instance, instance is instances[0])
                 for instance in instances
             )
         )
-        if forwarding.pool.is_isolated():
+        if context.pool.is_isolated():
             return False  # This entry cannot tell.
         return not answers[0] or any(
             not is_alive
             and (
-                not forwarding.is_silent(instance)
-                or forwarding.directory.is_replaced(instance)
+                not context.evidence.is_silent(instance)
+                or context.directory.is_replaced(instance)
             )
             for instance, is_alive in zip(
                 instances[1:], answers[1:], strict=True
@@ -390,7 +391,7 @@
         return messages.Refusal(
             reason,
             self._run_count == 0,
-            max(min_retry_s, self._forwarding.draw_retry_after_s()),
+            max(min_retry_s, self._context.ledger.draw_retry_after_s()),
             detail,
         )
 
@@ -444,31 +445,13 @@
         self, segments: tuple[paths.PathSegment, ...]
     ) -> list[upstreams.Upstream]:
         """Returns the instances of a path that are avoided."""
-        directory = self._forwarding.directory
+        directory = self._context.directory
         return [
             segment.upstream
             for segment in segments
             if directory.is_avoided(segment.upstream)
         ]
 
-    def _try_take_retry(self) -> bool:
-        """Takes a retry from the budget unless one was taken before."""
-        if not self._has_retry:
-            self._has_retry = self._forwarding.try_take_retry(
-                self._service.name
-            )
-        return self._has_retry
-
-    def _return_retry(self) -> None:
-        """Returns a retry that is not used soon.
-
-        Those of many streams, used together in a later window, would exceed
-        the limit of that window.
-        """
-        if self._has_retry:
-            self._has_retry = False
-            self._forwarding.return_retry(self._service.name)
-
     def _adopt_path(
         self,
         segments: tuple[paths.PathSegment, ...],
@@ -486,7 +469,7 @@
         self, segments: tuple[paths.PathSegment, ...]
     ) -> _AttemptResult:
         """Sends the request over a path and relays the response."""
-        forwarding, request = self._forwarding, self._request
+        context, request = self._context, self._request
         self._was_disconnected = False
         first = segments[0].upstream
         following, self._next = self._next, None
@@ -494,7 +477,7 @@
             connection = await self._open_connection(segments, following)
         except exceptions.UpstreamUnreachableError as error:
             self._log_not_sent(first, error)
-            forwarding.record_unreachable(first, error)
+            context.evidence.record_unreachable(first, error)
             self._path.excluded.add(first.key)
             self._missing_ways += isinstance(error, exceptions.NoHelperError)
             return _AttemptResult.NOT_RUN
@@ -503,8 +486,8 @@
             try:
                 if following is None:
                     sent = self._send(connection, segments)
-                    head_reader = self._forwarding.read_head(
-                        connection, request, first
+                    head_reader = attempts.read_head(
+                        self._context, connection, request, first
                     )
                 else:
                     sent, head_reader = following.sent, following.head_task
@@ -538,13 +521,13 @@
         Raises:
             UpstreamUnreachableError: It does not accept connections.
         """
-        forwarding, first = self._forwarding, segments[0].upstream
+        context, first = self._context, segments[0].upstream
         if following is not None:
             self._adopt_path(segments, following.reservation)
             return following.connection
         self._adopt_path(segments, self._path.hold(segments))
-        forwarding.upstream_limits.take(first.key)
-        return await forwarding.pool.open(
+        context.upstream_limits.take(first.key)
+        return await context.pool.open(
             first.address, self._request.route.may_repeat
         )
 
@@ -556,7 +539,7 @@
             "attempt_not_run",
             at_fault=first.instance_id,
             why=self._failure_detail,
-            list_age_s=round(self._forwarding.directory.get_age_s(), 3),
+            list_age_s=round(self._context.directory.get_age_s(), 3),
         )
 
     def _send(
@@ -569,8 +552,9 @@
         Raises:
             UpstreamUnreachableError: The connection was closed before.
         """
-        forwarding, first = self._forwarding, segments[0].upstream
-        forwarding.send(
+        context, first = self._context, segments[0].upstream
+        attempts.send(
+            context,
             connection,
             self._request,
             messages.AttemptTarget(first, segments),
@@ -578,8 +562,8 @@
             self._send_count > 0,
         )
         self._send_count += 1
-        self._has_retry = False
-        forwarding.metrics.domain_crossings.inc(
+        self._retry.use()
+        context.metrics.domain_crossings.inc(
             stream_paths.count_crossings(segments)
         )
         sent = _SentRequest(
@@ -608,7 +592,7 @@
         self, head: messages.ResponseHead, sent: _SentRequest
     ) -> _AttemptResult:
         """Excludes the instance that refused its segment of the path."""
-        directory = self._forwarding.directory
+        directory = self._context.directory
         first = sent.segments[0].upstream
         self._run_count -= 1
         if sent.is_first_send:
@@ -624,14 +608,16 @@
             first,
         )
         self._path.excluded.add(at_fault.key)
-        self._forwarding.record_pause(at_fault, head.pause_s)
+        self._context.evidence.record_pause(at_fault, head.pause_s)
         if head.status == HTTP_MISDIRECTED:
-            self._forwarding.record_misdirected(at_fault)
+            self._context.evidence.record_misdirected(at_fault)
         elif not directory.is_paused(at_fault):
             directory.record_full(at_fault)
             if at_fault is not first:
-                self._forwarding.pool.record_reported(at_fault.address)
-            self._forwarding.start_probe(at_fault, f"status {head.status}")
+                self._context.pool.record_reported(at_fault.address)
+            self._context.evidence.start_probe(
+                at_fault, f"status {head.status}"
+            )
         self._failure_detail = (
             f"not run: status {head.status} because of {at_fault.address}"
         )
@@ -648,7 +634,7 @@
         self, connection: connections.Connection, head: messages.ResponseHead
     ) -> _AttemptResult:
         """Forwards an upstream's error response, or has another path tried."""
-        self._forwarding.record_pause(
+        self._context.evidence.record_pause(
             self._path.segments[0].upstream, head.pause_s
         )
         body = await connection.read_body(MAX_ERROR_BYTES)
@@ -704,12 +690,12 @@
     # Detection of silent and slow streams.
 
     def _record_progress(self, now_s: float, count: int) -> None:
-        metrics = self._forwarding.metrics
+        metrics = self._context.metrics
         self._last_event_s = now_s
         instances = [segment.upstream for segment in self._path.segments]
         for upstream in self._suspects.values():
             if upstream in instances:
-                self._forwarding.record_life(upstream, instances[0])
+                self._context.evidence.record_life(upstream, instances[0])
         self._suspects.clear()
         if self._event_count == 0:
             self._path.finish_prefill()
@@ -726,7 +712,7 @@
     def _probe_slow_path(self) -> None:
         """Probes the instances of a slow stream to update their slowdowns."""
         for segment in self._path.segments:
-            self._forwarding.start_probe(segment.upstream, "slow")
+            self._context.evidence.start_probe(segment.upstream, "slow")
 
     def _start_silence_check(self, silent_s: float) -> None:
         if self._is_writing:
@@ -754,9 +740,9 @@
         All are probed at once: the first instance reports for which other one
         it waits, but only after a delay.
         """
-        forwarding = self._forwarding
+        context = self._context
         first = self._path.segments[0].upstream
-        if forwarding.directory.get(first.instance_id) is None:
+        if context.directory.get(first.instance_id) is None:
             # It has left or is dead; probes would tell nothing new.
             await self._try_move("the first instance is not listed", [first])
             return
@@ -764,8 +750,8 @@
         if self._connection is None:
             return
         for segment in self._path.segments[1:]:
-            forwarding.start_probe(segment.upstream, "silent")
-        report = await forwarding.get_fresh_report(first, "silent")
+            context.evidence.start_probe(segment.upstream, "silent")
+        report = await context.evidence.get_fresh_report(first, "silent")
         if report is None:
             return
         addresses = {address for _, address in report.stalled}
@@ -778,18 +764,18 @@
         if self._connection is None:
             return
         # The instance answers, though perhaps not on this connection.
-        if forwarding.pool.is_way_lost(self._connection):
+        if context.pool.is_way_lost(self._connection):
             if await self._try_move("the way to it is lost", [first]):
                 return
         for address in addresses:
-            upstream = forwarding.directory.find_by_address(address)
+            upstream = context.directory.find_by_address(address)
             if upstream is not None:
-                forwarding.record_stall(upstream, first)
+                context.evidence.record_stall(upstream, first)
         self._replace_unknown_instances(report.stalled)
 
     def _check_suspects(self) -> None:
         """Leaves instances that the stream could not leave before."""
-        directory = self._forwarding.directory
+        directory = self._context.directory
         first = self._path.segments[0].upstream
         if directory.is_replaced(first):
             self._disconnect("the first instance was replaced", [first])
@@ -814,9 +800,7 @@
             for request_id, address in stalled
             if request_id == self._request.request_id
             and address in self._unanswered_addresses - known
-            and (
-                upstream := self._forwarding.directory.find_by_address(address)
-            )
+            and (upstream := self._context.directory.find_by_address(address))
         ]
         is_changing = (
             self._path_change_task is not None
@@ -887,7 +871,7 @@
         ):
             return False
         segments = self._choose_path()
-        if segments is None or not self._try_take_retry():
+        if segments is None or not self._retry.try_take():
             return False
         next_attempt = await self._prepare_attempt(segments)
         if self._connection is not connection or self._next is not None:
@@ -901,9 +885,9 @@
             or not self._path.is_usable(segments)
             or not self._is_prompt_clear()
             # Another move may have failed and returned the retry.
-            or not self._try_take_retry()
+            or not self._retry.try_take()
         ):
-            self._return_retry()
+            self._retry.put_back()
             if next_attempt is not None:
                 next_attempt.discard()
             return False
@@ -915,7 +899,7 @@
         first = self._path.segments[0].upstream
         self._was_disconnected = self._disconnect(why, suspects)
         if self._event_count == 0 and self._was_disconnected:
-            self._forwarding.watch_left_instance(first, self._fingerprint)
+            self._context.evidence.watch_left_instance(first, self._fingerprint)
         return True
 
     async def _start_next(self, next_attempt: _NextAttempt) -> bool:
@@ -924,17 +908,17 @@
         Returns:
             Whether the present attempt is to be ended.
         """
-        forwarding, connection = self._forwarding, next_attempt.connection
+        context, connection = self._context, next_attempt.connection
         first = next_attempt.segments[0].upstream
         try:
             next_attempt.sent = self._send(connection, next_attempt.segments)
         except exceptions.UpstreamUnreachableError as error:
             self._log_not_sent(first, error)
-            self._return_retry()
+            self._retry.put_back()
             next_attempt.discard()
             return False
         next_attempt.head_task = asyncio.create_task(
-            forwarding.read_head(connection, self._request, first)
+            attempts.read_head(context, connection, self._request, first)
         )
         next_attempt.head_task.add_done_callback(_retrieve_exception)
         self._next = next_attempt
@@ -955,16 +939,16 @@
         self, segments: tuple[paths.PathSegment, ...]
     ) -> "_NextAttempt | None":
         """Reserves a path and connects to its first instance, if possible."""
-        forwarding, first = self._forwarding, segments[0].upstream
+        context, first = self._context, segments[0].upstream
         reservation = self._path.hold(segments)
-        forwarding.upstream_limits.take(first.key)
+        context.upstream_limits.take(first.key)
         connection = None
         try:
-            connection = await forwarding.pool.open(first.address, True)
+            connection = await context.pool.open(first.address, True)
         except exceptions.UpstreamUnreachableError as error:
             self._log_not_sent(first, error)
             self._path.excluded.add(first.key)
-            forwarding.record_unreachable(first, error)
+            context.evidence.record_unreachable(first, error)
             return None
         finally:
             if connection is None:
@@ -1024,7 +1008,7 @@
                 "no other path begins at the first instance", suspects
             )
             return False
-        outcome = await self._forwarding.control.change_path(
+        outcome = await self._context.control.change_path(
             segments[0].upstream,
             self._request.request_id,
             segments,
@@ -1037,7 +1021,7 @@
             is_accepted=outcome.is_accepted,
             detail=outcome.detail,
         )
-        self._forwarding.metrics.path_changes.labels(
+        self._context.metrics.path_changes.labels(
             "accepted" if outcome.is_accepted else "refused"
         ).inc()
         if self._connection is not connection:
@@ -1046,7 +1030,7 @@
             self._unanswered_addresses.update(
                 segment.upstream.address for segment in segments
             )
-            at_fault = self._forwarding.directory.find_by_address(
+            at_fault = self._context.directory.find_by_address(
                 outcome.unreachable_address
             )
             if at_fault is not None:
--- a/src/fuchsiabarrow/forwarding/part_checks.py
+++ b/src/fuchsiabarrow/forwarding/part_checks.py
@@ -1,15 +1,12 @@
 """Holds back requests with prompt parts that may crash upstreams."""
 
 import asyncio
-from typing import TYPE_CHECKING
 
 from fuchsiabarrow.fleet import upstreams
+from fuchsiabarrow.forwarding import contexts
 from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.limits import crashing_parts
 
-if TYPE_CHECKING:
-    from fuchsiabarrow.forwarding import service as service_module
-
 __all__ = ["PartCheck"]
 
 POLL_S = 0.05
@@ -23,17 +20,17 @@
     A context manager; leaving it ends a test that the request performs.
 
     Args:
-        forwarding: Forwarding service that serves the request.
+        context: What the handlers of all requests share.
         request: The request.
     """
 
     def __init__(
         self,
-        forwarding: "service_module.ForwardingService",
+        context: contexts.Context,
         request: messages.Request,
     ):
-        self._part_crashes = forwarding.part_crashes
-        self._directory = forwarding.directory
+        self._part_crashes = context.evidence.part_crashes
+        self._directory = context.directory
         organisation = request.organisation
         self._organisation = crashing_parts.compute_hash(
             organisation.name if organisation else ""
--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -4,21 +4,19 @@
 budget.
 """
 
-from typing import TYPE_CHECKING
-
 import logbook
 
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet import upstreams
+from fuchsiabarrow.forwarding import attempts
 from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import contexts
 from fuchsiabarrow.forwarding import messages
+from fuchsiabarrow.forwarding import retries
 from fuchsiabarrow.limits import crash_counts
 from fuchsiabarrow.telemetry import logs
 
-if TYPE_CHECKING:
-    from fuchsiabarrow.forwarding import service as service_module
-
 __all__ = ["PlainRequestHandler"]
 
 MAX_ANSWER_BYTES = 16 * 1_048_576
@@ -33,16 +31,16 @@
     """Serves one request to a service without a language model.
 
     Args:
-        forwarding: Forwarding service that owns the handler.
+        context: What the handlers of all requests share.
         exchange: The request, its service and its response writer.
     """
 
     def __init__(
         self,
-        forwarding: "service_module.ForwardingService",
+        context: contexts.Context,
         exchange: messages.Exchange,
     ):
-        self._forwarding = forwarding
+        self._context = context
         self._request = exchange.request
         self._writer = exchange.writer
         self._service = exchange.service
@@ -50,8 +48,9 @@
         self._tried: set[tuple[str, int]] = set()
         self._run_count = 0
         self._send_count = 0
-        # Whether a retry was taken that no send has used yet.
-        self._has_retry = False
+        self._retry = retries.HeldRetry(
+            context.retry_budgets, exchange.service.name
+        )
         # Last upstream that was tried, for the detail of a refusal.
         self._last_tried = "no upstream tried"
         self._lost_upstream: upstreams.Upstream | None = None
@@ -68,15 +67,14 @@
         request = self._request
         until_s = request.answer_deadline_s - REFUSAL_MARGIN_S
         try:
-            async with self._forwarding.limit_time(until_s, self._writer):
+            async with self._context.ledger.limit_time(until_s, self._writer):
                 refusal = await self._run()
         except TimeoutError:
-            refusal = self._forwarding.make_time_refusal(
+            refusal = self._context.ledger.make_time_refusal(
                 request, self._run_count == 0, self._last_tried
             )
         finally:
-            if self._has_retry:
-                self._forwarding.return_retry(self._service.name)
+            self._retry.put_back()
         if self._answer is not None:
             await self._writer.answer(*self._answer)
         else:
@@ -84,30 +82,30 @@
 
     async def _run(self) -> messages.Refusal | None:
         """Tries upstreams; returns a refusal, or None if one answered."""
-        forwarding, request = self._forwarding, self._request
+        context, request = self._context, self._request
         detail = "no upstream available"
         while True:
             upstream = self._choose_upstream()
             if upstream is None:
                 break
-            if self._send_count and not self._try_take_retry():
+            if self._send_count and not self._retry.try_take():
                 detail = "retry budget exhausted"
                 break
             self._tried.add(upstream.key)
-            forwarding.upstream_limits.take(upstream.key)
+            context.upstream_limits.take(upstream.key)
             load = {upstream.key: loads.Load(1, 1)}
-            with loads.Reservation(forwarding.load_table, load):
+            with loads.Reservation(context.load_table, load):
                 detail = await self._attempt(upstream)
             if detail is not None:
                 self._log_failure(upstream, detail)
             else:
                 return None
             if self._lost_upstream is not None and await self._has_crashed():
-                count = forwarding.count_crash(
+                count = context.evidence.count_crash(
                     self._fingerprint, self._lost_upstream
                 )
                 if count >= crash_counts.CRASH_LIMIT:
-                    return forwarding.make_crash_refusal(False)
+                    return context.ledger.make_crash_refusal(False)
             may_repeat = request.route.may_repeat or self._run_count == 0
             if not may_repeat or self._run_count >= request.route.max_attempts:
                 break
@@ -115,14 +113,14 @@
         reason = messages.RefusalReason.UPSTREAM_FAILED
         if is_not_run:
             reason = messages.RefusalReason.NO_UPSTREAM
-        retry_after_s = forwarding.draw_retry_after_s()
+        retry_after_s = context.ledger.draw_retry_after_s()
         limited = [u for u in self._find_usable() if not self._has_permit(u)]
         if limited and not self._tried:
             detail = "all upstreams are at the limits that they announced"
             retry_after_s = max(
                 retry_after_s,
                 min(
-                    forwarding.upstream_limits.get_wait_s(upstream.key)
+                    context.upstream_limits.get_wait_s(upstream.key)
                     for upstream in limited
                 ),
             )
@@ -136,7 +134,7 @@
         Returns:
             The time in seconds; 0 if an upstream is usable or none is paused.
         """
-        directory, name = self._forwarding.directory, self._service.name
+        directory, name = self._context.directory, self._service.name
         if directory.get_usable_upstreams(name):
             return 0.0
         return min(
@@ -148,14 +146,6 @@
             default=0.0,
         )
 
-    def _try_take_retry(self) -> bool:
-        """Takes a retry from the budget unless one was taken before."""
-        if not self._has_retry:
-            self._has_retry = self._forwarding.try_take_retry(
-                self._service.name
-            )
-        return self._has_retry
-
     def _log_failure(self, upstream: upstreams.Upstream, why: str) -> None:
         _log.info(
             logs.format_event(
@@ -164,7 +154,7 @@
                 instance=upstream.instance_id,
                 ran=self._run_count,
                 why=why,
-                list_age_s=round(self._forwarding.directory.get_age_s(), 3),
+                list_age_s=round(self._context.directory.get_age_s(), 3),
             )
         )
 
@@ -173,28 +163,26 @@
 
         It is avoided then. An entry that reaches no upstream cannot tell.
         """
-        forwarding, upstream = self._forwarding, self._lost_upstream
+        context, upstream = self._context, self._lost_upstream
         try:
-            connection = await forwarding.pool.open(upstream.address, False)
+            connection = await context.pool.open(upstream.address, False)
         except exceptions.UpstreamUnreachableError as error:
-            if forwarding.pool.is_isolated():
+            if context.pool.is_isolated():
                 return False
-            forwarding.record_unreachable(upstream, error)
+            context.evidence.record_unreachable(upstream, error)
             return True
         connection.close()
         return False
 
     def _has_permit(self, upstream: upstreams.Upstream) -> bool:
-        return self._forwarding.upstream_limits.has_permit(upstream.key)
+        return self._context.upstream_limits.has_permit(upstream.key)
 
     def _find_usable(self) -> list[upstreams.Upstream]:
         """Returns the upstreams that were not tried yet."""
-        forwarding = self._forwarding
+        context = self._context
         usable = [
             u
-            for u in forwarding.directory.get_usable_upstreams(
-                self._service.name
-            )
+            for u in context.directory.get_usable_upstreams(self._service.name)
             if u.key not in self._tried
         ]
         if not usable and not self._tried:
@@ -202,35 +190,35 @@
             # any that is not leaving may be tried.
             usable = [
                 u
-                for u in forwarding.directory.get_upstreams(self._service.name)
-                if not u.is_leaving and not forwarding.directory.is_paused(u)
+                for u in context.directory.get_upstreams(self._service.name)
+                if not u.is_leaving and not context.directory.is_paused(u)
             ]
         return usable
 
     def _choose_upstream(self) -> upstreams.Upstream | None:
         """Returns the least loaded of the usable upstreams with a permit."""
-        forwarding = self._forwarding
-        own_domain = forwarding.settings.failure_domain
+        context = self._context
+        own_domain = context.failure_domain
 
         def compute_cost(upstream: upstreams.Upstream) -> tuple:
-            requests = forwarding.load_table.get(upstream.key).requests
+            requests = context.load_table.get(upstream.key).requests
             is_remote = upstream.failure_domain != own_domain
             utilisation = requests / max(1, upstream.slots)
-            return (utilisation, is_remote, forwarding.random_source.random())
+            return (utilisation, is_remote, context.random_source.random())
 
         permitted = [u for u in self._find_usable() if self._has_permit(u)]
         return min(permitted, key=compute_cost, default=None)
 
     async def _attempt(self, upstream: upstreams.Upstream) -> str | None:
         """Sends the request once; returns the error, or None on success."""
-        forwarding, request = self._forwarding, self._request
+        context, request = self._context, self._request
         self._last_tried = f"last upstream tried: {upstream.instance_id}"
         self._lost_upstream = None
         may_reuse = request.route.may_repeat
         try:
-            connection = await forwarding.pool.open(upstream.address, may_reuse)
+            connection = await context.pool.open(upstream.address, may_reuse)
         except exceptions.UpstreamUnreachableError as error:
-            forwarding.record_unreachable(upstream, error)
+            context.evidence.record_unreachable(upstream, error)
             return str(error)
         async with connection:
             try:
@@ -238,7 +226,7 @@
             except exceptions.UpstreamUnreachableError as error:
                 return str(error)
             except exceptions.UpstreamResponseLostError as error:
-                forwarding.directory.record_unsuccessful_request(upstream)
+                context.directory.record_unsuccessful_request(upstream)
                 self._lost_upstream = upstream
                 return str(error)
 
@@ -247,11 +235,12 @@
         connection: connections.Connection,
         upstream: upstreams.Upstream,
     ) -> str | None:
-        forwarding, request = self._forwarding, self._request
+        context, request = self._context, self._request
         target = messages.AttemptTarget(upstream)
         # Nothing has been sent to the caller: each attempt resumes its stream
         # after the same event.
-        forwarding.send(
+        attempts.send(
+            context,
             connection,
             request,
             target,
@@ -259,10 +248,10 @@
             self._send_count > 0,
         )
         self._send_count += 1
-        self._has_retry = False
+        self._retry.use()
         self._run_count += 1
-        head = await forwarding.read_head(connection, request, upstream)
-        forwarding.record_pause(upstream, head.pause_s)
+        head = await attempts.read_head(context, connection, request, upstream)
+        context.evidence.record_pause(upstream, head.pause_s)
         body = await connection.read_body(MAX_ANSWER_BYTES)
         if head.is_not_run:
             self._run_count -= 1
@@ -271,13 +260,13 @@
                 f" status {head.status}"
             )
         if head.status < HTTP_SERVER_ERROR:
-            forwarding.directory.record_success(upstream)
-            forwarding.clear_crashes(self._fingerprint)
+            context.directory.record_success(upstream)
+            context.evidence.clear_crashes(self._fingerprint)
             if self._failed_upstream is not None:
                 # The failure is recorded against the upstream only once
                 # another one served the request: some requests fail
                 # everywhere.
-                forwarding.directory.record_unsuccessful_request(
+                context.directory.record_unsuccessful_request(
                     self._failed_upstream
                 )
         self._answer = (head, body)
--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import itertools
 import math
-from typing import TYPE_CHECKING
 
 from fuchsiabarrow.catalogs import documents
 from fuchsiabarrow.fleet import expected_loads
@@ -12,11 +11,9 @@
 from fuchsiabarrow.fleet import paths
 from fuchsiabarrow.fleet import shortages
 from fuchsiabarrow.fleet import upstreams
+from fuchsiabarrow.forwarding import contexts
 from fuchsiabarrow.forwarding import messages
 
-if TYPE_CHECKING:
-    from fuchsiabarrow.forwarding import service as service_module
-
 __all__ = ["StreamPath", "count_crossings", "format_path"]
 
 # Weight of the maximum answer length in the estimate of an answer's length: the
@@ -41,18 +38,18 @@
         excluded: Keys of instances that are not chosen for this request.
 
     Args:
-        forwarding: Forwarding service that serves the request.
+        context: What the handlers of all requests share.
         exchange: The request and its service.
     """
 
     def __init__(
         self,
-        forwarding: "service_module.ForwardingService",
+        context: contexts.Context,
         exchange: messages.Exchange,
     ):
         self.segments: tuple[paths.PathSegment, ...] = ()
         self.excluded: set[UpstreamKey] = set()
-        self._forwarding = forwarding
+        self._context = context
         self._service = exchange.service
         self._request = exchange.request
         self._size = _estimate_size(exchange.request, exchange.service)
@@ -102,8 +99,8 @@
             prefix: Segments that the path must begin with.
             max_requests: Maximum number of requests at the first instance.
         """
-        forwarding, model = self._forwarding, self._service.engine
-        directory, load_table = forwarding.directory, forwarding.load_table
+        context, model = self._context, self._service.engine
+        directory, load_table = context.directory, context.load_table
         first_instances = self._get_allowed_first_instances()
         candidates = self._make_candidates(
             [
@@ -116,7 +113,7 @@
             lambda upstream: (
                 (first_instances is None or upstream.key in first_instances)
                 and load_table.get(upstream.key).requests <= max_requests
-                and forwarding.upstream_limits.has_permit(upstream.key)
+                and context.upstream_limits.has_permit(upstream.key)
             ),
         )
         return path_selection.select_path(
@@ -128,9 +125,9 @@
             ],
             model,
             self._size,
-            forwarding.settings.failure_domain,
-            forwarding.estimate_unreported_requests(self._service.name),
-            forwarding.random_source,
+            context.failure_domain,
+            context.ledger.estimate_unreported_requests(self._service.name),
+            context.random_source,
             prefix,
         )
 
@@ -140,12 +137,12 @@
         may_be_first: Callable[[upstreams.Upstream], bool],
     ) -> list[paths.Candidate]:
         """Returns instances that hold layers with their expected load."""
-        forwarding, model = self._forwarding, self._service.engine
+        context, model = self._context, self._service.engine
         expected = expected_loads.estimate_loads(
             instances,
             model,
-            forwarding.load_table,
-            forwarding.estimate_unreported_requests(self._service.name),
+            context.load_table,
+            context.ledger.estimate_unreported_requests(self._service.name),
         )
         return [
             paths.make_candidate(
@@ -153,7 +150,7 @@
                 model,
                 self._size,
                 expected.loads[instance.key],
-                forwarding.directory.get_slowdown(instance),
+                context.directory.get_slowdown(instance),
                 may_be_first(instance),
                 expected.sensitivity,
                 expected.deviations.get(instance.key, 0.0),
@@ -163,7 +160,7 @@
 
     def is_usable(self, segments: tuple[paths.PathSegment, ...]) -> bool:
         """Returns whether the request may still be sent on a chosen path."""
-        directory = self._forwarding.directory
+        directory = self._context.directory
         for segment in segments:
             upstream = segment.upstream
             known = directory.get(upstream.instance_id)
@@ -187,7 +184,7 @@
     ) -> loads.Reservation:
         """Reserves capacity on a path beside that on the current one."""
         reservation = paths.reserve_path(
-            self._forwarding.load_table, list(segments), self._size
+            self._context.load_table, list(segments), self._size
         )
         reservation.__enter__()
         return reservation
@@ -216,7 +213,7 @@
         """Returns the expected time between two events on the current path."""
         model = self._service.engine
         return model.tokens_per_event * paths.compute_token_ms(
-            list(self.segments), model, self._forwarding.load_table
+            list(self.segments), model, self._context.load_table
         )
 
     def record_first_instance(self, upstream: upstreams.Upstream) -> bool:
@@ -239,7 +236,7 @@
         The route limits the number of instances to which a request is sent.
         Those that are no longer registered do not count.
         """
-        directory = self._forwarding.directory
+        directory = self._context.directory
         registered = {
             key
             for key, upstream in self._first_instances.items()
@@ -256,12 +253,12 @@
         Returns:
             The time in seconds; 0 if no usable instance is limited.
         """
-        forwarding = self._forwarding
-        limits = forwarding.upstream_limits
+        context = self._context
+        limits = context.upstream_limits
         return min(
             (
                 limits.get_wait_s(upstream.key)
-                for upstream in forwarding.directory.get_usable_upstreams(
+                for upstream in context.directory.get_usable_upstreams(
                     self._service.name
                 )
                 if limits.is_limited(upstream.key)
@@ -275,7 +272,7 @@
         Returns:
             The time in seconds; 0 if they are not what is missing for a path.
         """
-        directory = self._forwarding.directory
+        directory = self._context.directory
         waits_s = [math.inf] * self._service.engine.layers
         for upstream in directory.get_upstreams(self._service.name):
             if (
@@ -293,7 +290,7 @@
 
     def describe_missing_path(self) -> str:
         """Describes why no path was found."""
-        directory = self._forwarding.directory
+        directory = self._context.directory
         holder_counts = [0] * self._service.engine.layers
         usable = [
             upstream
@@ -313,7 +310,7 @@
             model.layers,
             self._size,
         )
-        limits = self._forwarding.upstream_limits
+        limits = self._context.upstream_limits
         limited = sum(not limits.has_permit(u.key) for u in usable)
         domains = {upstream.failure_domain for upstream in usable}
         complete = path_selection.find_complete_domains(usable, model)
--- a/src/fuchsiabarrow/forwarding/tests/test_generations.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_generations.py
@@ -6,8 +6,8 @@
 
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet.tests import fleets
+from fuchsiabarrow.forwarding import evidence
 from fuchsiabarrow.forwarding import messages
-from fuchsiabarrow.forwarding import service
 from fuchsiabarrow.forwarding.tests import fakes
 from fuchsiabarrow.utils.tests import virtual_time
 
@@ -494,7 +494,7 @@
     probe_times_s = [at_s for address, at_s in harness.control.probes]
     # Two upstreams, each probed once per maximum interval after some probes at
     # shorter intervals.
-    assert len(probe_times_s) <= 2 * (8.0 / service.MAX_PROBE_INTERVAL_S + 3)
+    assert len(probe_times_s) <= 2 * (8.0 / evidence.MAX_PROBE_INTERVAL_S + 3)
     assert not harness.directory.get_shared_failures()
 
 
--- a/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_silence_as_evidence.py
@@ -31,7 +31,7 @@
             ]
         )
         harness.script(path_instances.SPARE_FIRST.address, fakes.stream(1, 11))
-        harness.forwarding.record_misdirected(path_instances.FIRST)
+        harness.forwarding.evidence.record_misdirected(path_instances.FIRST)
         return await task, harness
 
     writer, harness = virtual_time.run(run())
@@ -168,7 +168,7 @@
     async def run():
         harness = fakes.Harness(path_instances.FIRST, path_instances.LAST)
         harness.control.silent.add(path_instances.LAST.address)
-        harness.forwarding.start_probe(path_instances.LAST, "slow")
+        harness.forwarding.evidence.start_probe(path_instances.LAST, "slow")
         await asyncio.sleep(10.0)
         harness.control.silent.clear()
         harness.script(
@@ -212,7 +212,7 @@
         )
         await asyncio.sleep(0.1)
         if cause == "misdirected":
-            harness.forwarding.record_misdirected(suspect)
+            harness.forwarding.evidence.record_misdirected(suspect)
         else:
             harness.forwarding.record_failure(suspect, "reported by entry-2")
         await task
@@ -285,7 +285,7 @@
     """Returns whether an instance is avoided after some evidence.
 
     Args:
-        act: Function of the forwarding service that records the evidence.
+        act: Records the evidence, with the `Evidence` of a forwarding service.
     """
 
     async def run():
@@ -294,7 +294,7 @@
             path_instances.SPARE_FIRST,
             path_instances.LAST,
         )
-        act(harness.forwarding)
+        act(harness.forwarding.evidence)
         return harness.directory.is_avoided(path_instances.LAST)
 
     return virtual_time.run(run())
@@ -305,17 +305,17 @@
     last, first = path_instances.LAST, path_instances.FIRST
     other = path_instances.SPARE_FIRST
 
-    def report(forwarding):
-        forwarding.record_stall(last, first)
-        forwarding.record_stall(last, other)
+    def report(evidence):
+        evidence.record_stall(last, first)
+        evidence.record_stall(last, other)
 
-    def go_on_at_one(forwarding):
-        report(forwarding)
-        forwarding.record_life(last, first)
+    def go_on_at_one(evidence):
+        report(evidence)
+        evidence.record_life(last, first)
 
-    def go_on_at_both(forwarding):
-        go_on_at_one(forwarding)
-        forwarding.record_life(last, other)
+    def go_on_at_both(evidence):
+        go_on_at_one(evidence)
+        evidence.record_life(last, other)
 
     assert judge_stalled(report)
     assert judge_stalled(go_on_at_one)
@@ -325,15 +325,15 @@
 def test_stalled_instance_with_other_evidence_stays_avoided():
     last, first = path_instances.LAST, path_instances.FIRST
 
-    def fail_before(forwarding):
-        forwarding.record_failure(last, "connect: refused")
-        forwarding.record_stall(last, first)
-        forwarding.record_life(last, first)
+    def fail_before(evidence):
+        evidence.record_failure(last, "connect: refused")
+        evidence.record_stall(last, first)
+        evidence.record_life(last, first)
 
-    def fail_afterwards(forwarding):
-        forwarding.record_stall(last, first)
-        forwarding.record_failure(last, "connect: refused")
-        forwarding.record_life(last, first)
+    def fail_afterwards(evidence):
+        evidence.record_stall(last, first)
+        evidence.record_failure(last, "connect: refused")
+        evidence.record_life(last, first)
 
     assert judge_stalled(fail_before)
     assert judge_stalled(fail_afterwards)
--- a/src/fuchsiabarrow/platform/frontend.py
+++ b/src/fuchsiabarrow/platform/frontend.py
@@ -12,6 +12,7 @@
 from fuchsiabarrow.catalogs import access
 from fuchsiabarrow.catalogs import documents
 from fuchsiabarrow.catalogs import service as catalog_service
+from fuchsiabarrow.forwarding import ledgers
 from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.forwarding import service as forwarding_service
 from fuchsiabarrow.platform import requests
@@ -283,7 +284,7 @@
 
     def _draw_stale_retry_s(self) -> float:
         if self._has_confirmed_peer():
-            return forwarding_service.OTHER_ENTRY_RETRY_S
+            return ledgers.OTHER_ENTRY_RETRY_S
         return self._source.uniform(*OUTAGE_RETRY_S)
 
     async def _refuse_stale(self, writer, age_s: float) -> None:
