Forwarding: generations is split by subject

Cause: generations.py had 1,070 lines: attempts, detection of silence, moves to another path and the sending itself used the same two dozen attributes.

Change: stream_states.StreamState holds what was sent and received for one request; path_moves.PathMover watches the stream and moves it, and is what the ledger notifies of suspected upstreams; generations keeps the sequence of attempts and the relay of one answer. All three have the statements of before in the same order. No change of behaviour. The events that StreamState logs (stream_aborted, attempt_lost, ...) have its module as logger.

Tests: test_endless_answers reads MAX_SENDS from stream_states; nothing else.

--- a/src/fuchsiabarrow/forwarding/tests/test_endless_answers.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_endless_answers.py
@@ -11,7 +11,7 @@
 from fuchsiabarrow.fleet.tests import fleets
 from fuchsiabarrow.forwarding import connections
 from fuchsiabarrow.forwarding import events
-from fuchsiabarrow.forwarding import generations
+from fuchsiabarrow.forwarding import stream_states
 from fuchsiabarrow.forwarding.tests import fakes
 from fuchsiabarrow.utils import loops
 from fuchsiabarrow.utils.tests import virtual_time
@@ -153,7 +153,7 @@
     writer = virtual_time.run(run())
     assert writer.is_aborted
     assert not writer.is_finished
-    assert read_bytes <= MAX_SENT_BYTES * generations.MAX_SENDS
+    assert read_bytes <= MAX_SENT_BYTES * stream_states.MAX_SENDS
 
 
 def test_events_in_single_bytes_are_parsed_in_linear_time():
