Log: late answers always, with rank, objectives, kinds, size and cause of the gap

On the deployments with competing ranks 674 of 5,300 streams were late, and the logs told neither which nor why: answered streams were sampled at 20 a second whether late or not, without the rank, the kinds of accelerators or the size, and the longest gap began anew with each attempt and path change.

`served` gains rank, objective_s, gap_objective_s, is_late, kinds, size_tokens and gap_cause; late answers are not sampled any more. StreamProgress keeps the first event, the longest gap (now from event to event, so that a move falls into it) and its cause. LoopLagMeter watches a timer of 50 ms while streams run. caller_left and connection_closed have the rank as well.

Tests of forwarding, commands and platform/tests/test_frontend.py: passed.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -27,6 +27,7 @@
 from fuchsiabarrow.forwarding import part_checks
 from fuchsiabarrow.forwarding import stream_monitors
 from fuchsiabarrow.forwarding import stream_paths
+from fuchsiabarrow.forwarding import stream_progress
 from fuchsiabarrow.limits import crash_counts
 from fuchsiabarrow.limits import crashing_parts
 from fuchsiabarrow.telemetry import logs
@@ -172,9 +173,9 @@
         self._failure: tuple[messages.ResponseHead, bytes] | None = None
         self._rest = b""
         self._is_writing = False
-        self._first_event_s: float | None = None
-        self._longest_gap_s = 0.0
-        self._last_event_s = exchange.request.arrived_s
+        self._progress = stream_progress.StreamProgress(
+            exchange.request.arrived_s, forwarding.loop_lags
+        )
 
     # Attempts until the final answer.
 
@@ -190,7 +191,7 @@
             async with forwarding.limit_time(
                 request.answer_deadline_s, self._writer
             ):
-                with self._path, self._part_check:
+                with self._path, self._part_check, forwarding.loop_lags:
                     refusal = await self._run()
         except TimeoutError:
             refusal = forwarding.make_time_refusal(
@@ -210,12 +211,21 @@
             self._writer.abort()
         else:
             await self._writer.refuse(refusal)
+        return self._summarise()
+
+    def _summarise(self) -> messages.StreamSummary:
+        progress, segments = self._progress, self._path.segments
+        generation = self._request.generation
+        first_event_s, cause = progress.first_event_s, progress.gap_cause
         return messages.StreamSummary(
-            stream_paths.format_path(self._path.segments),
-            stream_paths.count_crossings(self._path.segments),
+            stream_paths.format_path(segments),
+            stream_paths.format_kinds(segments),
+            stream_paths.count_crossings(segments),
             self._send_count,
-            self._first_event_s,
-            round(self._longest_gap_s, 4),
+            generation.prompt_tokens + generation.max_answer_tokens,
+            None if first_event_s is None else round(first_event_s, 4),
+            round(progress.longest_gap_s, 4),
+            cause.value if cause else "",
         )
 
     async def _finish(self) -> None:
@@ -238,7 +248,7 @@
             why=refusal.detail,
             version=request.catalog_version,
             current_version=forwarding.get_catalog_version(),
-            silent_s=round(now_s - self._last_event_s, 4),
+            silent_s=round(now_s - self._progress.last_event_s, 4),
             took_s=round(now_s - request.arrived_s, 4),
             limit_s=round(request.answer_deadline_s - request.arrived_s, 4),
             sends=self._send_count,
@@ -477,6 +487,7 @@
         """Makes a path with reserved capacity the current one."""
         self._suspects.clear()
         self._path.adopt(segments, reservation)
+        self._progress.record_move()
         event_ms = self._path.estimate_event_ms()
         self._monitor.set_expected_interval(event_ms / MS_PER_S)
 
@@ -686,6 +697,7 @@
                 self._is_writing = True
                 await self._writer.write(data)
                 self._is_writing = False
+                self._progress.record_written(loop.time())
                 self._monitor.reset_silence()
         if parser.remainder:
             raise exceptions.UpstreamResponseLostError(
@@ -705,7 +717,7 @@
 
     def _record_progress(self, now_s: float, count: int) -> None:
         metrics = self._forwarding.metrics
-        self._last_event_s = now_s
+        self._progress.record_events(now_s, self._path.get_slowdown)
         instances = [segment.upstream for segment in self._path.segments]
         for upstream in self._suspects.values():
             if upstream in instances:
@@ -714,13 +726,9 @@
         if self._event_count == 0:
             self._path.finish_prefill()
             self._part_check.record_begin()
-            first_event_s = now_s - self._request.arrived_s
-            self._first_event_s = round(first_event_s, 4)
-            metrics.first_event_s.observe(first_event_s)
+            metrics.first_event_s.observe(now_s - self._request.arrived_s)
         else:
-            gap_s = self._monitor.get_silence_s()
-            self._longest_gap_s = max(self._longest_gap_s, gap_s)
-            metrics.event_gap_s.observe(gap_s)
+            metrics.event_gap_s.observe(self._monitor.get_silence_s())
         self._monitor.record_events(count)
 
     def _probe_slow_path(self) -> None:
@@ -769,6 +777,8 @@
         if report is None:
             return
         addresses = {address for _, address in report.stalled}
+        if addresses:
+            self._progress.record_stall()
         self._log(
             "stream_silent",
             silent_s=round(silent_s, 3),
--- a/src/fuchsiabarrow/forwarding/messages.py
+++ b/src/fuchsiabarrow/forwarding/messages.py
@@ -80,6 +80,14 @@
     generation: GenerationParameters | None = None
     catalog_version: int = 0
 
+    @property
+    def rank(self) -> int:
+        """Priority of its organisation, else of its route; 0 is the highest."""
+        organisation = self.organisation
+        if organisation is not None and organisation.priority is not None:
+            return organisation.priority
+        return self.route.priority
+
     @property
     def answer_deadline_s(self) -> float:
         """Loop time by which the final answer must have been sent."""
@@ -149,18 +157,25 @@
 
     Attributes:
         path: Last path, formatted; empty if none was found.
+        kinds: Kinds of accelerators of its instances, in order, formatted.
         crossings: Hops of this path between failure domains.
         sends: Number of times that the request was sent.
+        size_tokens: Length of the prompt and maximum length of the answer.
         first_event_s: Time from the arrival of the request to its first event;
             None if there was none.
         longest_gap_s: Longest time between two events.
+        gap_cause: What is known of the cause of this gap; empty if there was
+            none.
     """
 
     path: str
+    kinds: str
     crossings: int
     sends: int
+    size_tokens: int
     first_event_s: float | None
     longest_gap_s: float
+    gap_cause: str
 
 
 class RefusalReason(enum.Enum):
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -32,6 +32,7 @@
 from fuchsiabarrow.ports import pipelines
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.telemetry import metrics as metrics_module
+from fuchsiabarrow.utils import loop_lags
 
 __all__ = ["ForwardingService", "Settings"]
 
@@ -99,6 +100,7 @@
         crash_counts: Number of upstreams that each request has crashed.
         part_crashes: Evidence for and against parts of prompts.
         upstream_limits: Rate limits that upstreams announced.
+        loop_lags: Tells when the event loop was late, while streams run.
 
     Args:
         directory: Registered upstreams and recent evidence of their failures.
@@ -145,6 +147,7 @@
         self._count_entries = count_entries
         self._get_report_delay_s = get_report_delay_s
         self._rate_meters: dict[str, request_rates.RateMeter] = {}
+        self.loop_lags = loop_lags.LoopLagMeter()
         self._started_s = asyncio.get_running_loop().time()
         self.crash_counts = crash_counts.CrashCounts(
             asyncio.get_running_loop().time
--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from fuchsiabarrow.forwarding import service as service_module
 
-__all__ = ["StreamPath", "count_crossings", "format_path"]
+__all__ = ["StreamPath", "count_crossings", "format_kinds", "format_path"]
 
 # Weight of the maximum answer length in the estimate of an answer's length: the
 # expected length is a median, so that half of the answers are longer and need
@@ -219,6 +219,14 @@
             list(self.segments), model, self._forwarding.load_table
         )
 
+    def get_slowdown(self) -> float:
+        """Returns the greatest slowdown on the current path."""
+        directory = self._forwarding.directory
+        return max(
+            (directory.get_slowdown(s.upstream) for s in self.segments),
+            default=1.0,
+        )
+
     def record_first_instance(self, upstream: upstreams.Upstream) -> bool:
         """Records that the request was sent to a first instance of a path.
 
@@ -353,6 +361,11 @@
     )
 
 
+def format_kinds(segments: tuple[paths.PathSegment, ...]) -> str:
+    """Formats the kinds of accelerators of a path for the log."""
+    return ",".join(segment.upstream.kind for segment in segments)
+
+
 def count_crossings(segments: tuple[paths.PathSegment, ...]) -> int:
     """Returns the number of hops of a path between failure domains."""
     domains = [segment.upstream.failure_domain for segment in segments]
--- a/src/fuchsiabarrow/platform/frontend.py
+++ b/src/fuchsiabarrow/platform/frontend.py
@@ -14,6 +14,7 @@
 from fuchsiabarrow.catalogs import service as catalog_service
 from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.forwarding import service as forwarding_service
+from fuchsiabarrow.forwarding import stream_progress
 from fuchsiabarrow.platform import requests
 from fuchsiabarrow.platform import response_writers
 from fuchsiabarrow.platform import wire_names
@@ -31,7 +32,8 @@
 MAX_PARSED_HEADER_BYTES = 65_536
 # Requests that arrive later than this after the shutdown began are refused.
 STOP_ACCEPT_S = 3.0
-# Successful responses logged per second; all other responses are logged.
+# Successful responses in time that are logged per second; all other responses
+# are logged.
 SERVED_LINES_PER_S = 20
 # Range of the retry delay if all entries are affected: outages of the store
 # last seconds.
@@ -221,11 +223,13 @@
         arrived_s: float,
         summary: messages.StreamSummary | None,
     ) -> None:
-        """Updates metrics; logs every response but 200, and a sample of 200."""
-        metrics = self._forwarding.metrics
-        metrics.requests.labels(request.route.kind.value, writer.outcome).inc()
-        metrics.answer_s.observe(response_writers.compute_elapsed_s(arrived_s))
-        is_ok = writer.outcome == "200"
+        """Updates metrics; logs late and failed responses, and some others."""
+        metrics, route = self._forwarding.metrics, request.route
+        took_s = response_writers.compute_elapsed_s(arrived_s)
+        metrics.requests.labels(route.kind.value, writer.outcome).inc()
+        metrics.answer_s.observe(took_s)
+        is_late = stream_progress.is_late(route, took_s, summary)
+        is_ok = writer.outcome == "200" and not is_late
         left_out = self._rate_limiter.try_acquire() if is_ok else 0
         if left_out is None:
             return
@@ -233,13 +237,17 @@
             logs.format_event(
                 "served",
                 request_id=request.request_id,
-                route=request.route.name,
+                route=route.name,
                 organisation=(
                     request.organisation.name if request.organisation else ""
                 ),
+                rank=request.rank,
                 version=request.catalog_version,
                 outcome=writer.outcome,
-                took_s=response_writers.compute_elapsed_s(arrived_s),
+                took_s=took_s,
+                objective_s=route.latency_objective_s,
+                gap_objective_s=route.event_gap_objective_s,
+                is_late=is_late,
                 left_out=left_out,
                 **(dataclasses.asdict(summary) if summary else {}),
             )
--- a/src/fuchsiabarrow/platform/response_writers.py
+++ b/src/fuchsiabarrow/platform/response_writers.py
@@ -210,6 +210,7 @@
                 request_id=self._request_id,
                 route=request.route.name if request else "",
                 organisation=organisation.name if organisation else "",
+                rank=request.rank if request else "",
                 version=request.catalog_version if request else "",
                 is_started=self.is_started,
                 after_s=compute_elapsed_s(arrived_s),
--- a/src/fuchsiabarrow/platform/tests/test_frontend.py
+++ b/src/fuchsiabarrow/platform/tests/test_frontend.py
@@ -12,6 +12,7 @@
 from fuchsiabarrow.platform.tests import entry_harness
 from fuchsiabarrow.platform.tests import fake_upstreams
 from fuchsiabarrow.platform.tests import sample_objects
+from fuchsiabarrow.telemetry import writers
 
 GENERATION = {wire_names.TOKEN_COUNTS: "800,60", wire_names.LENGTH_HINT: "60"}
 
@@ -363,6 +364,32 @@
     return metrics.incomplete_answers.labels(cause)._value.get()
 
 
+# Guards against late streams that the sampling of answers leaves out.
+@pytest.mark.parametrize(("gap_s", "is_late"), [(0.3, True), (0.01, False)])
+def test_late_answer_is_logged_whatever_was_logged_before(gap_s, is_late):
+    async def test(harness):
+        frontend = harness.entry.kernel.get("frontend")
+        frontend._rate_limiter = writers.RateLimiter(0)
+        harness.upstreams["left"].event_count = 3
+        harness.upstreams["left"].gap_s = gap_s
+        await harness.fetch("/draft/x", "POST", data=b"p", headers=GENERATION)
+
+    lines = run_logged(test)
+    if not is_late:
+        assert not any(line.startswith("event=served") for line in lines)
+        return
+    line = find_line(lines, "served")
+    for pair in (
+        "organisation=org rank=1 ",
+        "outcome=200 ",
+        "objective_s=0.5 gap_objective_s=0.2 is_late=True left_out=0 ",
+        "kinds=a100,a100 ",
+        "size_tokens=860 ",
+        "gap_cause=",
+    ):
+        assert pair in line
+
+
 # Guards against a request whose error is logged without its id.
 @pytest.mark.parametrize("is_started", [False, True])
 def test_error_that_nothing_handles_is_logged_with_its_request(is_started):
