--- a/src/fuchsiabarrow/commands/program.py
+++ b/src/fuchsiabarrow/commands/program.py
@@ -159,6 +159,28 @@
     print("\n".join(history))
 
 
+def report(*, log: list[str], csv: bool = False) -> None:
+    """Print which requests were late, refused or lost, and why.
+
+    Counts the arrivals in the logs of one or more entries by rank, by
+    organisation, by kind of the first instance and by second.
+
+    Args:
+        log: Log files. The word before the time on a line, if any, is taken as
+            the name of the entry, else the name of the file.
+        csv: Print all rows as comma-separated values.
+    """
+    from fuchsiabarrow.commands import explanations
+    from fuchsiabarrow.commands import late_reports
+
+    result = late_reports.make_report(explanations.read_files(log))
+    if not any(table.rows for table in result.tables):
+        print("no log line tells how a request ended; pass more log files")
+        sys.exit(EXIT_INVALID)
+    make_text = late_reports.format_csv if csv else late_reports.format_text
+    print(make_text(result), end="")
+
+
 def demo(*, hold: bool = False) -> None:
     """Run two entries on embedded stand-ins and check the guarantees.
 
@@ -236,6 +258,7 @@
     patch,
     status,
     explain,
+    report,
     demo,
     standin_objects,
     standin_instances,
