--- a/src/fuchsiabarrow/forwarding/contexts.py
+++ b/src/fuchsiabarrow/forwarding/contexts.py
@@ -15,6 +15,7 @@
 from fuchsiabarrow.limits import upstream_limits as upstream_limits_module
 from fuchsiabarrow.ports import pipelines
 from fuchsiabarrow.telemetry import metrics as metrics_module
+from fuchsiabarrow.utils import loop_lags as loop_lags_module
 
 __all__ = ["Context"]
 
@@ -39,6 +40,7 @@
         evidence: What is known against upstreams and requests.
         retry_budgets: Retry budgets of all services.
         upstream_limits: Rate limits that upstreams announced.
+        loop_lags: Tells when the event loop was late, while streams run.
         random_source: Random number generator.
         metrics: Metrics of the entry.
     """
@@ -54,5 +56,6 @@
     evidence: evidence_module.Evidence
     retry_budgets: retries.RetryBudgets
     upstream_limits: upstream_limits_module.UpstreamLimits
+    loop_lags: loop_lags_module.LoopLagMeter
     random_source: random.Random
     metrics: metrics_module.ForwardingMetrics
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -80,9 +80,6 @@
         # last events of a stream.
         self._failure: tuple[messages.ResponseHead, bytes] | None = None
         self._rest = b""
-        self._first_event_s: float | None = None
-        self._longest_gap_s = 0.0
-        self._last_event_s = exchange.request.arrived_s
 
     # Attempts until the final answer.
 
@@ -99,7 +96,7 @@
             async with context.ledger.limit_time(
                 request.answer_deadline_s, self._writer
             ):
-                with self._path, self._part_check:
+                with self._path, self._part_check, context.loop_lags:
                     refusal = await self._run()
         except TimeoutError:
             refusal = context.ledger.make_time_refusal(
@@ -119,12 +116,21 @@
             self._writer.abort()
         else:
             await self._writer.refuse(refusal)
+        return self._summarise()
+
+    def _summarise(self) -> messages.StreamSummary:
+        progress, segments = self._state.progress, self._path.segments
+        generation = self._request.generation
+        first_event_s, cause = progress.first_event_s, progress.gap_cause
         return messages.StreamSummary(
-            stream_paths.format_path(self._path.segments),
-            stream_paths.count_crossings(self._path.segments),
-            state.send_count,
-            self._first_event_s,
-            round(self._longest_gap_s, 4),
+            stream_paths.format_path(segments),
+            stream_paths.format_kinds(segments),
+            stream_paths.count_crossings(segments),
+            self._state.send_count,
+            generation.prompt_tokens + generation.max_answer_tokens,
+            None if first_event_s is None else round(first_event_s, 4),
+            round(progress.longest_gap_s, 4),
+            cause.value if cause else "",
         )
 
     async def _finish(self) -> None:
@@ -147,7 +153,7 @@
             why=refusal.detail,
             version=request.catalog_version,
             current_version=context.get_catalog().version,
-            silent_s=round(now_s - self._last_event_s, 4),
+            silent_s=round(now_s - self._state.progress.last_event_s, 4),
             took_s=round(now_s - request.arrived_s, 4),
             limit_s=round(request.answer_deadline_s - request.arrived_s, 4),
             sends=self._state.send_count,
@@ -439,6 +445,7 @@
                 state.is_writing = True
                 await self._writer.write(data)
                 state.is_writing = False
+                state.progress.record_written(loop.time())
                 self._mover.monitor.reset_silence()
         if parser.remainder:
             raise exceptions.UpstreamResponseLostError(
@@ -456,16 +463,12 @@
 
     def _record_progress(self, now_s: float, count: int) -> None:
         metrics = self._context.metrics
-        self._last_event_s = now_s
+        self._state.progress.record_events(now_s, self._path.get_slowdown)
         self._mover.record_life()
         if self._state.event_count == 0:
             self._path.finish_prefill()
             self._part_check.record_begin()
-            first_event_s = now_s - self._request.arrived_s
-            self._first_event_s = round(first_event_s, 4)
-            metrics.first_event_s.observe(first_event_s)
+            metrics.first_event_s.observe(now_s - self._request.arrived_s)
         else:
-            gap_s = self._mover.monitor.get_silence_s()
-            self._longest_gap_s = max(self._longest_gap_s, gap_s)
-            metrics.event_gap_s.observe(gap_s)
+            metrics.event_gap_s.observe(self._mover.monitor.get_silence_s())
         self._mover.monitor.record_events(count)
--- a/src/fuchsiabarrow/forwarding/messages.py
+++ b/src/fuchsiabarrow/forwarding/messages.py
@@ -65,8 +65,6 @@
         generation: Token counts; None if no language model is requested.
         catalog_version: Version of the configuration in which the route was
             looked up.
-        rank: Rank of the request when it arrived; 0 is the most urgent. A later
-            configuration does not change it.
     """
 
     request_id: str
@@ -81,7 +79,11 @@
     last_event_id: str = ""
     generation: GenerationParameters | None = None
     catalog_version: int = 0
-    rank: int = 0
+
+    @property
+    def rank(self) -> int:
+        """Priority of its organisation, else of its route; 0 is the highest."""
+        return documents.get_rank(self.route, self.organisation)
 
     @property
     def answer_deadline_s(self) -> float:
@@ -155,18 +157,25 @@
 
     Attributes:
         path: Last path, formatted; empty if none was found.
+        kinds: Kinds of accelerators of its instances, in order, formatted.
         crossings: Hops of this path between failure domains.
         sends: Number of times that the request was sent.
+        size_tokens: Length of the prompt and maximum length of the answer.
         first_event_s: Time from the arrival of the request to its first event;
             None if there was none.
         longest_gap_s: Longest time between two events.
+        gap_cause: What is known of the cause of this gap; empty if there was
+            none.
     """
 
     path: str
+    kinds: str
     crossings: int
     sends: int
+    size_tokens: int
     first_event_s: float | None
     longest_gap_s: float
+    gap_cause: str
 
 
 class RefusalReason(enum.Enum):
--- a/src/fuchsiabarrow/forwarding/path_moves.py
+++ b/src/fuchsiabarrow/forwarding/path_moves.py
@@ -74,6 +74,7 @@
         """Makes a path with reserved capacity the current one."""
         self._suspects.clear()
         self._path.adopt(segments, reservation)
+        self._state.progress.record_move()
         event_ms = self._path.estimate_event_ms()
         self.monitor.set_expected_interval(event_ms / MS_PER_S)
 
@@ -163,6 +164,8 @@
         if report is None:
             return
         addresses = {address for _, address in report.stalled}
+        if addresses:
+            state.progress.record_stall()
         state.log(
             "stream_silent",
             silent_s=round(silent_s, 3),
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -26,6 +26,7 @@
 from fuchsiabarrow.limits import upstream_limits
 from fuchsiabarrow.ports import pipelines
 from fuchsiabarrow.telemetry import metrics as metrics_module
+from fuchsiabarrow.utils import loop_lags
 
 __all__ = ["ForwardingService", "Settings"]
 
@@ -144,6 +145,7 @@
             self.evidence,
             self._retry_budgets,
             self.upstream_limits,
+            loop_lags.LoopLagMeter(),
             random_source,
             metrics,
         )
--- a/src/fuchsiabarrow/forwarding/stream_states.py
+++ b/src/fuchsiabarrow/forwarding/stream_states.py
@@ -19,6 +19,7 @@
 from fuchsiabarrow.forwarding import part_checks
 from fuchsiabarrow.forwarding import retries
 from fuchsiabarrow.forwarding import stream_paths
+from fuchsiabarrow.forwarding import stream_progress
 from fuchsiabarrow.telemetry import logs
 
 __all__ = ["NextAttempt", "SentRequest", "StreamState"]
@@ -89,6 +90,7 @@
         request: The request.
         path: Its current path and the capacity reserved there.
         part_check: Check of the parts of its prompt.
+        progress: Its first event and longest gap.
         retry: The retry that it has taken from the budget and not used yet.
         connection: Connection of the present attempt; None between attempts.
         was_disconnected: Whether this entry itself ended the connection of the
@@ -112,6 +114,9 @@
         self.request = exchange.request
         self.path = stream_paths.StreamPath(context, exchange)
         self.part_check = part_checks.PartCheck(context, exchange.request)
+        self.progress = stream_progress.StreamProgress(
+            exchange.request.arrived_s, context.loop_lags
+        )
         self.retry = retries.HeldRetry(
             context.retry_budgets, exchange.service.name
         )
