--- a/src/fuchsiabarrow/scheduling/ranks.py
+++ b/src/fuchsiabarrow/scheduling/ranks.py
@@ -25,8 +25,8 @@
 # leave: four retries of nine with nine entries.
 MAX_RETRY_RESERVE = 0.5
 # By how much later than the most urgent requests the least urgent ones return,
-# as a fraction. Callers honour a time only up to a third of what they have left,
-# so that a much longer one has no further effect.
+# as a fraction. Callers honour a time only up to a third of what they have
+# left, so that a much longer one has no further effect.
 MAX_RETRY_DELAY = 0.5
 
 
