Shares: fair shares between organisations over all entries

Cause: each entry grants memory by its own callers only, so that a few organisations that send most of the traffic take the capacity of a service.

Load reports have a new last field, `shares`, with at most 32 rows and a sum of the rest by service. LoadReports takes an optional ShareTable; without one nothing is sent or read, as today.

--- a/benchmarks/router_costs.py
+++ b/benchmarks/router_costs.py
@@ -3,6 +3,7 @@
 Usage: python benchmarks/router_costs.py
 """
 
+import dataclasses
 import random
 import time
 
@@ -16,6 +17,7 @@
 from fuchsiabarrow.placement.tests import test_plans
 from fuchsiabarrow.platform import wire
 from fuchsiabarrow.platform.tests import sample_objects
+from fuchsiabarrow.scheduling import shares
 
 ROUNDS = 30
 US_PER_S = 1e6
@@ -150,6 +152,68 @@
     )
 
 
+def print_share_cost(organisation_count: int, service_count: int) -> None:
+    """Prints the cost of shares in the report of 44 entries, and of decisions.
+
+    Args:
+        organisation_count: Organisations over all entries; each entry serves
+            up to 50 of them, the first ones most often.
+        service_count: Services that they use.
+    """
+    rng = random.Random(1)
+    tables = [shares.ShareTable(f"entry-{n}", 0.0) for n in range(44)]
+    for table in tables:
+        for _ in range(50):
+            organisation = int(organisation_count * rng.random() ** 3)
+            service = f"service-{organisation % service_count}"
+            name = f"organisation-{organisation}"
+            table.hold(service, name, rng.randint(200, 9000))
+            table.refuse(service, name, rng.randint(200, 9000), 99.0)
+    parts = [table.summarise(100.0) for table in tables]
+    total = shares.merge_uses(parts)
+    # Nothing else is in the reports, so that differences are not lost in noise.
+    report = dataclasses.replace(
+        make_report(44, 0, 0), contacts=(), summary=summaries.Summary(44)
+    )
+
+    def add_shares(uses) -> report_codec.Report:
+        return dataclasses.replace(
+            report, summary=summaries.Summary(44, shares=uses)
+        )
+
+    total_report = add_shares(total)
+    plain_data = report_codec.encode(report, 100.0)
+    data = report_codec.encode(total_report, 100.0)
+    own_data = report_codec.encode(add_shares(parts[0]), 100.0)
+    received = report_codec.decode(data, 100.0).summary.shares
+    tables[0].set_report(
+        "total", shares.subtract_uses(received, parts[0]), 100.0
+    )
+    encode_us = measure_us(
+        lambda: report_codec.encode(total_report, 100.0), 300
+    ) - measure_us(lambda: report_codec.encode(report, 100.0), 300)
+    decode_us = measure_us(
+        lambda: report_codec.decode(data, 100.0), 300
+    ) - measure_us(lambda: report_codec.decode(plain_data, 100.0), 300)
+    merge_us = measure_us(lambda: shares.merge_uses(parts))
+    subtract_us = measure_us(lambda: shares.subtract_uses(received, parts[0]))
+    summarise_us = measure_us(lambda: tables[0].summarise(100.0))
+    standing_us = measure_us(
+        lambda: tables[0].get_standing(
+            "service-0", "organisation-0", 100.0, 500.0
+        ),
+        1000,
+    )
+    print(
+        f"shares of {organisation_count} organisations in {service_count}"
+        f" services: {len(data) - len(plain_data)} bytes in a total,"
+        f" {len(own_data) - len(plain_data)} in the report of an entry;"
+        f" encode {encode_us:.0f} us, decode {decode_us:.0f} us, merge 44"
+        f" reports {merge_us:.0f} us, subtract {subtract_us:.0f} us, summarise"
+        f" {summarise_us:.0f} us, a standing {standing_us:.0f} us"
+    )
+
+
 def print_upstream_cost() -> None:
     """Prints the cost of decoding one upstream of the list."""
     stored = sample_objects.make_stored("i", sample_objects.make_server())
@@ -166,3 +230,5 @@
     for organisations in (10, 8_900):
         print_configuration_cost(organisations)
     print_upstream_cost()
+    for organisations, services in ((24, 1), (40, 1), (8_900, 1), (8_900, 12)):
+        print_share_cost(organisations, services)
--- a/src/fuchsiabarrow/conftest.py
+++ b/src/fuchsiabarrow/conftest.py
@@ -21,6 +21,8 @@
         "test_placement_duty",
         "test_relayed_copies",
         "test_shared_failures",
+        "test_share_reports",
+        "test_shares",
         "test_silent_upstreams",
         "test_store_followers",
     }
--- a/src/fuchsiabarrow/peers/load_report.capnp
+++ b/src/fuchsiabarrow/peers/load_report.capnp
@@ -112,4 +112,26 @@
   # Requests that made progress after such crashes, and the time since then.
   progressRequests @33 :List(UInt64);
   progressAgeMs @34 :List(UInt32);
+
+  # Use of services by organisation. Null if there is none.
+  shares @35 :Shares;
+}
+
+# Context tokens by service and organisation, which other entries need to find
+# the fair shares of organisations.
+struct Shares {
+  # Services: hash of the name, and the sums over the organisations without a
+  # row: their least number, tokens that are reserved by running streams, and
+  # tokens of requests that wait or were refused a short time ago.
+  services @0 :List(UInt64);
+  restCounts @1 :List(UInt32);
+  restUsed @2 :List(UInt32);
+  restWanted @3 :List(UInt32);
+
+  # Rows: position of the service in the list above, hash of the organisation's
+  # name, and its tokens as above.
+  rowServices @4 :List(UInt8);
+  organisations @5 :List(UInt64);
+  used @6 :List(UInt32);
+  wanted @7 :List(UInt32);
 }
--- a/src/fuchsiabarrow/peers/load_reports.py
+++ b/src/fuchsiabarrow/peers/load_reports.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Set
 import dataclasses
 import random
 
@@ -25,6 +26,7 @@
 from fuchsiabarrow.peers import aggregation
 from fuchsiabarrow.peers import report_codec
 from fuchsiabarrow.peers import summaries
+from fuchsiabarrow.scheduling import shares
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import addresses as addresses_module
 from fuchsiabarrow.utils import clocks
@@ -125,6 +127,9 @@
         get_helper: Returns how other entries reach upstreams through this
             one; None while it reaches none itself.
         may_lead: Returns whether this entry knows which upstreams are dead.
+        share_table: Use of services by organisation; this entry's part is
+            reported, and that of other entries is received. None to report
+            and read nothing.
     """
 
     def __init__(
@@ -140,10 +145,12 @@
         random_source: random.Random,
         get_helper: Callable[[], summaries.Helper | None] = lambda: None,
         may_lead: Callable[[], bool] = lambda: True,
+        share_table: shares.ShareTable | None = None,
     ):
         self.is_stopping = False
         self._get_helper = get_helper
         self._may_lead = may_lead
+        self._share_table = share_table
         self._directory = directory
         self._load_table = load_table
         self._crashes = crashes
@@ -178,6 +185,8 @@
         )
         # Summaries last applied to the load table, by source.
         self._applied: dict[str, summaries.Summary] = {}
+        # Sources whose reports are in the share table.
+        self._share_sources: set[str] = set()
         # Size of the last total over all entries that was sent or received.
         self._aggregate_bytes = 0
         # Seeds, and when a report was last sent to each while it was unknown.
@@ -501,6 +510,9 @@
             () if helper is None else (helper,),
             self._crashes.get_reported(report_codec.MAX_REQUEST_CRASHES_SENT),
             self._crashes.get_progress(report_codec.MAX_REQUEST_PROGRESS_SENT),
+            {}
+            if self._share_table is None
+            else self._share_table.summarise(now_s),
         )
 
     def _schedule_evidence(self) -> None:
@@ -679,10 +691,12 @@
         for reporter in [r for r in self._applied if r not in sources]:
             del self._applied[reporter]
             self._load_table.drop_report(reporter)
+        self._drop_shares(sources.keys())
         for reporter, summary in sources.items():
             if self._applied.get(reporter) is not summary:
                 self._applied[reporter] = summary
                 self._apply_summary(reporter, summary, now_s)
+                self._apply_shares(reporter, summary, now_s)
                 self._apply_request_crashes(reporter, summary, now_s)
                 self._part_crashes.merge_report(
                     summary.part_crashes, summary.part_begins
@@ -698,6 +712,27 @@
                 )
         self._apply_crash_numbers(sources.values(), now_s)
 
+    def _apply_shares(
+        self, reporter: str, summary: summaries.Summary, now_s: float
+    ) -> None:
+        if self._share_table is not None:
+            self._share_table.set_report(reporter, summary.shares, now_s)
+            self._share_sources.add(reporter)
+
+    def _drop_shares(self, sources: Set[str]) -> None:
+        """Removes the shares reported by former sources.
+
+        While no source is left, the last total over all entries is kept until
+        the share table finds it too old: that many entries do not end together,
+        so that the reports were lost.
+        """
+        if self._share_table is None:
+            return
+        for reporter in self._share_sources - sources:
+            if sources or reporter != aggregation.TOTAL_SOURCE:
+                self._share_table.drop_report(reporter)
+                self._share_sources.discard(reporter)
+
     def _apply_crash_numbers(
         self, sources: Iterable[summaries.Summary], now_s: float
     ) -> None:
--- a/src/fuchsiabarrow/peers/report_codec.py
+++ b/src/fuchsiabarrow/peers/report_codec.py
@@ -12,6 +12,7 @@
 from fuchsiabarrow.limits import crashing_parts
 from fuchsiabarrow.limits import upstream_limits
 from fuchsiabarrow.peers import summaries
+from fuchsiabarrow.scheduling import shares as shares_module
 
 __all__ = ["Contact", "Report", "Scope", "decode", "encode"]
 
@@ -131,6 +132,8 @@
     _encode_part_evidence(message, summary, now_s)
     _encode_request_evidence(message, summary, now_s)
     _encode_announcements(message, summary, now_s)
+    if summary.shares:
+        _encode_shares(message, summary)
     message.helpers = [
         {
             "address": helper.address,
@@ -210,6 +213,25 @@
     ]
 
 
+def _encode_shares(message, summary: summaries.Summary) -> None:
+    services = list(shares_module.select_largest(summary.shares).items())
+    rows = [
+        (index, organisation, row)
+        for index, (_, use) in enumerate(services)
+        for organisation, row in use.organisations.items()
+    ]
+    message.shares = {
+        "services": [service for service, _ in services],
+        "restCounts": [_clip(use.rest_count) for _, use in services],
+        "restUsed": [_clip(use.rest.used) for _, use in services],
+        "restWanted": [_clip(use.rest.wanted) for _, use in services],
+        "rowServices": [index for index, _, _ in rows],
+        "organisations": [organisation for _, organisation, _ in rows],
+        "used": [_clip(row.used) for _, _, row in rows],
+        "wanted": [_clip(row.wanted) for _, _, row in rows],
+    }
+
+
 def _clip(value: float) -> int:
     return min(MAX_UINT32, max(0, int(value)))
 
@@ -322,9 +344,44 @@
                 message.progressRequests, message.progressAgeMs, strict=True
             )
         },
+        _decode_shares(message.shares),
     )
 
 
+def _decode_shares(shares) -> dict[int, shares_module.ServiceUse]:
+    services = list(shares.services)
+    if not services:
+        return {}
+    organisations: list[dict[int, shares_module.Use]] = [{} for _ in services]
+    rows = zip(
+        list(shares.rowServices),
+        list(shares.organisations),
+        list(shares.used),
+        list(shares.wanted),
+        strict=True,
+    )
+    for index, organisation, used, wanted in rows:
+        if index >= len(services):
+            raise ValueError(
+                f"share row names service {index} of a shorter list"
+            )
+        organisations[index][organisation] = shares_module.Use(used, wanted)
+    rests = zip(
+        services,
+        organisations,
+        list(shares.restCounts),
+        list(shares.restUsed),
+        list(shares.restWanted),
+        strict=True,
+    )
+    return {
+        service: shares_module.ServiceUse(
+            by_organisation, shares_module.Use(used, wanted), count
+        )
+        for service, by_organisation, count, used, wanted in rests
+    }
+
+
 def _decode_announcements(
     message, now_s: float
 ) -> dict[int, upstream_limits.Announcement]:
--- a/src/fuchsiabarrow/peers/summaries.py
+++ b/src/fuchsiabarrow/peers/summaries.py
@@ -8,6 +8,7 @@
 from fuchsiabarrow.limits import crash_counts
 from fuchsiabarrow.limits import crashing_parts
 from fuchsiabarrow.limits import upstream_limits
+from fuchsiabarrow.scheduling import shares as shares_module
 
 __all__ = ["CopyHolder", "Helper", "Summary", "merge", "subtract"]
 
@@ -74,6 +75,7 @@
             loop times.
         request_progress: When requests made progress after such crashes, by
             the fingerprint of the request.
+        shares: Context tokens by organisation, by the hash of the service.
     """
 
     entry_count: int
@@ -99,6 +101,9 @@
     request_progress: Mapping[int, float] = dataclasses.field(
         default_factory=dict
     )
+    shares: Mapping[int, shares_module.ServiceUse] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def merge(summaries: Iterable[Summary]) -> Summary:
@@ -140,6 +145,7 @@
         _select_helpers(part.helpers for part in parts),
         crash_counts.merge_crashes(part.request_crashes for part in parts),
         progress,
+        shares_module.merge_uses(part.shares for part in parts),
     )
 
 
@@ -166,7 +172,7 @@
 
 
 def subtract(total: Summary, part: Summary) -> Summary:
-    """Returns an aggregate less the load and the crashes of one part of it."""
+    """Returns an aggregate less the sums that one part contributed."""
     remaining = dict(total.loads)
     for upstream_hash, load in part.loads.items():
         known = remaining.get(upstream_hash)
@@ -182,4 +188,9 @@
         for fingerprint, count in total.crashes.items()
         if (difference := count - part.crashes.get(fingerprint, 0)) > 0
     }
-    return dataclasses.replace(total, loads=remaining, crashes=crashes)
+    return dataclasses.replace(
+        total,
+        loads=remaining,
+        crashes=crashes,
+        shares=shares_module.subtract_uses(total.shares, part.shares),
+    )
--- /dev/null
+++ b/src/fuchsiabarrow/scheduling/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions on competing requests: ranks, shares and room. Free of I/O."""
+
+__all__ = ["shares"]
--- /dev/null
+++ b/src/fuchsiabarrow/scheduling/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the communication among entries."""
