Forwarding: streams of competing ranks start in order, within bounds

Where routes or organisations of unlike ranks share a service, the first path of a request is asked for through the scheduler: less urgent ranks and organisations above their share leave memory free, a request without a path waits at most a quarter of its objective or is refused with a Retry-After from the estimate, instances are told the rank, and less urgent requests leave a part of the retry budget. Paths that would exceed the gap objective at the present load and slowdown are avoided where another one exists. On all other services nothing changes.

--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -37,6 +37,7 @@
 from fuchsiabarrow.platform import upstream_control
 from fuchsiabarrow.platform import wire
 from fuchsiabarrow.platform import wire_names
+from fuchsiabarrow.scheduling import shares
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.telemetry import metrics as metrics_module
 from fuchsiabarrow.utils import clocks
@@ -314,6 +315,10 @@
                 metrics,
             ),
         )
+        share_table = shares.ShareTable(
+            settings.name, asyncio.get_running_loop().time()
+        )
+        await kernel.add("share_table", contextlib.nullcontext(share_table))
         control = upstream_control.UpstreamControl(connection_pool)
         await kernel.add("upstream_control", contextlib.nullcontext(control))
         await kernel.add(
@@ -330,6 +335,7 @@
                 forwarding_settings,
                 self._source,
                 metrics,
+                share_table,
             ),
         )
 
@@ -358,6 +364,7 @@
                 self._source,
                 self._make_helper,
                 lambda: not kernel.get("link_table").has_lasting_fault(),
+                kernel.get("share_table"),
             ),
         )
 
--- a/src/fuchsiabarrow/fleet/paths.py
+++ b/src/fuchsiabarrow/fleet/paths.py
@@ -403,8 +403,17 @@
     segments: list[PathSegment],
     model: engines.EnginePerformance,
     load_table: loads_module.LoadTable,
+    get_slowdown: Callable[[upstreams.Upstream], float] = lambda _: 1.0,
 ) -> float:
-    """Returns the expected time per token on a path under its current load."""
+    """Returns the expected time per token on a path under its current load.
+
+    Args:
+        segments: The path.
+        model: Performance model of the engine.
+        load_table: Load in flight at each upstream.
+        get_slowdown: Returns how many times slower than its kind an instance
+            runs.
+    """
     total_ms = 0.0
     for segment in segments:
         load = load_table.get(segment.upstream.key)
@@ -412,5 +421,6 @@
         step_ms = model.compute_step_ms(
             segment.upstream.kind, load.requests, load.context / held
         )
+        step_ms *= get_slowdown(segment.upstream)
         total_ms += step_ms * (segment.end - segment.first) / model.layers
     return total_ms + SAME_DOMAIN_DELAY_MS * len(segments)
--- a/src/fuchsiabarrow/forwarding/contexts.py
+++ b/src/fuchsiabarrow/forwarding/contexts.py
@@ -12,6 +12,7 @@
 from fuchsiabarrow.forwarding import ledgers
 from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.forwarding import retries
+from fuchsiabarrow.forwarding import schedulers
 from fuchsiabarrow.limits import upstream_limits as upstream_limits_module
 from fuchsiabarrow.ports import pipelines
 from fuchsiabarrow.telemetry import metrics as metrics_module
@@ -39,6 +40,7 @@
         ledger: Requests in progress and the refusals that follow from them.
         evidence: What is known against upstreams and requests.
         retry_budgets: Retry budgets of all services.
+        scheduler: Decides when streams of competing ranks start.
         upstream_limits: Rate limits that upstreams announced.
         loop_lags: Tells when the event loop was late, while streams run.
         random_source: Random number generator.
@@ -55,6 +57,7 @@
     ledger: ledgers.Ledger
     evidence: evidence_module.Evidence
     retry_budgets: retries.RetryBudgets
+    scheduler: schedulers.Scheduler
     upstream_limits: upstream_limits_module.UpstreamLimits
     loop_lags: loop_lags_module.LoopLagMeter
     random_source: random.Random
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -11,9 +11,11 @@
 
 import asyncio
 from collections.abc import Awaitable
+import dataclasses
 import enum
 
 from fuchsiabarrow import exceptions
+from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet import paths
 from fuchsiabarrow.forwarding import attempts
 from fuchsiabarrow.forwarding import connections
@@ -25,6 +27,8 @@
 from fuchsiabarrow.forwarding import stream_states
 from fuchsiabarrow.limits import crash_counts
 from fuchsiabarrow.limits import crashing_parts
+from fuchsiabarrow.scheduling import admission
+from fuchsiabarrow.scheduling import ranks
 
 __all__ = ["GenerationHandler"]
 
@@ -50,6 +54,14 @@
     LOST = enum.auto()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ReservedPath:
+    """A path with the capacity reserved on it."""
+
+    segments: tuple[paths.PathSegment, ...]
+    reservation: loads.Reservation
+
+
 class GenerationHandler:
     """Serves one request to a language model.
 
@@ -80,6 +92,10 @@
         # last events of a stream.
         self._failure: tuple[messages.ResponseHead, bytes] | None = None
         self._rest = b""
+        # Result of the wait for the first path, and since when the context is
+        # held; None where ranks do not compete.
+        self._turn: admission.Turn[_ReservedPath] | None = None
+        self._held_since_s: float | None = None
 
     # Attempts until the final answer.
 
@@ -109,6 +125,7 @@
             self._mover.stop()
             state.discard_following()
             state.retry.put_back()
+            self._release_claim()
         if refusal is None:
             await self._finish()
         elif self._writer.is_started:
@@ -167,7 +184,7 @@
             refusal = await self._check_parts()
             if refusal is not None:
                 return refusal
-            segments = state.get_following_path() or state.choose_path()
+            segments = await self._find_path()
             if segments is None or self._missing_ways >= MAX_MISSING_WAYS:
                 if not self._writer.is_started:
                     return self._make_path_refusal()
@@ -219,6 +236,55 @@
                     state.failure_detail,
                 )
 
+    async def _find_path(self) -> tuple[paths.PathSegment, ...] | None:
+        """Returns the path of the next attempt; None if there is none.
+
+        Where requests of unlike ranks compete, the first one may have to wait.
+        """
+        state = self._state
+        segments = state.get_following_path()
+        if segments is not None:
+            return segments
+        if state.claim is None or self._turn is not None:
+            return state.choose_path()
+        self._turn = await self._context.scheduler.wait_for_path(
+            state.claim,
+            self._request,
+            self._path.size_tokens,
+            self._reserve_path,
+            lambda found: found.reservation.__exit__(),
+        )
+        found = self._turn.path
+        if found is None:
+            return None
+        self._path.adopt(found.segments, found.reservation)
+        self._context.scheduler.hold(state.claim, self._path.size_tokens)
+        self._held_since_s = asyncio.get_running_loop().time()
+        return found.segments
+
+    def _reserve_path(self, memory_fraction: float) -> _ReservedPath | None:
+        """Reserves capacity on a path for the first attempt, if there is one.
+
+        Args:
+            memory_fraction: Fraction of the instances' context memory that the
+                request may fill.
+        """
+        segments = self._state.choose_steady_path(memory_fraction)
+        if segments is None:
+            return None
+        return _ReservedPath(segments, self._path.hold(segments))
+
+    def _release_claim(self) -> None:
+        """Tells the scheduler that the request has ended, if it had started."""
+        if self._held_since_s is not None:
+            now_s = asyncio.get_running_loop().time()
+            self._context.scheduler.release(
+                self._state.claim,
+                self._path.size_tokens,
+                now_s - self._held_since_s,
+            )
+            self._held_since_s = None
+
     async def _check_parts(self) -> messages.Refusal | None:
         """Waits while parts of the prompt are under suspicion.
 
@@ -294,12 +360,14 @@
             return self._make_refusal(
                 messages.RefusalReason.NO_UPSTREAM, self._state.failure_detail
             )
+        turn = self._turn
         return self._make_refusal(
             messages.RefusalReason.OVERLOADED,
             self._path.describe_missing_path(),
             max(
                 self._path.get_permit_wait_s(),
                 self._path.get_pause_wait_s(),
+                turn.decision.retry_after_s if turn else 0.0,
             ),
         )
 
@@ -309,10 +377,16 @@
         detail: str,
         min_retry_s: float = 0.0,
     ) -> messages.Refusal:
+        retry_after_s = self._context.ledger.draw_retry_after_s()
+        claim = self._state.claim
+        if claim is not None:
+            retry_after_s = ranks.scale_retry_after(
+                claim.position, retry_after_s
+            )
         return messages.Refusal(
             reason,
             self._state.run_count == 0,
-            max(min_retry_s, self._context.ledger.draw_retry_after_s()),
+            max(min_retry_s, retry_after_s),
             detail,
         )
 
@@ -468,7 +542,12 @@
         if self._state.event_count == 0:
             self._path.finish_prefill()
             self._part_check.record_begin()
-            metrics.first_event_s.observe(now_s - self._request.arrived_s)
+            first_event_s = now_s - self._request.arrived_s
+            metrics.first_event_s.observe(first_event_s)
+            if self._state.claim is not None:
+                self._context.scheduler.record_first_event(
+                    self._state.claim, first_event_s
+                )
         else:
             metrics.event_gap_s.observe(self._mover.monitor.get_silence_s())
         self._mover.monitor.record_events(count)
--- a/src/fuchsiabarrow/forwarding/retries.py
+++ b/src/fuchsiabarrow/forwarding/retries.py
@@ -45,9 +45,14 @@
         """Adds the share of a new request to the budget of its service."""
         self._get(service).deposit()
 
-    def try_take(self, service: str) -> bool:
-        """Takes one retry from the budget of a service, if one is left."""
-        return self._get(service).try_withdraw()
+    def try_take(self, service: str, reserve: float = 0.0) -> bool:
+        """Takes one retry from the budget of a service, if one is left.
+
+        Args:
+            service: Name of the service.
+            reserve: Part of the budget that must remain, from 0 to 1.
+        """
+        return self._get(service).try_withdraw(reserve)
 
     def put_back(self, service: str) -> None:
         """Returns a retry to the budget of a service, as it was not used."""
@@ -74,11 +79,15 @@
     Args:
         retry_budgets: The retry budgets of all services.
         service: Service of the request.
+        reserve: Part of the budget that the request must leave, from 0 to 1.
     """
 
-    def __init__(self, retry_budgets: RetryBudgets, service: str):
+    def __init__(
+        self, retry_budgets: RetryBudgets, service: str, reserve: float = 0.0
+    ):
         self._budgets = retry_budgets
         self._service = service
+        self._reserve = reserve
         self._is_held = False
 
     def try_take(self) -> bool:
@@ -88,7 +97,7 @@
             Whether one is held now.
         """
         if not self._is_held:
-            self._is_held = self._budgets.try_take(self._service)
+            self._is_held = self._budgets.try_take(self._service, self._reserve)
         return self._is_held
 
     def use(self) -> None:
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -22,9 +22,11 @@
 from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.forwarding import plain_requests
 from fuchsiabarrow.forwarding import retries
+from fuchsiabarrow.forwarding import schedulers
 from fuchsiabarrow.limits import crash_counts
 from fuchsiabarrow.limits import upstream_limits
 from fuchsiabarrow.ports import pipelines
+from fuchsiabarrow.scheduling import shares
 from fuchsiabarrow.telemetry import metrics as metrics_module
 from fuchsiabarrow.utils import loop_lags
 
@@ -86,6 +88,8 @@
         settings: Timeouts and retry limits.
         random_source: Random number generator.
         metrics: Metrics of the entry.
+        share_table: Use of services by organisation, at all entries; None if
+            nothing is known of other entries.
     """
 
     def __init__(
@@ -101,6 +105,7 @@
         settings: Settings,
         random_source: random.Random,
         metrics: metrics_module.ForwardingMetrics,
+        share_table: shares.ShareTable | None = None,
     ):
         self.directory = directory
         self.load_table = load_table
@@ -133,6 +138,15 @@
             settings.budget_window_s,
             count_entries,
         )
+        self._scheduler = schedulers.Scheduler(
+            directory,
+            load_table,
+            get_catalog,
+            share_table
+            or shares.ShareTable("", asyncio.get_running_loop().time()),
+            random_source,
+            metrics,
+        )
         self._context = contexts.Context(
             settings.failure_domain,
             directory,
@@ -144,6 +158,7 @@
             self._ledger,
             self.evidence,
             self._retry_budgets,
+            self._scheduler,
             self.upstream_limits,
             loop_lags.LoopLagMeter(),
             random_source,
@@ -155,6 +170,7 @@
         return self
 
     async def __aexit__(self, *details) -> None:
+        self._scheduler.__exit__(*details)
         await self.evidence.__aexit__(*details)
 
     @property
--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -24,6 +24,7 @@
 # Limits on the requests in progress at the first instance of a path that is to
 # share it with few of them, in the order in which they are tried.
 QUIET_REQUESTS = (0, 2, 8)
+MS_PER_S = 1000.0
 
 # Instance id and incarnation.
 UpstreamKey = tuple[str, int]
@@ -56,6 +57,11 @@
         self._reservation: loads.Reservation | None = None
         self._first_instances: dict[UpstreamKey, upstreams.Upstream] = {}
 
+    @property
+    def size_tokens(self) -> float:
+        """Expected context of the request."""
+        return self._size.context_tokens
+
     def __enter__(self) -> "StreamPath":
         return self
 
@@ -72,6 +78,7 @@
         self,
         prefix: tuple[paths.PathSegment, ...] = (),
         is_isolated: bool = False,
+        memory_fraction: float = 1.0,
     ) -> tuple[paths.PathSegment, ...] | None:
         """Returns the cheapest complete path, if any.
 
@@ -80,24 +87,30 @@
                 Other instances of both paths keep the memory of the request.
             is_isolated: Whether the path should begin at an instance with as
                 few requests in progress as possible.
+            memory_fraction: Fraction of the instances' context memory that the
+                request may fill.
         """
         for limit in QUIET_REQUESTS if is_isolated and not prefix else ():
-            segments = self._choose(prefix, limit)
+            segments = self._choose(prefix, limit, memory_fraction)
             if segments is not None:
                 return segments
         if prefix and self._reservation is not None:
             with self._reservation.suspend():
-                return self._choose(prefix, math.inf)
-        return self._choose(prefix, math.inf)
+                return self._choose(prefix, math.inf, memory_fraction)
+        return self._choose(prefix, math.inf, memory_fraction)
 
     def _choose(
-        self, prefix: tuple[paths.PathSegment, ...], max_requests: float
+        self,
+        prefix: tuple[paths.PathSegment, ...],
+        max_requests: float,
+        memory_fraction: float,
     ) -> tuple[paths.PathSegment, ...] | None:
         """Returns the cheapest path that begins at an instance with less load.
 
         Args:
             prefix: Segments that the path must begin with.
             max_requests: Maximum number of requests at the first instance.
+            memory_fraction: Fraction of the memory that it may fill.
         """
         context, model = self._context, self._service.engine
         directory, load_table = context.directory, context.load_table
@@ -115,6 +128,7 @@
                 and load_table.get(upstream.key).requests <= max_requests
                 and context.upstream_limits.has_permit(upstream.key)
             ),
+            memory_fraction,
         )
         return path_selection.select_path(
             [
@@ -135,6 +149,7 @@
         self,
         instances: list[upstreams.Upstream],
         may_be_first: Callable[[upstreams.Upstream], bool],
+        memory_fraction: float = 1.0,
     ) -> list[paths.Candidate]:
         """Returns instances that hold layers with their expected load."""
         context, model = self._context, self._service.engine
@@ -154,6 +169,7 @@
                 may_be_first(instance),
                 expected.sensitivity,
                 expected.deviations.get(instance.key, 0.0),
+                memory_fraction,
             )
             for instance in instances
         ]
@@ -216,6 +232,39 @@
             list(self.segments), model, self._context.load_table
         )
 
+    def estimate_event_gap_s(
+        self, segments: tuple[paths.PathSegment, ...]
+    ) -> float:
+        """Returns the expected time between two events on a path.
+
+        In contrast to `estimate_event_ms`, the slowdowns that the instances
+        report count.
+        """
+        model, directory = self._service.engine, self._context.directory
+        token_ms = paths.compute_token_ms(
+            list(segments),
+            model,
+            self._context.load_table,
+            directory.get_slowdown,
+        )
+        return model.tokens_per_event * token_ms / MS_PER_S
+
+    def find_slowest(
+        self, segments: tuple[paths.PathSegment, ...]
+    ) -> UpstreamKey:
+        """Returns the key of the instance that adds most to each token."""
+        model, context = self._service.engine, self._context
+        slowest = max(
+            segments,
+            key=lambda segment: paths.compute_token_ms(
+                [segment],
+                model,
+                context.load_table,
+                context.directory.get_slowdown,
+            ),
+        )
+        return slowest.upstream.key
+
     def get_slowdown(self) -> float:
         """Returns the greatest slowdown on the current path."""
         directory = self._context.directory
--- a/src/fuchsiabarrow/forwarding/stream_states.py
+++ b/src/fuchsiabarrow/forwarding/stream_states.py
@@ -20,6 +20,7 @@
 from fuchsiabarrow.forwarding import retries
 from fuchsiabarrow.forwarding import stream_paths
 from fuchsiabarrow.forwarding import stream_progress
+from fuchsiabarrow.scheduling import room
 from fuchsiabarrow.telemetry import logs
 
 __all__ = ["NextAttempt", "SentRequest", "StreamState"]
@@ -27,6 +28,9 @@
 # Maximum number of times that one request is sent, including sends that an
 # upstream refused.
 MAX_SENDS = 5
+# Maximum number of slow instances without which another path is searched for,
+# as each search looks at all instances.
+MAX_LEFT_OUT = 3
 HTTP_MISDIRECTED = 421
 
 _log = logbook.Logger(__name__)
@@ -91,6 +95,8 @@
         path: Its current path and the capacity reserved there.
         part_check: Check of the parts of its prompt.
         progress: Its first event and longest gap.
+        claim: Its claim to the capacity of the service; None if requests of
+            unlike ranks do not compete there.
         retry: The retry that it has taken from the budget and not used yet.
         connection: Connection of the present attempt; None between attempts.
         was_disconnected: Whether this entry itself ended the connection of the
@@ -117,8 +123,13 @@
         self.progress = stream_progress.StreamProgress(
             exchange.request.arrived_s, context.loop_lags
         )
+        self.claim = context.scheduler.make_claim(
+            exchange.request, exchange.service, self.path.size_tokens
+        )
         self.retry = retries.HeldRetry(
-            context.retry_budgets, exchange.service.name
+            context.retry_budgets,
+            exchange.service.name,
+            self.claim.retry_reserve if self.claim else 0.0,
         )
         self.connection: connections.Connection | None = None
         self.was_disconnected = False
@@ -145,14 +156,20 @@
         )
 
     def choose_path(
-        self, prefix: tuple[paths.PathSegment, ...] = ()
+        self,
+        prefix: tuple[paths.PathSegment, ...] = (),
+        memory_fraction: float = 1.0,
     ) -> tuple[paths.PathSegment, ...] | None:
         """Returns the cheapest complete path, if any.
 
         Args:
             prefix: Segments of the current path that the path must begin with.
+            memory_fraction: Fraction of the instances' context memory that the
+                request may fill.
         """
-        segments = self.path.choose(prefix, self.part_check.is_test)
+        segments = self.path.choose(
+            prefix, self.part_check.is_test, memory_fraction
+        )
         if segments is None:
             return None
         if not paths.is_complete_path(
@@ -162,6 +179,33 @@
             return None
         return segments
 
+    def choose_steady_path(
+        self, memory_fraction: float
+    ) -> tuple[paths.PathSegment, ...] | None:
+        """Returns the cheapest path that keeps the gaps of the route.
+
+        If none does, the cheapest one: a late answer is better than none.
+
+        Args:
+            memory_fraction: Fraction of the instances' context memory that the
+                request may fill.
+        """
+        path, gap_s = self.path, self.request.route.event_gap_objective_s
+        cheapest = segments = self.choose_path((), memory_fraction)
+        left_out = []
+        while segments is not None and not room.keeps_gaps(
+            path.estimate_event_gap_s(segments), gap_s
+        ):
+            slowest = path.find_slowest(segments)
+            if len(left_out) == MAX_LEFT_OUT or slowest in path.excluded:
+                segments = None
+                break
+            left_out.append(slowest)
+            path.excluded.add(slowest)
+            segments = self.choose_path((), memory_fraction)
+        path.excluded.difference_update(left_out)
+        return segments or cheapest
+
     def get_following_path(self) -> tuple[paths.PathSegment, ...] | None:
         """Returns the path of the next attempt, if it is still usable."""
         following = self.following
@@ -198,7 +242,11 @@
             context,
             connection,
             self.request,
-            messages.AttemptTarget(first, segments),
+            messages.AttemptTarget(
+                first,
+                segments,
+                self.claim.wire_priority if self.claim else None,
+            ),
             self.last_event_id,
             self.send_count > 0,
         )
--- a/src/fuchsiabarrow/scheduling/shares.py
+++ b/src/fuchsiabarrow/scheduling/shares.py
@@ -486,6 +486,13 @@
 
     # Decisions.
 
+    def get_others_wanted(self, service: str, now_s: float) -> float:
+        """Returns the context tokens wanted at other entries."""
+        others = self._get_others(now_s).get(hash_name(service), IDLE)
+        return others.rest.wanted + sum(
+            use.wanted for use in others.organisations.values()
+        )
+
     def get_standing(
         self,
         service: str,
