Forwarding: connection pools are a module of their own

Change: connection_pools.py opens connections, directly or through other entries, and keeps idle ones; connections.py has the protocol and one request on a connection. A Connection is given the function that takes its protocol back instead of the pool. No change of behaviour.

Tests: ConnectionPool and TUNNEL_DELAY_S are taken from the new module; entry_simulation replaces the pool there.

--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -18,7 +18,7 @@
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet import store_calls
 from fuchsiabarrow.fleet import watchers
-from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import connection_pools
 from fuchsiabarrow.forwarding import isolation
 from fuchsiabarrow.forwarding import links
 from fuchsiabarrow.forwarding import service as forwarding_service
@@ -307,7 +307,7 @@
         )
         connection_pool = await kernel.add(
             "connection_pool",
-            connections.ConnectionPool(
+            connection_pools.ConnectionPool(
                 forwarding_settings.connect_timeout_s,
                 link_table,
                 tunnel_client,
--- a/src/fuchsiabarrow/forwarding/contexts.py
+++ b/src/fuchsiabarrow/forwarding/contexts.py
@@ -7,7 +7,7 @@
 from fuchsiabarrow.catalogs import documents
 from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet import loads
-from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import connection_pools
 from fuchsiabarrow.forwarding import evidence as evidence_module
 from fuchsiabarrow.forwarding import ledgers
 from fuchsiabarrow.forwarding import messages
@@ -47,7 +47,7 @@
     directory: directory_module.Directory
     load_table: loads.LoadTable
     codec: messages.Codec
-    pool: connections.ConnectionPool
+    pool: connection_pools.ConnectionPool
     control: pipelines.EngineControl
     get_catalog: Callable[[], documents.Catalog | None]
     ledger: ledgers.Ledger
--- a/src/fuchsiabarrow/forwarding/evidence.py
+++ b/src/fuchsiabarrow/forwarding/evidence.py
@@ -14,7 +14,7 @@
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet import upstreams
-from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import connection_pools
 from fuchsiabarrow.limits import crash_counts
 from fuchsiabarrow.limits import crashing_parts
 from fuchsiabarrow.limits import left_instances
@@ -68,7 +68,7 @@
     def __init__(
         self,
         directory: directory_module.Directory,
-        pool: connections.ConnectionPool,
+        pool: connection_pools.ConnectionPool,
         control: pipelines.EngineControl,
         notify_streams: Callable[[upstreams.Upstream], None],
         random_source: random.Random,
--- a/src/fuchsiabarrow/forwarding/isolation.py
+++ b/src/fuchsiabarrow/forwarding/isolation.py
@@ -7,7 +7,7 @@
 
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.fleet import directory as directory_module
-from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import connection_pools
 from fuchsiabarrow.forwarding import links
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import jitter
@@ -41,7 +41,7 @@
         self,
         link_table: links.LinkTable,
         directory: directory_module.Directory,
-        pool: connections.ConnectionPool,
+        pool: connection_pools.ConnectionPool,
         random_source: random.Random,
     ):
         self._links = link_table
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -14,7 +14,7 @@
 from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet import upstreams
-from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import connection_pools
 from fuchsiabarrow.forwarding import contexts
 from fuchsiabarrow.forwarding import evidence as evidence_module
 from fuchsiabarrow.forwarding import generations
@@ -92,7 +92,7 @@
         directory: directory_module.Directory,
         load_table: loads.LoadTable,
         codec: messages.Codec,
-        pool: connections.ConnectionPool,
+        pool: connection_pools.ConnectionPool,
         control: pipelines.EngineControl,
         get_catalog: Callable[[], documents.Catalog | None],
         count_entries: Callable[[], int | None],
--- a/src/fuchsiabarrow/forwarding/tests/test_connections.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_connections.py
@@ -10,6 +10,7 @@
 import pytest
 
 from fuchsiabarrow import exceptions
+from fuchsiabarrow.forwarding import connection_pools
 from fuchsiabarrow.forwarding import connections
 from fuchsiabarrow.forwarding import links
 from fuchsiabarrow.utils import loops
@@ -65,7 +66,7 @@
     upstream = ScriptedUpstream(*script)
     server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
-    async with connections.ConnectionPool(0.5) as pool:
+    async with connection_pools.ConnectionPool(0.5) as pool:
         yield pool, f"{host}:{port}", upstream
     server.close()
 
@@ -130,7 +131,7 @@
 
     async def run():
         host, port = listening.getsockname()
-        async with connections.ConnectionPool(0.5) as pool:
+        async with connection_pools.ConnectionPool(0.5) as pool:
             connection = await pool.open(f"{host}:{port}")
             async with connection:
                 connection.send(REQUEST)
@@ -189,8 +190,10 @@
         loop = asyncio.get_running_loop()
         protocol = connections.make_protocol(loop)
         protocol.connection_made(EofTransport(pending_error))
-        pool = connections.ConnectionPool(0.5)
-        connection = connections.Connection(pool, "x:1", protocol, False)
+        pool = connection_pools.ConnectionPool(0.5)
+        connection = connections.Connection(
+            pool.release, "x:1", protocol, False
+        )
         connection.send(REQUEST)
         protocol.data_received(UNFRAMED)
         protocol.eof_received()
@@ -207,7 +210,7 @@
 
 def test_closed_port_is_unreachable():
     async def run():
-        async with connections.ConnectionPool(0.5) as pool:
+        async with connection_pools.ConnectionPool(0.5) as pool:
             await pool.open("127.0.0.1:1")
 
     with pytest.raises(exceptions.UpstreamUnreachableError):
@@ -222,7 +225,7 @@
         return str(failure.value)
 
     async def run():
-        async with connections.ConnectionPool(0.5) as pool:
+        async with connection_pools.ConnectionPool(0.5) as pool:
             refused = await fail(pool, "127.0.0.1:1")
         async with open_pool("request", "reset") as (pool, address, _):
             reset_before_head = await fail(pool, address)
@@ -239,7 +242,7 @@
                     client = stack.enter_context(socket.socket())
                     client.setblocking(False)
                     client.connect_ex(("127.0.0.1", port))
-                async with connections.ConnectionPool(0.1) as pool:
+                async with connection_pools.ConnectionPool(0.1) as pool:
                     hung = await fail(pool, f"127.0.0.1:{port}")
         return refused, reset_before_head, reset_in_body, closed, hung
 
@@ -327,7 +330,7 @@
         loop = asyncio.get_running_loop()
         table = links.LinkTable(loop.time, random.Random(1))
         tunnels = RecordedTunnels()
-        async with connections.ConnectionPool(1.0, table, tunnels) as pool:
+        async with connection_pools.ConnectionPool(1.0, table, tunnels) as pool:
             address = find_closed_address()
             table.record_unreachable(address)
             table.record_cut(address)
@@ -365,7 +368,7 @@
     async def run():
         loop = asyncio.get_running_loop()
         table = links.LinkTable(loop.time, random.Random(1))
-        async with connections.ConnectionPool(
+        async with connection_pools.ConnectionPool(
             5.0, table, SlowTunnels()
         ) as pool:
 
@@ -375,7 +378,7 @@
             pool._connect = hang
             table.get_state = lambda _: links.LinkState.DOUBTFUL
             opening = asyncio.create_task(pool.open("10.0.0.1:80"))
-            delay_s = connections.TUNNEL_DELAY_S
+            delay_s = connection_pools.TUNNEL_DELAY_S
             await asyncio.sleep(delay_s * (0.5 if cancels_before_direct else 2))
             for task in list(pool._attempts):
                 task.cancel()
--- a/src/fuchsiabarrow/forwarding/tests/test_endless_answers.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_endless_answers.py
@@ -9,7 +9,7 @@
 
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.fleet.tests import fleets
-from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import connection_pools
 from fuchsiabarrow.forwarding import events
 from fuchsiabarrow.forwarding import stream_states
 from fuchsiabarrow.forwarding.tests import fakes
@@ -75,7 +75,7 @@
         server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
         host, port = server.sockets[0].getsockname()
         started_s = time.monotonic()
-        async with connections.ConnectionPool(1.0) as pool:
+        async with connection_pools.ConnectionPool(1.0) as pool:
             async with asyncio.timeout(MAX_TIME_S):
                 connection = await pool.open(f"{host}:{port}")
                 with pytest.raises(exceptions.UpstreamResponseLostError):
@@ -95,7 +95,7 @@
         upstream = EndlessUpstream(OK + b"Content-Length: 4\r\n\r\nbody", b"")
         server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
         host, port = server.sockets[0].getsockname()
-        async with connections.ConnectionPool(1.0) as pool:
+        async with connection_pools.ConnectionPool(1.0) as pool:
             async with asyncio.timeout(MAX_TIME_S):
                 connection = await pool.open(f"{host}:{port}")
                 async with connection:
--- a/src/fuchsiabarrow/platform/tests/entry_simulation.py
+++ b/src/fuchsiabarrow/platform/tests/entry_simulation.py
@@ -461,7 +461,7 @@
 
 
 class _Pool:
-    """Implements the part of `connections.ConnectionPool` that entries use."""
+    """Implements what entries use of `connection_pools.ConnectionPool`."""
 
     def __init__(self, cluster, entry: str):
         self._cluster = cluster
@@ -808,7 +808,7 @@
             await kernel.add(service_name, _Unmanaged(service))
         with (
             mock.patch.object(
-                forwarding_entry.connections,
+                forwarding_entry.connection_pools,
                 "ConnectionPool",
                 lambda *options: _Pool(self, name),
             ),
--- a/src/fuchsiabarrow/platform/upstream_control.py
+++ b/src/fuchsiabarrow/platform/upstream_control.py
@@ -7,7 +7,7 @@
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.fleet import paths
 from fuchsiabarrow.fleet import upstreams
-from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import connection_pools
 from fuchsiabarrow.placement import service as placement
 from fuchsiabarrow.platform import upstream_codec
 from fuchsiabarrow.platform import wire_names
@@ -51,7 +51,7 @@
         pool: Connections to upstreams.
     """
 
-    def __init__(self, pool: connections.ConnectionPool):
+    def __init__(self, pool: connection_pools.ConnectionPool):
         self._pool = pool
 
     async def read_report(
