Forwarding: a refused attempt is followed by a decision of the scheduler

Cause: after an instance had refused the first attempt of a request, the next path was searched without the limit by rank and share, past requests that waited, and a refusal then was neither in the log nor counted as wanted. The milliseconds until the instance refused counted as a holding time.

Change: while no instance has run the request, each path is asked for through the scheduler. The retry is taken before, so that a request that cannot be sent again does not wait. Requests that have not run do not change the expected holding time.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -239,14 +239,16 @@
     async def _find_path(self) -> tuple[paths.PathSegment, ...] | None:
         """Returns the path of the next attempt; None if there is none.
 
-        Where requests of unlike ranks compete, the first one may have to wait.
+        Where requests of unlike ranks compete, one that no instance has run may
+        have to wait, also after an attempt that an instance refused.
         """
         state = self._state
         segments = state.get_following_path()
         if segments is not None:
             return segments
-        if state.claim is None or self._turn is not None:
+        if state.claim is None or not self._prepare_to_wait():
             return state.choose_path()
+        self._release_claim()
         self._turn = await self._context.scheduler.wait_for_path(
             state.claim,
             self._request,
@@ -262,6 +264,22 @@
         self._held_since_s = asyncio.get_running_loop().time()
         return found.segments
 
+    def _prepare_to_wait(self) -> bool:
+        """Takes the retry that the request needs if it is sent again.
+
+        Returns:
+            Whether it may wait for a path. What an instance has run does not
+            yield to more urgent requests, and one that cannot be sent again
+            is refused without a wait.
+        """
+        state = self._state
+        return (
+            state.run_count == 0
+            and self._missing_ways < MAX_MISSING_WAYS
+            and state.send_count < stream_states.MAX_SENDS
+            and (state.send_count == 0 or state.retry.try_take())
+        )
+
     def _reserve_path(self, memory_fraction: float) -> _ReservedPath | None:
         """Reserves capacity on a path for the first attempt, if there is one.
 
@@ -275,13 +293,14 @@
         return _ReservedPath(segments, self._path.hold(segments))
 
     def _release_claim(self) -> None:
-        """Tells the scheduler that the request has ended, if it had started."""
+        """Tells the scheduler that the request holds no context any more."""
         if self._held_since_s is not None:
             now_s = asyncio.get_running_loop().time()
             self._context.scheduler.release(
                 self._state.claim,
                 self._path.size_tokens,
                 now_s - self._held_since_s,
+                self._state.run_count > 0,
             )
             self._held_since_s = None
 
--- a/src/fuchsiabarrow/forwarding/schedulers.py
+++ b/src/fuchsiabarrow/forwarding/schedulers.py
@@ -198,14 +198,26 @@
             claim.service.name, claim.organisation, size_tokens
         )
 
-    def release(self, claim: Claim, size_tokens: float, held_s: float) -> None:
-        """Stops counting the context of a request that has ended."""
+    def release(
+        self, claim: Claim, size_tokens: float, held_s: float, has_run: bool
+    ) -> None:
+        """Stops counting the context of a request.
+
+        Args:
+            claim: Claim of the request.
+            size_tokens: Context that it held.
+            held_s: Time for which it was held.
+            has_run: Whether an instance has run it. The time until an instance
+                refuses a request says nothing about when memory becomes free.
+        """
         self._share_table.release(
             claim.service.name, claim.organisation, size_tokens
         )
-        self._get_state(claim.service).admission.record_released(
-            size_tokens, held_s
-        )
+        requests = self._get_state(claim.service).admission
+        if has_run:
+            requests.record_released(size_tokens, held_s)
+        else:
+            requests.notify_released()
 
     def record_first_event(self, claim: Claim, after_s: float) -> None:
         """Records the time from the arrival of a request to its first event."""
--- a/src/fuchsiabarrow/forwarding/tests/fakes.py
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -16,6 +16,7 @@
 from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.forwarding import service as service_module
 from fuchsiabarrow.ports import pipelines
+from fuchsiabarrow.scheduling import shares
 from fuchsiabarrow.telemetry import metrics
 
 MODEL = fleets.make_model(layer_mb=200.0)
@@ -237,18 +238,28 @@
 
 
 class Harness:
-    """A forwarding service with scripted upstreams."""
+    """A forwarding service with scripted upstreams.
 
-    def __init__(self, *instances, budget_extra: float = 100.0):
+    Requests to the model compete if `ranks`, those of its routes, differ.
+    """
+
+    def __init__(
+        self,
+        *instances,
+        budget_extra: float = 100.0,
+        ranks: tuple[int, ...] = (),
+        share_table: shares.ShareTable | None = None,
+    ):
         loop = asyncio.get_running_loop()
         self.pool = FakePool()
         self.control = FakeControl()
         self.directory = directory_module.Directory(loop.time)
         self.directory.replace(list(instances))
         self.load_table = loads.LoadTable()
+        self.metrics = metrics.ForwardingMetrics()
         self.catalog = documents.make_catalog(
             1,
-            [],
+            [make_ranked_route(rank) for rank in ranks],
             [
                 documents.Service(PLAIN_SERVICE, "/", 10, None),
                 documents.Service(fleets.SERVICE, "/", 10, MODEL),
@@ -267,7 +278,8 @@
             lambda: 0.0,
             service_module.Settings("a", budget_extra=budget_extra),
             random.Random(1),
-            metrics.ForwardingMetrics(),
+            self.metrics,
+            share_table,
         )
 
     def script(self, address: str, *scripts) -> None:
@@ -307,6 +319,26 @@
     )
 
 
+def make_ranked_route(
+    rank: int, objective_s: float = 0.5, **changes
+) -> documents.Route:
+    """Returns a route of streams of a rank; its path prefix differs by rank."""
+    return dataclasses.replace(
+        make_route(
+            documents.RequestKind.STREAM,
+            fleets.SERVICE,
+            20.0,
+            is_resumable=True,
+        ),
+        name=f"route-{rank}",
+        path_prefix=f"/{rank}/",
+        latency_objective_s=objective_s,
+        event_gap_objective_s=0.25,
+        priority=rank,
+        **changes,
+    )
+
+
 def make_request(route, **changes) -> messages.Request:
     now_s = asyncio.get_running_loop().time()
     fields = {
@@ -337,3 +369,10 @@
         800, 200, shared_parts=shared_parts
     )
     return make_request(route, **{"generation": generation, **changes})
+
+
+def make_ranked_request(rank: int, objective_s: float = 0.5, **changes):
+    return make_request(
+        make_ranked_route(rank, objective_s),
+        **{"generation": messages.GenerationParameters(800, 200), **changes},
+    )
--- /dev/null
+++ b/src/fuchsiabarrow/forwarding/tests/test_schedulers.py
@@ -0,0 +1,144 @@
+"""Streams of competing ranks, on virtual time.
+
+The instances of kind "slow" have usable memory for 2806 tokens of context, and
+a request needs 1000.
+"""
+
+import asyncio
+
+import logbook
+import pytest
+
+from fuchsiabarrow.fleet import loads
+from fuchsiabarrow.fleet.tests import fleets
+from fuchsiabarrow.forwarding import messages
+from fuchsiabarrow.forwarding.tests import fakes
+from fuchsiabarrow.scheduling import shares
+from fuchsiabarrow.utils.tests import virtual_time
+
+LAYERS = fakes.MODEL.layers
+ONLY = fleets.make_instance("only", "a", "slow", (0, 80), address="10.0.0.1:80")
+OTHER = fleets.make_instance(
+    "other", "a", "slow", (0, 80), address="10.0.0.2:80"
+)
+FAST = fleets.make_instance("fast", "a", "fast", (0, 80), address="10.0.0.3:80")
+# Context in use beside which only a most urgent request fits.
+LEFT_FOR_URGENT = 1806.0
+ALL_USED = 2800.0
+QUARTER_S = 0.125
+SLACK_S = 1e-6
+BEGIN_S = 5.0
+
+
+def set_used(harness, tokens: float, instance=ONLY) -> None:
+    """Lets another entry report context in use at an instance."""
+    load = loads.Load(1, 0, tokens * LAYERS)
+    harness.load_table.set_report(instance.instance_id, [(instance.key, load)])
+
+
+def start(harness, rank: int, **changes) -> asyncio.Task:
+    request = fakes.make_ranked_request(rank, **changes)
+    return asyncio.create_task(harness.serve(request))
+
+
+def count(harness, rank: int, outcome: str) -> float:
+    labels = {"rank": str(rank), "outcome": outcome}
+    return sum(
+        sample.value
+        for metric in harness.metrics.scheduling.collect()
+        for sample in metric.samples
+        if sample.name.endswith("_total") and sample.labels == labels
+    )
+
+
+def serve_one(rank: int, prepare, *instances, ranks=(0, 2), **options):
+    """Serves one stream; returns its writer, the harness and the time."""
+
+    async def run():
+        harness = fakes.Harness(*instances, ranks=ranks, **options)
+        for instance in instances:
+            harness.script(instance.address, fakes.stream(1, 11))
+        prepare(harness)
+        # Until then, less urgent requests get no retry.
+        await asyncio.sleep(BEGIN_S)
+        writer = await start(harness, rank)
+        return writer, harness, asyncio.get_running_loop().time()
+
+    return virtual_time.run(run())
+
+
+def test_less_urgent_request_leaves_the_memory_after_an_instance_refused_it():
+    # The second search took the memory that was left for urgent requests.
+    def prepare(harness):
+        set_used(harness, LEFT_FOR_URGENT, OTHER)
+        harness.script(
+            ONLY.address, [fakes.Head(status=503, is_not_run=True), b""]
+        )
+
+    writer, harness, _ = serve_one(2, prepare, ONLY, OTHER)
+    assert harness.sent_addresses == [ONLY.address]
+    assert writer.refusal.reason is messages.RefusalReason.OVERLOADED
+    assert writer.refusal.is_not_run
+
+
+def test_urgent_request_goes_elsewhere_after_an_instance_refused_it():
+    # The refused attempt would leave its share, or its memory, counted.
+    table = shares.ShareTable("a", 0.0)
+
+    def prepare(harness):
+        set_used(harness, LEFT_FOR_URGENT, OTHER)
+        harness.script(
+            ONLY.address, [fakes.Head(status=503, is_not_run=True), b""]
+        )
+
+    writer, harness, now_s = serve_one(
+        0, prepare, ONLY, OTHER, share_table=table
+    )
+    assert harness.sent_addresses == [ONLY.address, OTHER.address]
+    assert writer.is_finished
+    assert harness.load_table.get_own() == {}
+    assert table.summarise(now_s) == {}
+
+
+def test_refused_attempt_does_not_shorten_the_expected_holding_time():
+    # The moment until an instance refuses a request counted as a holding time.
+    # Waiting requests then expected memory far too early.
+    def prepare(harness):
+        harness.script(
+            ONLY.address, [fakes.Head(status=503, is_not_run=True), b""]
+        )
+
+    async def run():
+        harness = fakes.Harness(ONLY, ranks=(0, 2))
+        prepare(harness)
+        for _ in range(50):
+            await start(harness, 0)
+            harness.directory.replace([])
+            harness.directory.replace([ONLY])
+        set_used(harness, ALL_USED)
+        await asyncio.sleep(5.0)
+        sent = len(harness.pool.sent)
+        before_s = asyncio.get_running_loop().time()
+        writer = await start(harness, 0)
+        took_s = asyncio.get_running_loop().time() - before_s
+        return writer, took_s, sent
+
+    writer, took_s, sent = virtual_time.run(run())
+    assert sent == 50
+    # 0.36 s by the assumed holding time of 1 s: too long to wait for.
+    assert writer.refusal.is_not_run
+    assert took_s < SLACK_S
+
+
+def test_request_without_a_retry_does_not_wait_for_a_path():
+    # It waited for a path on which it could not be sent.
+    def prepare(harness):
+        set_used(harness, LEFT_FOR_URGENT, OTHER)
+        harness.forwarding.set_retry_budget(0.0, 0.0)
+        harness.script(
+            ONLY.address, [fakes.Head(status=503, is_not_run=True), b""]
+        )
+
+    writer, _, now_s = serve_one(2, prepare, ONLY, OTHER)
+    assert writer.refusal.is_not_run
+    assert now_s < BEGIN_S + SLACK_S
