Forwarding: the expected first event does not contain the wait

Cause: the time to the first event was measured from the arrival, but is used as that from the start: waits raised it, which forbade further waits.

Change: the estimate is measured from when the request holds context; the metric from its arrival, as before.

Result: the new test fails without the change.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -565,7 +565,9 @@
             metrics.first_event_s.observe(first_event_s)
             if self._state.claim is not None:
                 self._context.scheduler.record_first_event(
-                    self._state.claim, first_event_s
+                    self._state.claim,
+                    first_event_s,
+                    now_s - self._held_since_s,
                 )
         else:
             metrics.event_gap_s.observe(self._mover.monitor.get_silence_s())
--- a/src/fuchsiabarrow/forwarding/schedulers.py
+++ b/src/fuchsiabarrow/forwarding/schedulers.py
@@ -219,13 +219,21 @@
         else:
             requests.notify_released()
 
-    def record_first_event(self, claim: Claim, after_s: float) -> None:
-        """Records the time from the arrival of a request to its first event."""
+    def record_first_event(
+        self, claim: Claim, since_arrival_s: float, since_start_s: float
+    ) -> None:
+        """Records the first event of a request.
+
+        Args:
+            claim: Claim of the request.
+            since_arrival_s: Time since it arrived, for the metrics.
+            since_start_s: Time since it holds context, without its wait.
+        """
         state = self._get_state(claim.service)
         state.first_event_s += FIRST_EVENT_WEIGHT * (
-            after_s - state.first_event_s
+            since_start_s - state.first_event_s
         )
-        self._metrics.observe_first_event(claim.rank, after_s)
+        self._metrics.observe_first_event(claim.rank, since_arrival_s)
 
     def _make_ticket(
         self,
--- a/src/fuchsiabarrow/forwarding/tests/test_schedulers.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_schedulers.py
@@ -142,3 +142,25 @@
     writer, _, now_s = serve_one(2, prepare, ONLY, OTHER)
     assert writer.refusal.is_not_run
     assert now_s < BEGIN_S + SLACK_S
+
+
+def test_expected_time_to_the_first_event_does_not_contain_the_wait():
+    # Waits raised the expected time, which leaves less of the objective: the
+    # more requests had waited, the fewer were allowed to.
+    async def run():
+        harness = fakes.Harness(ONLY, ranks=(0, 2))
+        harness.script(ONLY.address, fakes.stream(1, 11))
+        loop = asyncio.get_running_loop()
+        for _ in range(40):
+            set_used(harness, ALL_USED)
+            loop.call_later(0.35, harness.load_table.drop_report, "only")
+            await start(harness, 0, objective_s=1.5)
+        waited = count(harness, 0, "wait_start")
+        # With the waits, the first event was expected after 0.33 s: too late.
+        set_used(harness, ALL_USED)
+        loop.call_later(0.09, harness.load_table.drop_report, "only")
+        return waited, await start(harness, 0, objective_s=0.4)
+
+    waited, writer = virtual_time.run(run())
+    assert waited == 40
+    assert writer.is_finished
