Forwarding: callers return after the time that the estimate gives

Cause: the Retry-After of a request that the scheduler refused was the larger one of its estimate and of a draw of 0.3 to 0.9 s (1.35 s for the least urgent) that knows nothing of it. The scheduler expects the caller after its own time.

Change: the time of the scheduler is given, unless permits or pauses of instances last longer.

--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -379,15 +379,21 @@
             return self._make_refusal(
                 messages.RefusalReason.NO_UPSTREAM, self._state.failure_detail
             )
-        turn = self._turn
-        return self._make_refusal(
+        least_s = max(
+            self._path.get_permit_wait_s(), self._path.get_pause_wait_s()
+        )
+        refusal = self._make_refusal(
             messages.RefusalReason.OVERLOADED,
             self._path.describe_missing_path(),
-            max(
-                self._path.get_permit_wait_s(),
-                self._path.get_pause_wait_s(),
-                turn.decision.retry_after_s if turn else 0.0,
-            ),
+            least_s,
+        )
+        if self._turn is None or self._turn.path is not None:
+            return refusal
+        # The scheduler expects the caller after the time that it has drawn
+        # from its estimate.
+        return dataclasses.replace(
+            refusal,
+            retry_after_s=max(least_s, self._turn.decision.retry_after_s),
         )
 
     def _make_refusal(
--- a/src/fuchsiabarrow/forwarding/tests/test_schedulers.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_schedulers.py
@@ -164,3 +164,27 @@
     waited, writer = virtual_time.run(run())
     assert waited == 40
     assert writer.is_finished
+
+
+def test_refusal_comes_in_time_with_a_delay_from_the_estimate():
+    # The delay was at least that of an entry that knows no estimate, up to
+    # 0.9 s, and not the one after which the scheduler expected the caller.
+    async def run():
+        harness = fakes.Harness(ONLY, ranks=(0, 2))
+        set_used(harness, ALL_USED)
+        loop = asyncio.get_running_loop()
+        with logbook.TestHandler() as handler:
+            for _ in range(8):
+                await asyncio.sleep(BEGIN_S)
+                begin_s = loop.time()
+                writer = await start(harness, 0)
+                assert loop.time() <= begin_s + QUARTER_S
+                assert writer.refusal.is_not_run
+                # 994 tokens are missing, and 2800 are held for 1 s.
+                assert 0.355 <= writer.refusal.retry_after_s <= 0.355 * 1.5
+        assert (
+            sum("event=scheduling" in r.message for r in handler.records) == 8
+        )
+        assert count(harness, 0, "refuse") == 8
+
+    virtual_time.run(run())
