Forwarding: what other entries refused does not forbid to wait

Cause: the context that other entries report as wanted contains what they refused within 2 s. It counted as if all of it waited before the request, of whatever rank: with many entries nothing would wait while any refuses.

Change: it counts by the factor for callers that were told to return. The factor was measured for these only (docs/design/room.md), not for this.

Result: the new test fails without the change.

--- a/src/fuchsiabarrow/forwarding/schedulers.py
+++ b/src/fuchsiabarrow/forwarding/schedulers.py
@@ -22,6 +22,7 @@
 from fuchsiabarrow.scheduling import ranks
 from fuchsiabarrow.scheduling import room
 from fuchsiabarrow.scheduling import shares
+from fuchsiabarrow.scheduling import waiting
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.telemetry import metrics as metrics_module
 
@@ -293,7 +294,11 @@
         state.capacity = room.Capacity(
             context.free_tokens,
             context.used_tokens,
-            self._share_table.get_others_wanted(name, now_s),
+            # Reports sum up what waits and what was refused within 2 s. Waits
+            # end after a quarter of the objective, so that most of it does not
+            # wait; it counts as for callers that this entry has refused.
+            waiting.RETURN_WEIGHT
+            * self._share_table.get_others_wanted(name, now_s),
         )
         return state.capacity
 
--- a/src/fuchsiabarrow/forwarding/tests/test_schedulers.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_schedulers.py
@@ -188,3 +188,24 @@
         assert count(harness, 0, "refuse") == 8
 
     virtual_time.run(run())
+
+
+def test_what_other_entries_refused_does_not_forbid_to_wait():
+    # Other entries report what they refused within 2 s as wanted. It counted as
+    # if it waited there, so that nothing waited while others refused requests.
+    table = shares.ShareTable("a", 0.0)
+
+    async def run():
+        harness = fakes.Harness(ONLY, ranks=(0, 2), share_table=table)
+        harness.script(ONLY.address, fakes.stream(1, 11))
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(BEGIN_S)
+        refusing = shares.ShareTable("b", 0.0)
+        for _ in range(10):
+            refusing.refuse(fleets.SERVICE, "o", 250.0, loop.time())
+        table.set_report("b", refusing.summarise(loop.time()), loop.time())
+        set_used(harness, ALL_USED)
+        loop.call_later(0.2, harness.load_table.drop_report, "only")
+        return await start(harness, 0, objective_s=2.4)
+
+    assert virtual_time.run(run()).is_finished
