Scheduling: estimates count the memory that a request must leave

Cause: free memory that only more urgent requests may fill counted as free for all. A less urgent request expected to start at once, waited in vain up to its bound, and was told to return after the shortest time.

Change: the ticket has the fraction of the memory that the request may fill; the estimate leaves out the rest, except for requests that were moved to the front.

Result: the new test fails without the change (refused after 0.125 s instead of at once).

--- a/src/fuchsiabarrow/forwarding/schedulers.py
+++ b/src/fuchsiabarrow/forwarding/schedulers.py
@@ -258,6 +258,7 @@
             room.estimate_elapsed_s(left_s, longest_s),
             state.first_event_s,
             claim.standing.excess,
+            claim.get_memory_fraction(claim.position),
         )
 
     def _get_state(self, service: documents.Service) -> _ServiceState:
--- a/src/fuchsiabarrow/forwarding/tests/test_schedulers.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_schedulers.py
@@ -209,3 +209,17 @@
         return await start(harness, 0, objective_s=2.4)
 
     assert virtual_time.run(run()).is_finished
+
+
+def test_estimate_counts_the_memory_that_a_less_urgent_request_must_leave():
+    # With enough free memory for a most urgent request, a less urgent one
+    # expected to start at once, waited in vain and was told to return too soon.
+    async def run():
+        harness = fakes.Harness(ONLY, ranks=(0, 2))
+        set_used(harness, LEFT_FOR_URGENT)
+        writer = await start(harness, 2)
+        return writer, asyncio.get_running_loop().time()
+
+    writer, now_s = virtual_time.run(run())
+    assert writer.refusal.is_not_run
+    assert now_s < SLACK_S
--- a/src/fuchsiabarrow/scheduling/admission.py
+++ b/src/fuchsiabarrow/scheduling/admission.py
@@ -279,10 +279,14 @@
         ahead += self._room.get_ahead_tokens(entry)
         if is_return:
             ahead += self._room.get_told_tokens(ticket, now_s)
+        fraction = 1.0 if entry.is_owed else ticket.memory_fraction
+        memory = capacity.free_tokens + capacity.used_tokens
+        # As in the choice of paths: a part of what it does not need itself.
+        left_free = (1.0 - fraction) * max(0.0, memory - ticket.size_tokens)
         return self.estimator.estimate_wait_s(
             ticket.size_tokens,
             ahead,
-            capacity.free_tokens,
+            capacity.free_tokens - left_free,
             capacity.used_tokens,
         )
 
--- a/src/fuchsiabarrow/scheduling/room.py
+++ b/src/fuchsiabarrow/scheduling/room.py
@@ -87,6 +87,7 @@
         first_event_s: Expected time from its start to its first event.
         share_excess: By how much its organisation exceeds its share, 0.0 to
             1.0.
+        memory_fraction: Fraction of the memory that the request may fill.
     """
 
     request_id: str
@@ -99,6 +100,7 @@
     elapsed_s: float = 0.0
     first_event_s: float = 0.0
     share_excess: float = 0.0
+    memory_fraction: float = 1.0
 
 
 class Outcome(enum.Enum):
--- a/src/fuchsiabarrow/scheduling/tests/overload.py
+++ b/src/fuchsiabarrow/scheduling/tests/overload.py
@@ -120,6 +120,7 @@
             now_s - caller.attempts[0].at_s,
             0.1,
             round(excess, 3),
+            1.0 - MAX_KEPT_FRACTION * caller.rank / 2,
         )
 
     async def call(self, caller: Caller, log: list[Caller]) -> None:
