Scheduling: an estimate that fails ends the waits

Cause: an error in the estimate of the memory ended the round in its callback: no timer was set any more, and the requests waited until their time limits. A path that was reserved before the estimate was not released.

Change: the error reaches the callers of all requests that wait, as that of a search reaches its caller. The estimate comes before the reservation.

--- a/src/fuchsiabarrow/scheduling/admission.py
+++ b/src/fuchsiabarrow/scheduling/admission.py
@@ -131,6 +131,9 @@
             ticket, self._history.is_owed(ticket, now_s)
         )
         is_next = self._room.is_next(entry)
+        # Before a path is reserved, which a failure here would not release.
+        wait_s = self._estimate_s(entry, now_s)
+        return_s = self._estimate_s(entry, now_s, is_return=True)
         if is_next and (self._waiters or entry.position < ticket.position):
             path = try_start(entry.position)
         position = self._room.get_position(entry)
@@ -139,8 +142,8 @@
             path is not None,
             is_next,
             self._room.has_place(entry) and not self._is_stopped,
-            self._estimate_s(entry, now_s),
-            self._estimate_s(entry, now_s, is_return=True),
+            wait_s,
+            return_s,
         )
         decision = room.decide(ticket, terms, self._random_source)
         if decision.outcome is room.Outcome.START:
@@ -197,8 +200,11 @@
     def stop(self) -> None:
         """Refuses all that wait; from now on, nothing waits."""
         self._is_stopped = True
-        for entry in self._room.get_entries():
-            self._refuse(entry, "the entry is stopping")
+        try:
+            for entry in self._room.get_entries():
+                self._refuse(entry, "the entry is stopping")
+        except Exception as error:
+            self._fail_all(error)
         self._cancel_timers()
 
     def _schedule_pass(self) -> None:
@@ -225,12 +231,24 @@
         """Ends waits that are over and starts requests for which room is."""
         self._cancel_timers()
         now_s = asyncio.get_running_loop().time()
-        for entry in self._room.pop_expired(now_s):
-            self._refuse(entry, "no memory became free in time")
-        if self._waiters:
-            self._start_waiting(now_s)
+        try:
+            for entry in self._room.pop_expired(now_s):
+                self._refuse(entry, "no memory became free in time")
+            if self._waiters:
+                self._start_waiting(now_s)
+        except Exception as error:
+            # Without an estimate nobody can be served, and without the timer
+            # they would wait beyond their bounds.
+            self._fail_all(error)
         self._set_timer()
 
+    def _fail_all(self, error: Exception) -> None:
+        """Ends all waits with an error."""
+        for waiter in list(self._waiters.values()):
+            self._remove(waiter.entry)
+            if not waiter.future.done():
+                waiter.future.set_exception(error)
+
     def _start_waiting(self, now_s: float) -> None:
         capacity = self._read_capacity()
         free = capacity.free_tokens
@@ -303,7 +321,7 @@
 
     def _refuse(self, entry: waiting.Entry, reason: str) -> None:
         """Refuses a request that waits, or that has just left the queue."""
-        waiter = self._remove(entry)
+        waiter = self._waiters.get(id(entry))
         if waiter is None:
             return
         now_s = asyncio.get_running_loop().time()
@@ -313,6 +331,7 @@
             reason,
             self._random_source,
         )
+        self._remove(entry)
         self._record_told(entry.ticket, decision, now_s)
         self._resolve(waiter, Turn(None, decision), now_s)
 
--- a/src/fuchsiabarrow/scheduling/tests/test_bounded_waits.py
+++ b/src/fuchsiabarrow/scheduling/tests/test_bounded_waits.py
@@ -21,14 +21,20 @@
     def __init__(self, free=0.0, used=10_000.0):
         self.free = free
         self.used = used
+        self.is_broken = False
         self.admission = admission.Admission(
-            lambda: room.Capacity(self.free, self.used), random.Random(1)
+            self.read_capacity, random.Random(1)
         )
         self.started: list[str] = []
         self.undone: list[str] = []
         self.searches = 0
         self.positions: list[float] = []
 
+    def read_capacity(self) -> room.Capacity:
+        if self.is_broken:
+            raise RuntimeError("no estimate")
+        return room.Capacity(self.free, self.used)
+
     def release(self, tokens: float) -> None:
         self.free += tokens
         self.used -= tokens
@@ -344,6 +350,44 @@
     virtual_time.run(main())
 
 
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_estimate_that_fails_ends_the_waits(is_stopped):
+    """Requests waited on, beyond their bounds, as no timer was set any more."""
+
+    async def main():
+        memory = Memory()
+        tasks = [memory.request(f"r{n}") for n in range(3)]
+        await asyncio.sleep(0)
+        memory.is_broken = True
+        if is_stopped:
+            memory.admission.stop()
+        await asyncio.wait(tasks)
+        assert get_time_s() <= BOUND_S + SLACK_S
+        for task in tasks:
+            assert isinstance(task.exception(), RuntimeError)
+        assert not memory.admission.get_waiting()
+        assert not memory.admission.get_wanted_tokens()
+
+    virtual_time.run(main())
+
+
+def test_estimate_that_fails_leaves_no_path_reserved():
+    """The path of a more urgent request than those that wait was lost."""
+
+    async def main():
+        memory = Memory()
+        waiting_task = memory.request("waiting", rank=2, position=1.0)
+        await asyncio.sleep(0)
+        memory.free = 100.0
+        memory.is_broken = True
+        urgent = memory.request("urgent")
+        await asyncio.wait({waiting_task, urgent})
+        assert urgent.exception() is not None
+        assert memory.free == 100.0
+
+    virtual_time.run(main())
+
+
 class _StillLoop(virtual_time.VirtualLoop):
     """Event loop whose clock stands still, so that no timer ends."""
 
