--- a/src/fuchsiabarrow/scheduling/tests/test_bounded_waits.py
+++ b/src/fuchsiabarrow/scheduling/tests/test_bounded_waits.py
@@ -377,7 +377,7 @@
     async def main():
         memory = Memory()
         waiting_task = memory.request("waiting", rank=2, position=1.0)
-        await asyncio.sleep(0)
+        await asyncio.sleep(0.005)
         memory.free = 100.0
         memory.is_broken = True
         urgent = memory.request("urgent")
