--- a/src/fuchsiabarrow/forwarding/schedulers.py
+++ b/src/fuchsiabarrow/forwarding/schedulers.py
@@ -22,6 +22,7 @@
 from fuchsiabarrow.scheduling import ranks
 from fuchsiabarrow.scheduling import room
 from fuchsiabarrow.scheduling import shares
+from fuchsiabarrow.scheduling import waiting
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.telemetry import metrics as metrics_module
 
@@ -198,22 +199,42 @@
             claim.service.name, claim.organisation, size_tokens
         )
 
-    def release(self, claim: Claim, size_tokens: float, held_s: float) -> None:
-        """Stops counting the context of a request that has ended."""
+    def release(
+        self, claim: Claim, size_tokens: float, held_s: float, has_run: bool
+    ) -> None:
+        """Stops counting the context of a request.
+
+        Args:
+            claim: Claim of the request.
+            size_tokens: Context that it held.
+            held_s: Time for which it was held.
+            has_run: Whether an instance has run it. The time until an instance
+                refuses a request says nothing about when memory becomes free.
+        """
         self._share_table.release(
             claim.service.name, claim.organisation, size_tokens
         )
-        self._get_state(claim.service).admission.record_released(
-            size_tokens, held_s
-        )
+        requests = self._get_state(claim.service).admission
+        if has_run:
+            requests.record_released(size_tokens, held_s)
+        else:
+            requests.notify_released()
+
+    def record_first_event(
+        self, claim: Claim, since_arrival_s: float, since_start_s: float
+    ) -> None:
+        """Records the first event of a request.
 
-    def record_first_event(self, claim: Claim, after_s: float) -> None:
-        """Records the time from the arrival of a request to its first event."""
+        Args:
+            claim: Claim of the request.
+            since_arrival_s: Time since it arrived, for the metrics.
+            since_start_s: Time since it holds context, without its wait.
+        """
         state = self._get_state(claim.service)
         state.first_event_s += FIRST_EVENT_WEIGHT * (
-            after_s - state.first_event_s
+            since_start_s - state.first_event_s
         )
-        self._metrics.observe_first_event(claim.rank, after_s)
+        self._metrics.observe_first_event(claim.rank, since_arrival_s)
 
     def _make_ticket(
         self,
@@ -237,6 +258,7 @@
             room.estimate_elapsed_s(left_s, longest_s),
             state.first_event_s,
             claim.standing.excess,
+            claim.get_memory_fraction(claim.position),
         )
 
     def _get_state(self, service: documents.Service) -> _ServiceState:
@@ -273,7 +295,11 @@
         state.capacity = room.Capacity(
             context.free_tokens,
             context.used_tokens,
-            self._share_table.get_others_wanted(name, now_s),
+            # Reports sum up what waits and what was refused within 2 s. Waits
+            # end after a quarter of the objective, so that most of it does not
+            # wait; it counts as for callers that this entry has refused.
+            waiting.RETURN_WEIGHT
+            * self._share_table.get_others_wanted(name, now_s),
         )
         return state.capacity
 
