--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import itertools
 import math
-from typing import TYPE_CHECKING
 
 from fuchsiabarrow.catalogs import documents
 from fuchsiabarrow.fleet import expected_loads
@@ -12,12 +11,10 @@
 from fuchsiabarrow.fleet import paths
 from fuchsiabarrow.fleet import shortages
 from fuchsiabarrow.fleet import upstreams
+from fuchsiabarrow.forwarding import contexts
 from fuchsiabarrow.forwarding import messages
 
-if TYPE_CHECKING:
-    from fuchsiabarrow.forwarding import service as service_module
-
-__all__ = ["StreamPath", "count_crossings", "format_path"]
+__all__ = ["StreamPath", "count_crossings", "format_kinds", "format_path"]
 
 # Weight of the maximum answer length in the estimate of an answer's length: the
 # expected length is a median, so that half of the answers are longer and need
@@ -27,6 +24,7 @@
 # Limits on the requests in progress at the first instance of a path that is to
 # share it with few of them, in the order in which they are tried.
 QUIET_REQUESTS = (0, 2, 8)
+MS_PER_S = 1000.0
 
 # Instance id and incarnation.
 UpstreamKey = tuple[str, int]
@@ -41,24 +39,29 @@
         excluded: Keys of instances that are not chosen for this request.
 
     Args:
-        forwarding: Forwarding service that serves the request.
+        context: What the handlers of all requests share.
         exchange: The request and its service.
     """
 
     def __init__(
         self,
-        forwarding: "service_module.ForwardingService",
+        context: contexts.Context,
         exchange: messages.Exchange,
     ):
         self.segments: tuple[paths.PathSegment, ...] = ()
         self.excluded: set[UpstreamKey] = set()
-        self._forwarding = forwarding
+        self._context = context
         self._service = exchange.service
         self._request = exchange.request
         self._size = _estimate_size(exchange.request, exchange.service)
         self._reservation: loads.Reservation | None = None
         self._first_instances: dict[UpstreamKey, upstreams.Upstream] = {}
 
+    @property
+    def size_tokens(self) -> float:
+        """Expected context of the request."""
+        return self._size.context_tokens
+
     def __enter__(self) -> "StreamPath":
         return self
 
@@ -75,6 +78,7 @@
         self,
         prefix: tuple[paths.PathSegment, ...] = (),
         is_isolated: bool = False,
+        memory_fraction: float = 1.0,
     ) -> tuple[paths.PathSegment, ...] | None:
         """Returns the cheapest complete path, if any.
 
@@ -83,27 +87,33 @@
                 Other instances of both paths keep the memory of the request.
             is_isolated: Whether the path should begin at an instance with as
                 few requests in progress as possible.
+            memory_fraction: Fraction of the instances' context memory that the
+                request may fill.
         """
         for limit in QUIET_REQUESTS if is_isolated and not prefix else ():
-            segments = self._choose(prefix, limit)
+            segments = self._choose(prefix, limit, memory_fraction)
             if segments is not None:
                 return segments
         if prefix and self._reservation is not None:
             with self._reservation.suspend():
-                return self._choose(prefix, math.inf)
-        return self._choose(prefix, math.inf)
+                return self._choose(prefix, math.inf, memory_fraction)
+        return self._choose(prefix, math.inf, memory_fraction)
 
     def _choose(
-        self, prefix: tuple[paths.PathSegment, ...], max_requests: float
+        self,
+        prefix: tuple[paths.PathSegment, ...],
+        max_requests: float,
+        memory_fraction: float,
     ) -> tuple[paths.PathSegment, ...] | None:
         """Returns the cheapest path that begins at an instance with less load.
 
         Args:
             prefix: Segments that the path must begin with.
             max_requests: Maximum number of requests at the first instance.
+            memory_fraction: Fraction of the memory that it may fill.
         """
-        forwarding, model = self._forwarding, self._service.engine
-        directory, load_table = forwarding.directory, forwarding.load_table
+        context, model = self._context, self._service.engine
+        directory, load_table = context.directory, context.load_table
         first_instances = self._get_allowed_first_instances()
         candidates = self._make_candidates(
             [
@@ -116,8 +126,9 @@
             lambda upstream: (
                 (first_instances is None or upstream.key in first_instances)
                 and load_table.get(upstream.key).requests <= max_requests
-                and forwarding.upstream_limits.has_permit(upstream.key)
+                and context.upstream_limits.has_permit(upstream.key)
             ),
+            memory_fraction,
         )
         return path_selection.select_path(
             [
@@ -128,9 +139,9 @@
             ],
             model,
             self._size,
-            forwarding.settings.failure_domain,
-            forwarding.estimate_unreported_requests(self._service.name),
-            forwarding.random_source,
+            context.failure_domain,
+            context.ledger.estimate_unreported_requests(self._service.name),
+            context.random_source,
             prefix,
         )
 
@@ -138,14 +149,15 @@
         self,
         instances: list[upstreams.Upstream],
         may_be_first: Callable[[upstreams.Upstream], bool],
+        memory_fraction: float = 1.0,
     ) -> list[paths.Candidate]:
         """Returns instances that hold layers with their expected load."""
-        forwarding, model = self._forwarding, self._service.engine
+        context, model = self._context, self._service.engine
         expected = expected_loads.estimate_loads(
             instances,
             model,
-            forwarding.load_table,
-            forwarding.estimate_unreported_requests(self._service.name),
+            context.load_table,
+            context.ledger.estimate_unreported_requests(self._service.name),
         )
         return [
             paths.make_candidate(
@@ -153,17 +165,18 @@
                 model,
                 self._size,
                 expected.loads[instance.key],
-                forwarding.directory.get_slowdown(instance),
+                context.directory.get_slowdown(instance),
                 may_be_first(instance),
                 expected.sensitivity,
                 expected.deviations.get(instance.key, 0.0),
+                memory_fraction,
             )
             for instance in instances
         ]
 
     def is_usable(self, segments: tuple[paths.PathSegment, ...]) -> bool:
         """Returns whether the request may still be sent on a chosen path."""
-        directory = self._forwarding.directory
+        directory = self._context.directory
         for segment in segments:
             upstream = segment.upstream
             known = directory.get(upstream.instance_id)
@@ -187,7 +200,7 @@
     ) -> loads.Reservation:
         """Reserves capacity on a path beside that on the current one."""
         reservation = paths.reserve_path(
-            self._forwarding.load_table, list(segments), self._size
+            self._context.load_table, list(segments), self._size
         )
         reservation.__enter__()
         return reservation
@@ -216,7 +229,48 @@
         """Returns the expected time between two events on the current path."""
         model = self._service.engine
         return model.tokens_per_event * paths.compute_token_ms(
-            list(self.segments), model, self._forwarding.load_table
+            list(self.segments), model, self._context.load_table
+        )
+
+    def estimate_event_gap_s(
+        self, segments: tuple[paths.PathSegment, ...]
+    ) -> float:
+        """Returns the expected time between two events on a path.
+
+        In contrast to `estimate_event_ms`, the slowdowns that the instances
+        report count.
+        """
+        model, directory = self._service.engine, self._context.directory
+        token_ms = paths.compute_token_ms(
+            list(segments),
+            model,
+            self._context.load_table,
+            directory.get_slowdown,
+        )
+        return model.tokens_per_event * token_ms / MS_PER_S
+
+    def find_slowest(
+        self, segments: tuple[paths.PathSegment, ...]
+    ) -> UpstreamKey:
+        """Returns the key of the instance that adds most to each token."""
+        model, context = self._service.engine, self._context
+        slowest = max(
+            segments,
+            key=lambda segment: paths.compute_token_ms(
+                [segment],
+                model,
+                context.load_table,
+                context.directory.get_slowdown,
+            ),
+        )
+        return slowest.upstream.key
+
+    def get_slowdown(self) -> float:
+        """Returns the greatest slowdown on the current path."""
+        directory = self._context.directory
+        return max(
+            (directory.get_slowdown(s.upstream) for s in self.segments),
+            default=1.0,
         )
 
     def record_first_instance(self, upstream: upstreams.Upstream) -> bool:
@@ -239,7 +293,7 @@
         The route limits the number of instances to which a request is sent.
         Those that are no longer registered do not count.
         """
-        directory = self._forwarding.directory
+        directory = self._context.directory
         registered = {
             key
             for key, upstream in self._first_instances.items()
@@ -256,12 +310,12 @@
         Returns:
             The time in seconds; 0 if no usable instance is limited.
         """
-        forwarding = self._forwarding
-        limits = forwarding.upstream_limits
+        context = self._context
+        limits = context.upstream_limits
         return min(
             (
                 limits.get_wait_s(upstream.key)
-                for upstream in forwarding.directory.get_usable_upstreams(
+                for upstream in context.directory.get_usable_upstreams(
                     self._service.name
                 )
                 if limits.is_limited(upstream.key)
@@ -275,7 +329,7 @@
         Returns:
             The time in seconds; 0 if they are not what is missing for a path.
         """
-        directory = self._forwarding.directory
+        directory = self._context.directory
         waits_s = [math.inf] * self._service.engine.layers
         for upstream in directory.get_upstreams(self._service.name):
             if (
@@ -293,7 +347,7 @@
 
     def describe_missing_path(self) -> str:
         """Describes why no path was found."""
-        directory = self._forwarding.directory
+        directory = self._context.directory
         holder_counts = [0] * self._service.engine.layers
         usable = [
             upstream
@@ -313,7 +367,7 @@
             model.layers,
             self._size,
         )
-        limits = self._forwarding.upstream_limits
+        limits = self._context.upstream_limits
         limited = sum(not limits.has_permit(u.key) for u in usable)
         domains = {upstream.failure_domain for upstream in usable}
         complete = path_selection.find_complete_domains(usable, model)
@@ -353,6 +407,11 @@
     )
 
 
+def format_kinds(segments: tuple[paths.PathSegment, ...]) -> str:
+    """Formats the kinds of accelerators of a path for the log."""
+    return ",".join(segment.upstream.kind for segment in segments)
+
+
 def count_crossings(segments: tuple[paths.PathSegment, ...]) -> int:
     """Returns the number of hops of a path between failure domains."""
     domains = [segment.upstream.failure_domain for segment in segments]
--- a/src/fuchsiabarrow/forwarding/tests/test_endless_answers.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_endless_answers.py
@@ -9,9 +9,9 @@
 
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.fleet.tests import fleets
-from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import connection_pools
 from fuchsiabarrow.forwarding import events
-from fuchsiabarrow.forwarding import generations
+from fuchsiabarrow.forwarding import stream_states
 from fuchsiabarrow.forwarding.tests import fakes
 from fuchsiabarrow.utils import loops
 from fuchsiabarrow.utils.tests import virtual_time
@@ -75,7 +75,7 @@
         server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
         host, port = server.sockets[0].getsockname()
         started_s = time.monotonic()
-        async with connections.ConnectionPool(1.0) as pool:
+        async with connection_pools.ConnectionPool(1.0) as pool:
             async with asyncio.timeout(MAX_TIME_S):
                 connection = await pool.open(f"{host}:{port}")
                 with pytest.raises(exceptions.UpstreamResponseLostError):
@@ -95,7 +95,7 @@
         upstream = EndlessUpstream(OK + b"Content-Length: 4\r\n\r\nbody", b"")
         server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
         host, port = server.sockets[0].getsockname()
-        async with connections.ConnectionPool(1.0) as pool:
+        async with connection_pools.ConnectionPool(1.0) as pool:
             async with asyncio.timeout(MAX_TIME_S):
                 connection = await pool.open(f"{host}:{port}")
                 async with connection:
@@ -153,7 +153,7 @@
     writer = virtual_time.run(run())
     assert writer.is_aborted
     assert not writer.is_finished
-    assert read_bytes <= MAX_SENT_BYTES * generations.MAX_SENDS
+    assert read_bytes <= MAX_SENT_BYTES * stream_states.MAX_SENDS
 
 
 def test_events_in_single_bytes_are_parsed_in_linear_time():
