Forwarding: answers with an undefined status are broken answers

An upstream in trouble answers 000, 099, 101 without an upgrade, 600 or 999. 600, 999 and 101 reached callers; 000 and 099 were taken for interim responses (code >= 200 or code == 101), so that callers waited until their time limit. Each status under 500 counted as a success of the upstream, and with the header Not-Run a request that may run once was run a second time.

Connection.read_head accepts 200 to 599, and at most 16 interim responses before; anything else is UndefinedStatusError, an answer that is lost: the connection is closed, the upstream has an unsuccessful request, a request that may be repeated goes to another upstream at once, any other gets 502 with the status. One line upstream_status_invalid names instance and status.

--- a/src/fuchsiabarrow/adapters/objects.py
+++ b/src/fuchsiabarrow/adapters/objects.py
@@ -7,12 +7,13 @@
 
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.ports import objects
+from fuchsiabarrow.utils import http_statuses
 
 __all__ = ["HttpObjectStore"]
 
+HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_PRECONDITION_FAILED = 412
-HTTP_SERVER_ERROR = 500
 
 
 class _Listing(msgspec.Struct, frozen=True):
@@ -44,7 +45,9 @@
 
     async def list(self, kind: str) -> list[objects.VersionedObject]:
         """Implements `fuchsiabarrow.ports.objects.ObjectStore.list`."""
-        _, body, _ = await self._read(f"{self._base}/{kind}")
+        status, body, _ = await self._read(f"{self._base}/{kind}")
+        if status == HTTP_NOT_FOUND:
+            raise _make_unavailable(f"status {status}")
         listing = msgspec.json.decode(body, type=_Listing)
         return [
             objects.VersionedObject(name, base64.b64decode(value), version)
@@ -74,8 +77,7 @@
                 f"{kind}/{name} is not at version {expected_version};"
                 " read it and repeat the change"
             )
-        if response.status >= HTTP_SERVER_ERROR:
-            raise _make_unavailable(f"status {response.status}")
+        _check_write(response.status, f"{kind}/{name}")
         return int(response.headers["ETag"])
 
     async def delete(self, kind: str, name: str) -> None:
@@ -88,6 +90,8 @@
                 await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
             raise _make_unavailable(error) from error
+        if response.status != HTTP_NOT_FOUND:
+            _check_write(response.status, f"{kind}/{name}")
 
     async def _read(self, url: str):
         try:
@@ -97,11 +101,27 @@
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
             raise _make_unavailable(error) from error
-        if response.status >= HTTP_SERVER_ERROR:
+        if response.status not in (HTTP_OK, HTTP_NOT_FOUND):
             raise _make_unavailable(f"status {response.status}")
         return response.status, body, response.headers
 
 
+def _check_write(status: int, name: str) -> None:
+    """Checks the status of the answer to a write.
+
+    Raises:
+        StoreOutcomeUnknownError: HTTP does not define the status.
+        StoreUnavailableError: The object API refused the write.
+    """
+    if not http_statuses.is_final(status):
+        raise exceptions.StoreOutcomeUnknownError(
+            f"broken answer (status {status}) to a write of {name}; read it to"
+            " see if it was written"
+        )
+    if not 200 <= status < 300:
+        raise _make_unavailable(f"status {status}")
+
+
 def _make_unavailable(cause: object) -> exceptions.StoreUnavailableError:
     return exceptions.StoreUnavailableError(
         f"call to the object API failed ({cause!r}); retry after a delay"
--- a/src/fuchsiabarrow/adapters/services.py
+++ b/src/fuchsiabarrow/adapters/services.py
@@ -5,6 +5,7 @@
 from fuchsiabarrow import exceptions
 from fuchsiabarrow.ports import services
 from fuchsiabarrow.utils import deadlines
+from fuchsiabarrow.utils import http_statuses
 
 __all__ = ["HttpPlainService"]
 
@@ -60,6 +61,11 @@
             timeout=CONNECT_TIMEOUT,
         ) as response:
             body = await _read_body(response)
+        if not http_statuses.is_final(response.status):
+            raise exceptions.ServiceOutcomeUnknownError(
+                f"broken answer from {call.address} (status {response.status});"
+                " the call may have run; query the outcome by its key"
+            )
         did_not_run = response.headers.get("Did-Not-Run") == "true"
         return services.CallAnswer(response.status, body, did_not_run)
 
--- a/src/fuchsiabarrow/exceptions.py
+++ b/src/fuchsiabarrow/exceptions.py
@@ -29,6 +29,7 @@
     "StoreRestoredError",
     "StoreUnavailableError",
     "StreamFailedError",
+    "UndefinedStatusError",
     "UpstreamError",
     "UpstreamResponseLostError",
     "UpstreamUnreachableError",
@@ -207,6 +208,21 @@
     """
 
 
+class UndefinedStatusError(UpstreamResponseLostError):
+    """The response has a status that HTTP does not define.
+
+    Attributes:
+        status: The status.
+    """
+
+    def __init__(self, address: str, status: int):
+        super().__init__(
+            f"{address}: broken answer (status {status}, not in 200 to 599);"
+            " the request may have run"
+        )
+        self.status = status
+
+
 class PeerError(FuchsiabarrowError):
     """Another entry did not respond, or refused the message."""
 
--- a/src/fuchsiabarrow/forwarding/connections.py
+++ b/src/fuchsiabarrow/forwarding/connections.py
@@ -24,6 +24,7 @@
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.telemetry import metrics as metrics_module
 from fuchsiabarrow.utils import addresses
+from fuchsiabarrow.utils import http_statuses
 
 __all__ = ["Connection", "ConnectionPool", "Tunnels"]
 
@@ -32,6 +33,8 @@
 READ_BUFFER_BYTES = 65_536
 # Maximum bytes before the body of a response, with interim responses.
 MAX_HEAD_BYTES = 262_144
+# Maximum number of interim responses (1xx) before a response.
+MAX_INTERIM_RESPONSES = 16
 # Maximum bytes that frame a body (sizes and extensions of chunks, trailer
 # fields), beside a multiple of the body for chunks of a few bytes.
 MAX_FRAMING_BYTES = 65_536
@@ -103,7 +106,7 @@
         self._is_idle = True
 
     def feed_data(self, data: tuple, size: int = 0) -> None:
-        self._has_final_head |= is_final(data[0])
+        self._has_final_head |= not http_statuses.is_interim(data[0].code)
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
@@ -159,11 +162,6 @@
             helpers.set_exception(payload, error, cause)
 
 
-def is_final(message) -> bool:
-    """Returns whether a parsed head is not that of an interim response."""
-    return message.code >= 200 or message.code == 101
-
-
 def make_protocol(loop: asyncio.AbstractEventLoop) -> _Protocol:
     """Returns a new protocol instance for one connection."""
     return _Protocol(loop)
@@ -269,23 +267,33 @@
     async def read_head(self):
         """Returns the status line and headers as parsed by aiohttp.
 
-        Interim responses (1xx, except 101) are skipped.
+        Interim responses (1xx, except 101) are skipped. They do not extend
+        the caller's time limit.
 
         Raises:
-            UpstreamResponseLostError: The connection was closed, or the bytes
-                received are not an HTTP response.
+            UndefinedStatusError: The status is not within 200 to 599.
+            UpstreamResponseLostError: The connection was closed, the bytes
+                received are not an HTTP response, or there are too many
+                interim responses.
         """
-        try:
-            while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            try:
                 message, self._payload = await self._protocol.read()
-                if is_final(message):
-                    break
-        except Exception as error:
-            raise exceptions.UpstreamResponseLostError(
-                f"{self.address}: no response ({_describe_error(error)})"
-            ) from error
-        self._is_keep_alive = not message.should_close
-        return message
+            except Exception as error:
+                raise exceptions.UpstreamResponseLostError(
+                    f"{self.address}: no response ({_describe_error(error)})"
+                ) from error
+            if http_statuses.is_final(message.code):
+                self._is_keep_alive = not message.should_close
+                return message
+            if not http_statuses.is_interim(message.code):
+                raise exceptions.UndefinedStatusError(
+                    self.address, message.code
+                )
+        raise exceptions.UpstreamResponseLostError(
+            f"{self.address}: no response (over {MAX_INTERIM_RESPONSES} interim"
+            " responses)"
+        )
 
     async def read_chunk(self) -> bytes:
         """Returns the next bytes of the body; empty at its end.
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -65,11 +65,14 @@
         DONE: A final answer has arrived as a whole.
         NOT_RUN: No instance ran the request.
         LOST: The request may have run, but there is no final answer.
+        BROKEN: The same, but the first instance is alive: it has sent a status
+            that HTTP does not define.
     """
 
     DONE = enum.auto()
     NOT_RUN = enum.auto()
     LOST = enum.auto()
+    BROKEN = enum.auto()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -305,7 +308,7 @@
                 if count >= crash_counts.CRASH_LIMIT:
                     return forwarding.make_crash_refusal(False)
             if (
-                result is _AttemptResult.LOST
+                result is not _AttemptResult.NOT_RUN
                 and not self._request.route.may_repeat
             ):
                 return self._make_refusal(
@@ -530,7 +533,12 @@
                     why=self._failure_detail,
                     prompt_parts=",".join(request.generation.shared_parts),
                 )
-                return _AttemptResult.LOST
+                if not isinstance(error, exceptions.UndefinedStatusError):
+                    return _AttemptResult.LOST
+                self._path.excluded.add(first.key)
+                forwarding.directory.record_unsuccessful_request(first)
+                forwarding.start_probe(first, f"status {error.status}")
+                return _AttemptResult.BROKEN
             finally:
                 self._connection = None
                 self._stop_monitoring()
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -365,10 +365,24 @@
         """Returns status and headers of the response to a sent request.
 
         Raises:
+            UndefinedStatusError: Its status is not within 200 to 599.
             UpstreamResponseLostError: No response arrived, or it does not
                 belong to the request.
         """
-        head = self.codec.decode_head(await connection.read_head())
+        try:
+            message = await connection.read_head()
+        except exceptions.UndefinedStatusError as error:
+            _log.warning(
+                logs.format_event(
+                    "upstream_status_invalid",
+                    request_id=request.request_id,
+                    instance=upstream.instance_id,
+                    status=error.status,
+                    address=upstream.address,
+                )
+            )
+            raise
+        head = self.codec.decode_head(message)
         messages.verify_response(head, request, upstream.address)
         if head.is_success or head.rate_limit_per_s is not None:
             self.upstream_limits.record(upstream.key, head.rate_limit_per_s)
--- a/src/fuchsiabarrow/forwarding/tests/test_connections.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_connections.py
@@ -280,6 +280,67 @@
     assert loops.run(run()) == 2
 
 
+def make_interim(count: int) -> bytes:
+    return b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" * count
+
+
+# Guards against 000 and 099 taken for interim responses, after which the entry
+# waited until its time limit, and against 600 and 999 that reached callers.
+@pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+def test_undefined_status_is_a_broken_answer_at_once(status):
+    async def run():
+        answer = FRAMED.replace(b"200", status)
+        async with open_pool("request", answer, "request", FRAMED) as (
+            pool,
+            address,
+            upstream,
+        ):
+            async with asyncio.timeout(2.0):
+                with pytest.raises(
+                    exceptions.UpstreamResponseLostError,
+                    match=f"status {int(status)}",
+                ):
+                    await exchange(pool, address)
+                # The connection must not be used again.
+                with pytest.raises(exceptions.UpstreamResponseLostError):
+                    await exchange(pool, address)
+            return upstream.accepted
+
+    assert loops.run(run()) == 2
+
+
+# Guards against an upstream that is alive only by interim responses.
+@pytest.mark.parametrize(("count", "is_broken"), [(16, False), (17, True)])
+def test_number_of_interim_responses_is_bounded(count, is_broken):
+    async def run():
+        script = ("request", make_interim(count), 5.0, FRAMED)
+        if not is_broken:
+            script = ("request", make_interim(count), FRAMED)
+        async with open_pool(*script) as (pool, address, _):
+            async with asyncio.timeout(2.0):
+                return await exchange(pool, address)
+
+    if is_broken:
+        with pytest.raises(
+            exceptions.UpstreamResponseLostError, match="interim"
+        ):
+            loops.run(run())
+    else:
+        assert loops.run(run()) == b"body"
+
+
+# Guards against a time limit that begins anew with each interim response.
+def test_interim_responses_do_not_extend_a_time_limit():
+    async def run():
+        steps = [make_interim(1), 0.1] * 15
+        async with open_pool("request", *steps) as (pool, address, _):
+            async with asyncio.timeout(0.3):
+                await exchange(pool, address)
+
+    with pytest.raises(TimeoutError):
+        loops.run(run())
+
+
 def test_disconnect_fails_a_pending_read():
     async def run():
         async with open_pool("request", UNFRAMED, 5.0) as (pool, address, _):
--- a/src/fuchsiabarrow/platform/store.py
+++ b/src/fuchsiabarrow/platform/store.py
@@ -17,13 +17,14 @@
 from fuchsiabarrow.platform import wire_names
 from fuchsiabarrow.ports import collections
 from fuchsiabarrow.utils import bodies
+from fuchsiabarrow.utils import http_statuses
 
 __all__ = ["StoreClient"]
 
-HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
 HTTP_GONE = 410
+EXPECTED_FAILURES = (HTTP_NOT_FOUND, HTTP_CONFLICT, HTTP_GONE)
 MS_PER_S = 1000
 MAX_ERA_DIGITS = 5
 # Time beyond the wait time of a watch within which its response must begin.
@@ -195,13 +196,17 @@
             raise error_type(
                 f"{method} {path}: no response ({type(error).__name__} {error})"
             ) from error
-        expected = (HTTP_OK, HTTP_NOT_FOUND, HTTP_CONFLICT, HTTP_GONE)
-        if response.status not in expected and response.status >= 300:
+        status = response.status
+        if method != "GET" and not http_statuses.is_final(status):
+            raise exceptions.StoreOutcomeUnknownError(
+                f"{method} {path}: broken answer (status {status}); read the"
+                " object back to find out"
+            )
+        if not 200 <= status < 300 and status not in EXPECTED_FAILURES:
             raise exceptions.StoreUnavailableError(
-                f"{method} {path}: HTTP status {response.status};"
-                " retry after a delay"
+                f"{method} {path}: HTTP status {status}; retry after a delay"
             )
-        return response.status, content, _parse_era(response.headers)
+        return status, content, _parse_era(response.headers)
 
 
 def _parse_era(headers) -> int:
