--- a/src/fuchsiabarrow/platform/tests/test_unknown_statuses.py
+++ b/src/fuchsiabarrow/platform/tests/test_unknown_statuses.py
@@ -13,7 +13,7 @@
 from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet import paths
 from fuchsiabarrow.fleet import upstreams
-from fuchsiabarrow.forwarding import connections
+from fuchsiabarrow.forwarding import connection_pools
 from fuchsiabarrow.platform import settings as settings_module
 from fuchsiabarrow.platform import store as store_module
 from fuchsiabarrow.platform import upstream_control
@@ -162,7 +162,7 @@
                 and len(directory.get_all()) == 5
                 and catalog.version == 8
                 # Before, it has no retry budget.
-                and entry.kernel.get("forwarding")._count_entries() == 2
+                and entry.kernel.get("load_reports").count_quota_shares() == 2
             )
 
         await harness.wait(lambda: all(map(is_ready, entries)))
@@ -301,7 +301,7 @@
         raw = raw_servers.make_answer(status, body)
         async with (
             raw_servers.RawServer(lambda _: raw) as server,
-            connections.ConnectionPool(1.0) as pool,
+            connection_pools.ConnectionPool(1.0) as pool,
         ):
             upstream = dataclasses.replace(UPSTREAM, address=server.address)
             async with asyncio.timeout(PROMPT_S):
