Ranks: order by organisation, then by route; in force where routes differ

Cause: every organisation of the users' platform has a priority, 1 for most and 0 for a few, which took the place of the routes' priorities: ranks counted as mixed on all deployments, and routes of three priorities competed as equals. Change: a rank is the organisation's priority and then the route's; ranks are mixed only where routes of unlike priority share a service. Instances are told the index of the rank.

Streams: a second dead instance of a path is left at once. A change of the path counted as an event, so that another suspect was ignored until the next report of silence. What new instances have to read after a change of the path counts as load until the next event; before, streams that moved at the same time chose the same instances.

--- a/src/fuchsiabarrow/catalogs/documents.py
+++ b/src/fuchsiabarrow/catalogs/documents.py
@@ -16,10 +16,15 @@
     "Route",
     "Service",
     "get_rank",
+    "get_rank_key",
     "make_catalog",
 ]
 
 
+# Rank of a request (see `get_rank`), then the priority of its route.
+RankKey = tuple[int, int]
+
+
 class RequestKind(enum.Enum):
     """How requests of a route may be retried."""
 
@@ -124,17 +129,23 @@
     """The distinct ranks of the requests that a service may receive.
 
     Attributes:
-        ranks: The ranks, the most urgent (lowest) one first.
+        ranks: The ranks, as `get_rank_key` returns them, the most urgent
+            (lowest) one first. A single one if the routes to the service have
+            the same priority.
     """
 
-    ranks: tuple[int, ...] = ()
+    ranks: tuple[RankKey, ...] = ()
 
     @property
     def is_mixed(self) -> bool:
         """Whether requests of different ranks share the service."""
         return len(self.ranks) > 1
 
-    def get_position(self, rank: int) -> float:
+    def get_index(self, rank: RankKey) -> int:
+        """Returns how many of the ranks are more urgent than a rank."""
+        return bisect.bisect_left(self.ranks, rank)
+
+    def get_position(self, rank: RankKey) -> float:
         """Returns 0.0 for the most urgent rank to 1.0 for the least urgent one.
 
         The position is always 0.0 if the ranks are not mixed. A rank that is
@@ -146,8 +157,7 @@
         """
         if not self.is_mixed:
             return 0.0
-        more_urgent = bisect.bisect_left(self.ranks, rank)
-        return min(1.0, more_urgent / (len(self.ranks) - 1))
+        return min(1.0, self.get_index(rank) / (len(self.ranks) - 1))
 
 
 # Order of a service that no route leads to.
@@ -193,6 +203,19 @@
         return self.rank_orders.get(service, NO_RANKS)
 
 
+def get_rank_key(route: Route, organisation: Organisation | None) -> RankKey:
+    """Returns the rank of a request for comparison with others.
+
+    The priority of the organisation goes before that of the route: only
+    requests of organisations with the same priority are ordered by the route's.
+
+    Args:
+        route: Route of the request.
+        organisation: Holder of its API key; None for anonymous requests.
+    """
+    return get_rank(route, organisation), route.priority
+
+
 def get_rank(route: Route, organisation: Organisation | None) -> int:
     """Returns the rank of a request; 0 is the most urgent.
 
@@ -244,6 +267,10 @@
 ) -> dict[str, RankOrder]:
     """Returns the ranks of the requests of each service that a route leads to.
 
+    Ranks count as mixed only where routes of unlike priority share a service:
+    an operator asks for an order of the requests by that. Priorities of
+    organisations alone do not.
+
     Args:
         routes_by_host: Routes of each host, in the order of their look-up.
         requires_keys: Whether routes that are not anonymous need an API key.
@@ -253,7 +280,7 @@
     # One organisation for each distinct priority: there may be thousands of
     # organisations and hundreds of routes.
     holders = {o.priority: o for o in organisations_by_key.values()}
-    found: dict[str, set[int]] = {}
+    found: dict[str, set[RankKey]] = {}
     for routes in routes_by_host.values():
         prefixes = set()
         for route in routes:
@@ -263,15 +290,17 @@
                 continue
             prefixes.add(route.path_prefix)
             if route.is_anonymous or not requires_keys:
-                ranks = {get_rank(route, None)}
+                ranks = {get_rank_key(route, None)}
             else:
-                ranks = {get_rank(route, o) for o in holders.values()}
+                ranks = {get_rank_key(route, o) for o in holders.values()}
             for service in _list_receiving_services(route):
                 found.setdefault(service, set()).update(ranks)
-    return {
-        service: RankOrder(tuple(sorted(ranks)))
-        for service, ranks in found.items()
-    }
+    orders = {}
+    for service, ranks in found.items():
+        ordered = tuple(sorted(ranks))
+        is_mixed = len({priority for _, priority in ordered}) > 1
+        orders[service] = RankOrder(ordered if is_mixed else ordered[:1])
+    return orders
 
 
 def _list_receiving_services(route: Route) -> list[str]:
--- a/src/fuchsiabarrow/fleet/loads.py
+++ b/src/fuchsiabarrow/fleet/loads.py
@@ -72,10 +72,18 @@
         finally:
             self._load_table.add_own(self._loads, 1)
 
-    def finish_prefill(self) -> None:
-        """Removes the load of prefilling the prompt."""
+    def finish_prefill(self, keys: Iterable[UpstreamKey] | None = None) -> None:
+        """Removes the load of prefilling the prompt.
+
+        Args:
+            keys: Upstreams that have finished; None for all.
+        """
+        finished = self._loads.keys() if keys is None else set(keys)
         remaining = {}
         for key, load in self._loads.items():
+            if key not in finished:
+                remaining[key] = load
+                continue
             self._load_table.add_own({key: Load(prefill=load.prefill)}, -1)
             remaining[key] = dataclasses.replace(load, prefill=0.0)
         self._loads = remaining
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -572,8 +572,8 @@
         metrics = self._context.metrics
         self._state.progress.record_events(now_s, self._path.get_slowdown)
         self._mover.record_life()
+        self._path.finish_prefill()
         if self._state.event_count == 0:
-            self._path.finish_prefill()
             self._part_check.record_begin()
             first_event_s = now_s - self._request.arrived_s
             metrics.first_event_s.observe(first_event_s)
--- a/src/fuchsiabarrow/forwarding/path_moves.py
+++ b/src/fuchsiabarrow/forwarding/path_moves.py
@@ -72,10 +72,20 @@
         self,
         segments: tuple[paths.PathSegment, ...],
         reservation: loads.Reservation,
+        is_change: bool = False,
     ) -> None:
-        """Makes a path with reserved capacity the current one."""
+        """Makes a path with reserved capacity the current one.
+
+        Args:
+            segments: The path.
+            reservation: The capacity.
+            is_change: Whether the stream has begun and goes on there.
+        """
         self._suspects.clear()
-        self._path.adopt(segments, reservation)
+        if is_change:
+            self._path.adopt_change(segments, reservation)
+        else:
+            self._path.adopt(segments, reservation)
         self._state.progress.record_move()
         event_ms = self._path.estimate_event_ms()
         self.monitor.set_expected_interval(event_ms / MS_PER_S)
@@ -226,9 +236,11 @@
 
     def _gets_events(self) -> bool:
         """Returns whether an event has just shown that the path works."""
+        now_s = asyncio.get_running_loop().time()
         return (
             self._state.event_count > 0
-            and self.monitor.get_silence_s() < stream_monitors.MIN_SILENCE_S
+            and now_s - self._state.progress.last_progress_s
+            < stream_monitors.MIN_SILENCE_S
         )
 
     # Sending the request on another path.
@@ -442,9 +454,11 @@
                 self._path.excluded.add(at_fault.key)
             await self._try_move("path change failed", suspects)
             return False
-        self.adopt_path(segments, self._path.hold(segments))
+        reservation = self._path.hold(segments)
         if state.event_count:
-            self._path.finish_prefill()
+            self.adopt_path(segments, reservation, is_change=True)
+        else:
+            self.adopt_path(segments, reservation)
         self.monitor.reset_silence()
         return True
 
--- a/src/fuchsiabarrow/forwarding/schedulers.py
+++ b/src/fuchsiabarrow/forwarding/schedulers.py
@@ -47,8 +47,9 @@
     Attributes:
         service: The service.
         organisation: Name of the organisation; empty for anonymous requests.
-        rank: Rank of the request.
-        position: Position of the rank in the order of the service.
+        rank: Index of its rank in the order of the service, 0 for the most
+            urgent.
+        position: Position of the rank, from 0.0 to 1.0.
         wire_priority: Priority to state to upstreams.
         standing: Use of the organisation against its share, on arrival.
     """
@@ -140,15 +141,16 @@
     ) -> Claim | None:
         """Returns the claim of a request; None if ranks are not mixed."""
         order = self._get_catalog().get_rank_order(service.name)
+        key = documents.get_rank_key(request.route, request.organisation)
         if not order.is_mixed:
             return None
         organisation = request.organisation.name if request.organisation else ""
         return Claim(
             service,
             organisation,
-            request.rank,
-            order.get_position(request.rank),
-            ranks.get_wire_priority(order, request.rank),
+            order.get_index(key),
+            order.get_position(key),
+            ranks.get_wire_priority(order, key),
             self._share_table.get_standing(
                 service.name, organisation, self._read_time_s(), size_tokens
             ),
--- a/src/fuchsiabarrow/forwarding/stream_paths.py
+++ b/src/fuchsiabarrow/forwarding/stream_paths.py
@@ -37,6 +37,8 @@
         segments: Segments of the current path, in order; empty until one is
             reserved.
         excluded: Keys of instances that are not chosen for this request.
+        is_prefilling: Whether instances of the current path have yet to read
+            the prompt, or what was generated before a change of the path.
 
     Args:
         context: What the handlers of all requests share.
@@ -50,6 +52,7 @@
     ):
         self.segments: tuple[paths.PathSegment, ...] = ()
         self.excluded: set[UpstreamKey] = set()
+        self.is_prefilling = False
         self._context = context
         self._service = exchange.service
         self._request = exchange.request
@@ -219,11 +222,30 @@
         self.release()
         self.segments = segments
         self._reservation = reservation
+        self.is_prefilling = True
 
     def finish_prefill(self) -> None:
         """Releases the capacity reserved for prefilling the prompt."""
-        if self._reservation is not None:
+        if self._reservation is not None and self.is_prefilling:
             self._reservation.finish_prefill()
+        self.is_prefilling = False
+
+    def adopt_change(
+        self,
+        segments: tuple[paths.PathSegment, ...],
+        reservation: loads.Reservation,
+    ) -> None:
+        """Makes a path the current one on which a stream goes on.
+
+        Only instances that were not on the previous path read the context.
+
+        Args:
+            segments: The path.
+            reservation: Its capacity, as returned by `hold`.
+        """
+        kept = {segment.upstream.key for segment in self.segments}
+        self.adopt(segments, reservation)
+        reservation.finish_prefill(kept)
 
     def estimate_event_ms(self) -> float:
         """Returns the expected time between two events on the current path."""
--- a/src/fuchsiabarrow/forwarding/stream_progress.py
+++ b/src/fuchsiabarrow/forwarding/stream_progress.py
@@ -45,6 +45,8 @@
         longest_gap_s: Longest time between two events.
         gap_cause: Cause of this gap; None before the second event.
         last_event_s: Loop time of the last event, or of the arrival.
+        last_progress_s: The same, or when the caller had taken the last event.
+            A change of the path is no progress.
 
     Args:
         arrived_s: Loop time at which the request arrived.
@@ -60,7 +62,7 @@
         # Of the present gap.
         self._has_moved = False
         self._has_stalled = False
-        self._written_s = arrived_s
+        self.last_progress_s = arrived_s
 
     def record_move(self) -> None:
         """Records that an attempt begins or that the path has changed."""
@@ -72,7 +74,7 @@
 
     def record_written(self, now_s: float) -> None:
         """Records that the caller has taken the last events."""
-        self._written_s = now_s
+        self.last_progress_s = now_s
 
     def record_events(
         self, now_s: float, get_slowdown: Callable[[], float]
@@ -90,7 +92,7 @@
         elif gap_s > self.longest_gap_s:
             self.longest_gap_s = gap_s
             self.gap_cause = self._find_cause(gap_s, get_slowdown)
-        self.last_event_s = self._written_s = now_s
+        self.last_event_s = self.last_progress_s = now_s
         self._has_moved = self._has_stalled = False
 
     def _find_cause(
@@ -98,7 +100,7 @@
     ) -> GapCause:
         if self._has_moved:
             return GapCause.MOVED
-        if self._written_s - self.last_event_s > SLOW_WRITE_SHARE * gap_s:
+        if self.last_progress_s - self.last_event_s > SLOW_WRITE_SHARE * gap_s:
             return GapCause.SLOW_WRITE
         if self._lag_meter.late_s > self.last_event_s:
             return GapCause.LOOP_LAG
--- a/src/fuchsiabarrow/scheduling/ranks.py
+++ b/src/fuchsiabarrow/scheduling/ranks.py
@@ -30,7 +30,9 @@
 MAX_RETRY_DELAY = 0.5
 
 
-def get_wire_priority(order: documents.RankOrder, rank: int) -> int | None:
+def get_wire_priority(
+    order: documents.RankOrder, rank: documents.RankKey
+) -> int | None:
     """Returns the priority to state to upstreams, None to state none.
 
     Args:
@@ -39,7 +41,7 @@
     """
     if not order.is_mixed:
         return None
-    return min(MAX_WIRE_PRIORITY, max(0, rank))
+    return min(MAX_WIRE_PRIORITY, order.get_index(rank))
 
 
 def get_memory_fraction(position: float) -> float:
