--- a/src/fuchsiabarrow/forwarding/tests/test_path_changes.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_path_changes.py
@@ -216,3 +216,66 @@
     assert changed == [["first", "spare-middle", "shared"]]
     assert load.context > 0
     assert left == {}
+
+
+def change_after_failures(*pauses_s):
+    """Serves a stream whose later instances fail one after another.
+
+    Args:
+        pauses_s: Times between the last event and each failure.
+
+    Returns:
+        The later instances that were ordered, with the time since the last
+        event, and the prompt tokens that the last one of them has yet to read.
+    """
+
+    async def run():
+        harness = fakes.Harness(
+            path_instances.FIRST,
+            path_instances.LAST,
+            path_instances.SPARE_LAST,
+            path_instances.THIRD_LAST,
+        )
+        script = [*fakes.stream(1, 5, 0.02), fakes.Wait(3.0)]
+        harness.script(
+            path_instances.FIRST.address, script + fakes.stream(5, 11)[1:]
+        )
+        loop, orders = asyncio.get_running_loop(), []
+
+        async def change_path(upstream, request_id, segments, timeout_s):
+            orders.append((segments[1].upstream, loop.time() - begun_s))
+            return fakes.pipelines.PathChangeOutcome(True, "", "status 202")
+
+        harness.control.change_path = change_path
+        task = path_instances.start(harness)
+        await asyncio.sleep(0.1)
+        begun_s = loop.time()
+        used = harness.pool.sent[0][1].segments[1].upstream
+        for pause_s in pauses_s:
+            await asyncio.sleep(begun_s + pause_s - loop.time())
+            harness.forwarding.record_failure(used, "probe failed: refused")
+            await asyncio.sleep(0.005)
+            if orders:
+                used = orders[-1][0]
+        reading = harness.load_table.get(used.key).prefill
+        kept = harness.load_table.get(path_instances.FIRST.key).prefill
+        await task
+        return orders, reading, kept
+
+    return virtual_time.run(run())
+
+
+def test_second_dead_instance_is_left_at_once():
+    # A change of the path counted as an event: the next dead instance, found
+    # a moment later, was kept until the next report of silence.
+    orders, _, _ = change_after_failures(0.2, 0.24)
+    assert [round(after_s, 2) for _, after_s in orders] == [0.2, 0.24]
+
+
+def test_reading_after_a_change_of_the_path_counts_as_load():
+    # Streams that move at the same time chose the same instances: what these
+    # had to read was not counted.
+    orders, reading, kept = change_after_failures(0.2)
+    assert len(orders) == 1
+    assert reading > 0
+    assert kept == 0
