Streams leave known dead instances before the next event is late

Cause: streams in progress at a joint crash were late although other streams had found the dead instances within 0.1 s. (1) One whose last event came after the suspicion forgot it, and waited until its first instance reported a stall. (2) Silence is checked after four times the mean interval, 0.28 s at 0.07 s, so that a gap objective of 0.25 s was missed. Change: where a route has a gap objective, a stream whose next event is about to miss it leaves the instances of its path that are avoided by then.

--- a/src/fuchsiabarrow/forwarding/path_moves.py
+++ b/src/fuchsiabarrow/forwarding/path_moves.py
@@ -52,6 +52,7 @@
         self.monitor = stream_monitors.StreamMonitor(
             self._start_silence_check,
             self._probe_slow_path,
+            self._leave_suspects,
             state.request.route.event_gap_objective_s,
         )
         self._context = context
@@ -147,6 +148,17 @@
         for segment in self._path.segments:
             self._context.evidence.start_probe(segment.upstream, "slow")
 
+    def _leave_suspects(self) -> None:
+        """Leaves suspected instances before the next event is late.
+
+        An event that arrived after the suspicion may have passed through them
+        before they failed.
+        """
+        if self._state.is_writing:
+            return
+        for upstream in self._find_suspects(self._path.segments):
+            self.handle_suspect(upstream)
+
     def _start_silence_check(self, silent_s: float) -> None:
         if self._state.is_writing:
             return  # The caller is slow; more events may have arrived.
--- a/src/fuchsiabarrow/forwarding/stream_monitors.py
+++ b/src/fuchsiabarrow/forwarding/stream_monitors.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 
 __all__ = ["StreamMonitor"]
 
@@ -17,13 +18,12 @@
 # the minimum and the maximum.
 SILENCE_FACTOR = 4.0
 MAX_SILENCE_S = 1.0
-# Time that it takes to find a dead instance, to change the path and to prefill
-# the context again there. A gap objective is kept if the silence is reported
-# this much earlier.
+# Time that it takes to change the path and to prefill the context again there.
+# A gap objective is kept if the delay is reported this much earlier.
 MOVE_TIME_S = 0.11
-# Multiple of the mean time between events below which silence is not reported
-# for the sake of a gap objective: single gaps vary by that much.
-MIN_SILENCE_FACTOR = 1.5
+# Multiple of the mean time between events below which no delay is reported:
+# single gaps vary by that much.
+MIN_DELAY_FACTOR = 1.5
 # Shortest timer: the difference of two times may round to less than the clock
 # can represent, and a timer would then expire at the same time again.
 MIN_TIMER_S = 0.001
@@ -44,6 +44,8 @@
         on_silence: Called with the seconds since the last progress.
         on_slowness: Called when events arrive much slower than expected; each
             call doubles the interval that triggers the next one.
+        on_delay: Called before a silence is reported, when the next event is
+            about to miss the gap objective.
         gap_objective_s: Objective for the longest time between two events;
             None if there is none.
     """
@@ -52,11 +54,14 @@
         self,
         on_silence: Callable[[float], None],
         on_slowness: Callable[[], None],
+        on_delay: Callable[[], None] = lambda: None,
         gap_objective_s: float | None = None,
     ):
         self._on_silence = on_silence
         self._on_slowness = on_slowness
+        self._on_delay = on_delay
         self._gap_objective_s = gap_objective_s
+        self._is_delay_reported = False
         self._event_count = 0
         self._last_progress_s = 0.0
         self._mean_interval_s = 0.0
@@ -112,20 +117,32 @@
     def _get_silence_limit_s(self) -> float:
         if not self._event_count:
             return FIRST_EVENT_SILENCE_S
-        limit_s = SILENCE_FACTOR * self._mean_interval_s
-        if self._gap_objective_s:
-            limit_s = min(
-                limit_s,
-                max(
-                    self._gap_objective_s - MOVE_TIME_S,
-                    MIN_SILENCE_FACTOR * self._mean_interval_s,
-                ),
-            )
-        return min(MAX_SILENCE_S, max(MIN_SILENCE_S, limit_s))
+        return min(
+            MAX_SILENCE_S,
+            max(MIN_SILENCE_S, SILENCE_FACTOR * self._mean_interval_s),
+        )
+
+    def _get_delay_limit_s(self) -> float:
+        """Returns the silence that counts as a delay; infinite for none."""
+        if not self._gap_objective_s or not self._event_count:
+            return math.inf
+        return max(
+            self._gap_objective_s - MOVE_TIME_S,
+            MIN_SILENCE_S,
+            MIN_DELAY_FACTOR * self._mean_interval_s,
+        )
 
     def _check(self) -> None:
         limit_s, silent_s = self._get_silence_limit_s(), self.get_silence_s()
         if silent_s < limit_s:
+            delay_s = self._get_delay_limit_s()
+            if silent_s < delay_s:
+                self._is_delay_reported = False
+            elif not self._is_delay_reported:
+                self._is_delay_reported = True
+                self._on_delay()
+            if silent_s < delay_s < limit_s:
+                limit_s = delay_s
             self._set_timer(max(MIN_TIMER_S, limit_s - silent_s))
             return
         self._on_silence(silent_s)
--- a/src/fuchsiabarrow/forwarding/tests/test_path_changes.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_path_changes.py
@@ -279,3 +279,35 @@
     assert len(orders) == 1
     assert reading > 0
     assert kept == 0
+
+
+def test_dead_instance_is_left_though_an_event_came_after_the_suspicion():
+    # The last event had passed through the instance before it failed, and
+    # cleared the suspicion: the stream waited for the report of its first
+    # instance.
+    async def run():
+        harness = fakes.Harness(
+            path_instances.FIRST, path_instances.LAST, path_instances.SPARE_LAST
+        )
+        script = [*fakes.stream(1, 8, 0.05), fakes.Wait(3.0)]
+        harness.script(
+            path_instances.FIRST.address, script + fakes.stream(8, 11)[1:]
+        )
+        loop, orders = asyncio.get_running_loop(), []
+
+        async def change_path(upstream, request_id, segments, timeout_s):
+            orders.append(loop.time())
+            return fakes.pipelines.PathChangeOutcome(True, "", "status 202")
+
+        harness.control.change_path = change_path
+        begun_s = loop.time()
+        task = path_instances.start(harness)
+        await asyncio.sleep(0.3)
+        used = harness.pool.sent[0][1].segments[1].upstream
+        harness.forwarding.record_failure(used, "probe failed: refused")
+        await task
+        # The last event comes at 0.35 s.
+        return [order_s - begun_s for order_s in orders]
+
+    orders_s = virtual_time.run(run())
+    assert orders_s and orders_s[0] <= 0.35 + 0.15
--- a/src/fuchsiabarrow/forwarding/tests/test_stream_monitors.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_stream_monitors.py
@@ -11,12 +11,17 @@
 
     Returns:
         The reported silences in seconds, and the number of slowness reports.
+        With a gap objective, the silences at which delays were reported come
+        in place of the latter.
     """
 
     async def run():
-        silences_s, slow = [], []
+        silences_s, slow, delays_s = [], [], []
         stream = stream_monitors.StreamMonitor(
-            silences_s.append, lambda: slow.append(1), gap_objective_s
+            silences_s.append,
+            lambda: slow.append(1),
+            lambda: delays_s.append(stream.get_silence_s()),
+            gap_objective_s,
         )
         stream.set_expected_interval(0.02)
         stream.start()
@@ -27,7 +32,7 @@
                 await asyncio.sleep(step)
         stream.stop()
         await asyncio.sleep(5.0)
-        return silences_s, len(slow)
+        return silences_s, delays_s if gap_objective_s else len(slow)
 
     return virtual_time.run(run())
 
@@ -47,23 +52,23 @@
     assert silences_s[0] < 0.2
 
 
-def test_silence_is_reported_in_time_for_the_gap_objective():
-    # Guards against gaps over the objective after a crash: with four times the
-    # mean interval, the stream would be moved only after 0.28 s.
-    silences_s, _ = run_monitor(
-        *["event", 0.07] * 20, "event", 0.5, gap_objective_s=0.25
-    )
-    assert silences_s[0] + stream_monitors.MOVE_TIME_S <= 0.251
+def test_delay_is_reported_in_time_for_the_gap_objective():
+    # Guards against gaps over the objective after a crash: silence is reported
+    # after four times the mean interval, 0.28 s.
+    steps = [*["event", 0.07] * 20, "event", 0.6]
+    silences_s, delays_s = run_monitor(*steps, gap_objective_s=0.25)
+    assert len(delays_s) == 1
+    assert delays_s[0] + stream_monitors.MOVE_TIME_S <= 0.251
+    # Reports of silence, which lead to probes, stay as they are.
+    usual_s = run_monitor(*steps)[0]
+    assert silences_s == pytest.approx(usual_s, abs=0.005)
 
 
-def test_ordinary_gaps_are_no_silence_where_a_gap_objective_is_short():
-    # Guards against probes for each event of a stream that is slow by itself.
+def test_ordinary_gaps_are_no_delay_where_a_gap_objective_is_short():
+    # Guards against checks at each event of a stream that is slow by itself.
     def count(pairs):
         steps = ["event", 0.2, "event", 0.28] * pairs + ["event"]
-        return sum(
-            silent_s < 0.3
-            for silent_s in run_monitor(*steps, gap_objective_s=0.25)[0]
-        )
+        return len(run_monitor(*steps, gap_objective_s=0.25)[1])
 
     # The mean is known after some events; there are no more reports then.
     assert count(40) == count(8)
