--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -47,11 +47,14 @@
         DONE: A final answer has arrived as a whole.
         NOT_RUN: No instance ran the request.
         LOST: The request may have run, but there is no final answer.
+        BROKEN: The same, but the first instance is alive: it has sent a status
+            that HTTP does not define.
     """
 
     DONE = enum.auto()
     NOT_RUN = enum.auto()
     LOST = enum.auto()
+    BROKEN = enum.auto()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -228,7 +231,7 @@
                 if count >= crash_counts.CRASH_LIMIT:
                     return context.ledger.make_crash_refusal(False)
             if (
-                result is _AttemptResult.LOST
+                result is not _AttemptResult.NOT_RUN
                 and not self._request.route.may_repeat
             ):
                 return self._make_refusal(
@@ -455,7 +458,12 @@
                     why=state.failure_detail,
                     prompt_parts=",".join(request.generation.shared_parts),
                 )
-                return _AttemptResult.LOST
+                if not isinstance(error, exceptions.UndefinedStatusError):
+                    return _AttemptResult.LOST
+                self._path.excluded.add(first.key)
+                context.directory.record_unsuccessful_request(first)
+                context.evidence.start_probe(first, f"status {error.status}")
+                return _AttemptResult.BROKEN
             finally:
                 state.connection = None
                 self._mover.stop()
@@ -564,8 +572,8 @@
         metrics = self._context.metrics
         self._state.progress.record_events(now_s, self._path.get_slowdown)
         self._mover.record_life()
+        self._path.finish_prefill()
         if self._state.event_count == 0:
-            self._path.finish_prefill()
             self._part_check.record_begin()
             first_event_s = now_s - self._request.arrived_s
             metrics.first_event_s.observe(first_event_s)
