--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -372,6 +372,17 @@
     def has_exited(self) -> bool:
         return self._process.poll() is not None
 
+    def read_memory_mb(self) -> int:
+        """Returns the resident memory of the process; 0 if it has ended."""
+        try:
+            status = pathlib.Path(f"/proc/{self._process.pid}/status")
+            for line in status.read_text().splitlines():
+                if line.startswith("VmRSS:"):
+                    return int(line.split()[1]) // 1024
+        except OSError:
+            pass
+        return 0
+
     async def is_ready(self, session: aiohttp.ClientSession) -> bool:
         try:
             async with session.get(
