--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,9 @@
-"""Entries of an unnamed service stand beside the runners at a restart.
+"""An entry of another writer stands in the list of runners at a restart.
 
 Three entries serve a plain service with three sound runners. Another writer
-puts an entry for each address of a runner into the list, with a service that no
-configuration names. Then all entries are killed and started again, as in the
-final fault of a day. The runners stay up and listed all the time.
+puts one entry into the list whose `version` cannot be read as text. Then all
+entries are killed and started again, as in the final fault of a day. The runners
+stay up and listed all the time.
 """
 
 import asyncio
@@ -19,15 +19,28 @@
 MEASURE_S = 5.0
 KEY = "key-1"
 ZONES = ("tt-north-a", "tt-north-b", "tt-north-c")
+FIELDS = {
+    "service": "desk",
+    "address": "127.0.0.1:9",
+    "zone": "tt-north-a",
+    "version": "VERSION",
+    "slots": 6,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "sequence": 1,
+}
+# Values of the field `version`, each valid by the grammar of JSON.
+UNREADABLE = {
+    # Half of a character beyond the basic plane, as of a text cut in JavaScript.
+    "surrogate": rb'"v1 \ud83d"',
+    # A field of another type.
+    "nested": b"[" * 2000 + b"]" * 2000,
+}
 
 
-def make_foreign_entry(runner: standins.Runner) -> bytes:
-    """Returns an entry of the kind that PROTOCOL.md says names no runner."""
-    fields = json.loads(runner.make_entry())
-    fields["service"] = "metrics-export"
-    # The other writer has started a minute later than the runner.
-    fields["born"] = runner.born + 60_000
-    return json.dumps(fields).encode()
+def make_foreign_entry() -> bytes:
+    value = UNREADABLE[os.environ.get("ENTRY", "surrogate")]
+    return json.dumps(FIELDS).encode().replace(b'"VERSION"', value)
 
 
 async def press(
@@ -58,8 +71,6 @@
             await store.start(network.take_host(), network.store)
             for runner in runners:
                 await runner.start(network.take_host(), network.server)
-                # They run since two minutes.
-                runner.born -= 120_000
                 store.put("servers", runner.name, runner.make_entry())
             store.put(
                 "config",
@@ -94,10 +105,8 @@
                 record.write(f"could not run: {before} served, sent before")
                 return 2
             if has_trouble:
-                for runner in runners:
-                    name = f"x-{runner.name}"
-                    store.put("servers", name, make_foreign_entry(runner))
-                    record.write(f"another writer adds the entry {name}")
+                store.put("servers", "note-1", make_foreign_entry())
+                record.write("another writer adds the entry note-1")
             await asyncio.sleep(1.0)
             for entry in entries:
                 entry.kill()
