--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,7 +23,7 @@
 PRESS_S = 20.0
 # A tenth of the machines, two at least, three times.
 MIN_MACHINES, MIN_ENDS = 2, 3
-FOREIGN_LAYERS = 20_000_000
+FOREIGN_LAYERS = int(os.environ.get("LAYERS", "10000000"))
 ENGINE = {
     "slots": 96,
     "kv_capacity": 50000,
