review: form of the cases 6 to 10

Run bits; the shared stand-ins are files beside those of the first review and no folder; a script that is stopped or meets an error of its own ends its processes and exits with 2, and its record names the processes.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -8,14 +8,13 @@
 
 import asyncio
 import json
-import os
 import pathlib
 import re
 import sys
 import time
 
 import aiohttp
-import standins
+import standins_2 as standins
 
 KEY = "key-1"
 ZONES = ("tt-north-a", "tt-north-b")
@@ -40,12 +39,14 @@
         self.address = f"{host}:{port}"
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
-            str(pathlib.Path(standins.__file__).with_name("stream_runner.py")),
+            str(pathlib.Path(standins.__file__).with_name("stream_runner_2.py")),
             self.name,
             host,
             str(port),
             stdout=asyncio.subprocess.PIPE,
+            preexec_fn=standins.end_with_parent,
         )
+        standins.record_start(self.record, self.name, self._process.pid)
         self._reading = asyncio.create_task(self._read())
         async with asyncio.timeout(10.0):
             await self._listens.wait()
@@ -238,16 +239,5 @@
     return 1 if broken else 0
 
 
-def main() -> int:
-    record = standins.Record(pathlib.Path(sys.argv[1]))
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    with standins.make_folder() as folder:
-        try:
-            return asyncio.run(run(record, has_trouble, pathlib.Path(folder)))
-        except (OSError, RuntimeError, TimeoutError) as error:
-            record.write(f"could not run: {error!r}")
-            return 2
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(standins.run_case(run))
--- a/review/lib2/standins.py
+++ b/review/standins_2.py
@@ -6,12 +6,16 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import ctypes
 import json
 import os
 import pathlib
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -19,13 +23,22 @@
 import aiohttp
 import aiohttp.web
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
-if not (ROOT / "deploy" / "system.toml").exists():  # Run from target/review-2.
-    ROOT = pathlib.Path(__file__).resolve().parents[3]
+# The repository, also from target/review-2.
+ROOT = next(
+    folder
+    for folder in pathlib.Path(__file__).resolve().parents
+    if (folder / "deploy" / "system.toml").exists()
+)
 HISTORY_S = 20.0
 HEARTBEAT_S = 1.2
 RESTART_DELAY_S = 0.2
 HOST = "shop.example"
+# From linux/prctl.h.
+PR_SET_PDEATHSIG = 1
+
+_libc = ctypes.CDLL(None, use_errno=True)
+# Ids of the processes that this script has started.
+_started: list[int] = []
 
 
 class Record:
@@ -45,6 +58,58 @@
         print(line, flush=True)
 
 
+def end_with_parent() -> None:
+    """Has the kernel end this process if the script is killed."""
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def record_start(record: Record, name: str, pid: int) -> None:
+    """Records the id of a process that was started."""
+    _started.append(pid)
+    record.write(f"{name} started, process {pid}")
+
+
+def _find_alive() -> list[int]:
+    """Returns the started processes that are still there."""
+    alive = []
+    for pid in _started:
+        try:
+            os.kill(pid, 0)
+        except ProcessLookupError:
+            continue
+        alive.append(pid)
+    return alive
+
+
+def run_case(run: Callable[..., Awaitable[int]]) -> int:
+    """Runs a case and returns its exit status.
+
+    Args:
+        run: Called with the record, whether the disruption is part of the run,
+            and a temporary folder; returns the exit status.
+    """
+    record = Record(pathlib.Path(sys.argv[1]))
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    async def run_until_stopped(folder: pathlib.Path) -> int:
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
+        return await run(record, has_trouble, folder)
+
+    with tempfile.TemporaryDirectory(prefix="review-") as folder:
+        try:
+            status = asyncio.run(run_until_stopped(pathlib.Path(folder)))
+        except (Exception, asyncio.CancelledError) as error:
+            record.write(f"could not run: {error!r}")
+            status = 2
+    record.write(
+        f"{len(_started)} processes were started, alive now: {_find_alive()}"
+    )
+    return status
+
+
 class Network:
     """Loopback addresses of this run, and ports that are free on all of them.
 
@@ -355,8 +420,9 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 stdin=subprocess.DEVNULL,
+                preexec_fn=end_with_parent,
             )
-        self.record.write(f"{self.name} started")
+        record_start(self.record, self.name, self._process.pid)
 
     def send(self, number: signal.Signals) -> None:
         self._process.send_signal(number)
@@ -452,10 +518,6 @@
         return request_id, sent_s, status
 
 
-def make_folder() -> tempfile.TemporaryDirectory:
-    return tempfile.TemporaryDirectory(prefix="review-")
-
-
 def make_route(name: str, prefix: str, kind: str, service: str) -> dict:
     return {
         "name": name,
