Fleet: stated layers beyond the model's cost neither memory nor requests

Cause, by a trace of the resident memory around each function of fleet and placement (trial on a scratch copy, 1,000,000 layers, no memory limit): find_complete_domains alone grew, from 52 to 84 MB in one call; it kept a set of every stated layer. The same run showed a second effect that the limit had hidden: 36 of 36 requests were refused, as the set was as large as the model and the domain of the foreign entry counted as complete, so that paths over the sound instances of two domains were not searched.

Change: domains are checked by the ends of the ranges, clipped to the model. The directory knows the number of layers of each service's model and leaves out upstreams that state other ones (line upstream_invalid), for forwarding, scheduling and placement alike. Numbers of an entry are bounded when it is decoded: 2**64 layers made len() raise while the list was applied.

--- a/src/fuchsiabarrow/catalogs/documents.py
+++ b/src/fuchsiabarrow/catalogs/documents.py
@@ -198,6 +198,14 @@
         """Returns the organisation that holds a key, or None."""
         return self.organisations_by_key.get(key)
 
+    def get_layer_counts(self) -> dict[str, int]:
+        """Returns the number of layers of each service's model, if any."""
+        return {
+            service.name: service.engine.layers
+            for service in self.services.values()
+            if service.engine is not None
+        }
+
     def get_rank_order(self, service: str) -> RankOrder:
         """Returns the ranks of the requests that a service may receive."""
         return self.rank_orders.get(service, NO_RANKS)
--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -165,6 +165,11 @@
         await kernel.add(
             "current_catalog", contextlib.nullcontext(current_catalog)
         )
+        current_catalog.add_listener(
+            lambda catalog: directory.set_layer_counts(
+                catalog.get_layer_counts()
+            )
+        )
         list_updater = lists.UpstreamListUpdater(
             directory, wire.decode_upstream
         )
--- a/src/fuchsiabarrow/fleet/directory.py
+++ b/src/fuchsiabarrow/fleet/directory.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 
 from fuchsiabarrow.fleet import upstreams
@@ -54,6 +55,9 @@
         self._upstreams: dict[str, upstreams.Upstream] = {}
         # Newest incarnation at each address.
         self._newest: dict[str, int] = {}
+        self._layer_counts: Mapping[str, int] = {}
+        # Listed upstreams with layers that the model of their service lacks.
+        self._misfits: set[str] = set()
         self._health: dict[tuple[str, int], _Health] = {}
         self._slowdowns: dict[tuple[str, int], tuple[float, float]] = {}
         self._paused_until_s: dict[tuple[str, int], float] = {}
@@ -68,6 +72,16 @@
         """Registers a callback for changes of the list."""
         self._listeners.append(listener)
 
+    def set_layer_counts(self, layer_counts: Mapping[str, int]) -> None:
+        """Sets the number of layers of the model of each service that has one.
+
+        Upstreams that state other layers are listed but not used: their entry
+        was not written by an instance of that service.
+        """
+        if layer_counts != self._layer_counts:
+            self._layer_counts = dict(layer_counts)
+            self._notify()
+
     def replace(self, listed: list[upstreams.Upstream]) -> None:
         """Replaces all upstreams."""
         self._upstreams = {u.instance_id: u for u in listed}
@@ -87,6 +101,10 @@
         if self._upstreams.pop(instance_id, None) is not None:
             self._notify()
 
+    def get_misfits(self) -> set[str]:
+        """Returns the ids of those with layers that their model lacks."""
+        return self._misfits
+
     def confirm(self, at_s: float) -> None:
         """Records that the list was current at a time."""
         self.updated_at_s = max(self.updated_at_s, at_s)
@@ -125,12 +143,15 @@
         """Returns a service's upstreams, including leaving and avoided ones.
 
         An upstream whose address was taken over by a newer one is left out: it
-        has stopped, although it may stay in the list for some time.
+        has stopped, although it may stay in the list for some time. So is one
+        with layers that the model of the service does not have.
         """
         return [
             u
             for u in self._upstreams.values()
-            if u.service == service and u.incarnation == self._newest[u.address]
+            if u.service == service
+            and u.incarnation == self._newest[u.address]
+            and u.instance_id not in self._misfits
         ]
 
     def get_usable_upstreams(self, service: str) -> list[upstreams.Upstream]:
@@ -141,6 +162,7 @@
             if u.service == service
             and not u.is_leaving
             and u.incarnation == self._newest[u.address]
+            and u.instance_id not in self._misfits
             and not self.is_avoided(u)
             and not self.is_paused(u)
         ]
@@ -271,11 +293,22 @@
         factor, until_s = self._slowdowns.get(upstream.key, (1.0, 0.0))
         return factor if self._read_time_s() < until_s else 1.0
 
+    def _find_misfits(self) -> set[str]:
+        counts = self._layer_counts
+        return {
+            upstream.instance_id
+            for upstream in self._upstreams.values()
+            if upstream.layers is not None
+            and upstream.service in counts
+            and not upstream.layers.is_within(counts[upstream.service])
+        }
+
     def _notify(self) -> None:
         newest: dict[str, int] = {}
         for upstream in self._upstreams.values():
             previous = newest.get(upstream.address, upstream.incarnation)
             newest[upstream.address] = max(previous, upstream.incarnation)
         self._newest = newest
+        self._misfits = self._find_misfits()
         for listener in self._listeners:
             listener()
--- a/src/fuchsiabarrow/fleet/lists.py
+++ b/src/fuchsiabarrow/fleet/lists.py
@@ -50,6 +50,8 @@
         # Keys of upstreams that left the list while the store was available,
         # oldest first.
         self._removed_keys: dict[tuple[str, int], None] = {}
+        self._logged_misfits: set[str] = set()
+        directory.add_listener(self._log_misfits)
 
     def make_sink(self) -> watchers.Sink:
         """Returns the sink for a watcher of the list."""
@@ -140,6 +142,22 @@
             self._remember_removed(known)
             self._directory.remove(name)
 
+    def _log_misfits(self) -> None:
+        """Logs upstreams that are not used because of their layers."""
+        misfits = self._directory.get_misfits()
+        for name in misfits - self._logged_misfits:
+            layers = self._directory.get(name).layers
+            _log.warning(
+                logs.format_event(
+                    "upstream_invalid",
+                    why=(
+                        f"{name}: its model does not have the layers"
+                        f" {layers.first} to {layers.end - 1}"
+                    ),
+                )
+            )
+        self._logged_misfits = set(misfits)
+
     def _remember_removed(self, upstream: upstreams.Upstream) -> None:
         self._removed_keys[upstream.key] = None
         while len(self._removed_keys) > MAX_REMOVED_KEYS:
@@ -218,7 +236,7 @@
             address=upstream.address,
             kind=upstream.kind,
             is_leaving=upstream.is_leaving,
-            layers=f"{layers.first}-{layers.end}" if layers else "",
+            layers=("" if layers is None else f"{layers.first}-{layers.end}"),
             version=version,
         )
     )
--- a/src/fuchsiabarrow/fleet/path_selection.py
+++ b/src/fuchsiabarrow/fleet/path_selection.py
@@ -89,12 +89,28 @@
     Whether they have free memory does not matter: crossing would not relieve
     them for long, as requests on overloaded links hold their memory longer.
     """
-    held: dict[str, set[int]] = collections.defaultdict(set)
+    held: dict[str, list[tuple[int, int]]] = collections.defaultdict(list)
     for instance in instances:
         if instance.layers is not None:
-            held[instance.failure_domain].update(
-                range(instance.layers.first, instance.layers.end)
+            held[instance.failure_domain].append(
+                (instance.layers.first, instance.layers.end)
             )
     return sorted(
-        domain for domain, layers in held.items() if len(layers) >= model.layers
+        domain
+        for domain, ranges in held.items()
+        if _covers_all(ranges, model.layers)
     )
+
+
+def _covers_all(ranges: list[tuple[int, int]], layers: int) -> bool:
+    """Returns whether ranges together contain the layers 0 to layers - 1.
+
+    The ends of a range are as an instance states them and may be any numbers,
+    so that the time and memory needed must not depend on them.
+    """
+    covered_to = 0
+    for first, end in sorted(ranges):
+        if first > covered_to:
+            return False
+        covered_to = max(covered_to, end)
+    return covered_to >= layers
--- a/src/fuchsiabarrow/fleet/tests/test_directory.py
+++ b/src/fuchsiabarrow/fleet/tests/test_directory.py
@@ -1,3 +1,5 @@
+import pytest
+
 from fuchsiabarrow.fleet import directory as directory_module
 from fuchsiabarrow.fleet.tests import fleets
 
@@ -106,3 +108,25 @@
     new = fleets.make_instance("new", address="10.0.0.9:80", incarnation=2)
     directory, _ = make_directory(new, old)
     assert directory.find_by_address("10.0.0.9:80") == new
+
+
+# An entry of another writer made its failure domain look complete, and paths
+# over the sound instances of two domains were not considered any more.
+@pytest.mark.parametrize("layers", [(0, 81), (-1, 80), (80, 120), (0, 10**9)])
+def test_upstream_with_layers_that_its_model_lacks_is_not_used(layers):
+    sound = fleets.make_instance("sound", layers=(0, 80))
+    foreign = fleets.make_instance("foreign", "b", layers=layers)
+    other = fleets.make_instance(
+        "other", "c", layers=layers, service="unlimited"
+    )
+    directory, _ = make_directory(sound, foreign, other)
+    directory.set_layer_counts({fleets.SERVICE: 80})
+    assert directory.get_upstreams(fleets.SERVICE) == [sound]
+    assert directory.get_usable_upstreams(fleets.SERVICE) == [sound]
+    assert directory.get_upstreams("unlimited") == [other]
+    assert directory.get_misfits() == {"foreign"}
+    # The entry is replaced by one of an instance of the service.
+    returned = fleets.make_instance("foreign", "b", layers=(0, 80))
+    directory.put(returned)
+    assert returned in directory.get_usable_upstreams(fleets.SERVICE)
+    assert not directory.get_misfits()
--- a/src/fuchsiabarrow/fleet/tests/test_path_selection.py
+++ b/src/fuchsiabarrow/fleet/tests/test_path_selection.py
@@ -2,6 +2,7 @@
 
 import functools
 import random
+import tracemalloc
 
 import pytest
 
@@ -209,3 +210,32 @@
     counts = count_choices(candidates, 1000.0)
     assert counts[0] / 2000 == pytest.approx(fast / (slow + fast), abs=0.03)
     assert counts[0] / 2000 <= 0.25
+
+
+def find_domains(**layers: list[tuple[int, int]]) -> list[str]:
+    return path_selection.find_complete_domains(
+        place_in_domains(**layers), concurrent_entries.MODEL
+    )
+
+
+def test_domain_is_complete_if_its_ranges_leave_no_gap():
+    assert find_domains(
+        a=[(40, 80), (0, 30), (20, 40)],
+        b=[(0, 40), (41, 80)],
+        c=[(0, 79)],
+        d=[(0, 80), (0, 80)],
+        e=[(1, 80), (80, 200)],
+    ) == ["a", "d"]
+
+
+# Each layer of the stated range was stored: an entry with 10,000,000 layers
+# took every process over its memory at its first request.
+def test_memory_to_find_complete_domains_does_not_grow_with_stated_layers():
+    placed = place_in_domains(a=[(0, 40), (0, 10**6)], b=[(0, 40)])
+    tracemalloc.start()
+    try:
+        path_selection.find_complete_domains(placed, concurrent_entries.MODEL)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < 100_000
--- a/src/fuchsiabarrow/fleet/upstreams.py
+++ b/src/fuchsiabarrow/fleet/upstreams.py
@@ -24,6 +24,10 @@
         """Returns whether the range contains the layers first to end - 1."""
         return self.first <= first and end <= self.end
 
+    def is_within(self, layers: int) -> bool:
+        """Returns whether a model with a number of layers has all of these."""
+        return 0 <= self.first < self.end <= layers
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Upstream:
--- a/src/fuchsiabarrow/platform/tests/test_wire.py
+++ b/src/fuchsiabarrow/platform/tests/test_wire.py
@@ -132,3 +132,24 @@
 def test_invalid_configuration_is_rejected(spec):
     with pytest.raises(exceptions.InvalidObjectError):
         wire.decode_catalog(sample_objects.make_stored("main", spec))
+
+
+# Numbers beyond those that an instance can have: the entry is of another
+# writer, and what computes with them may fail or never end.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"layers": {"start_key": -1, "to": 80}},
+        {"layers": {"start_key": 0, "to": 2**31}},
+        {"layers": {"start_key": 0, "to": 2**64}},
+        {"layers": {"start_key": -(2**64), "to": 80}},
+        {"slots": -1},
+        {"slots": 2**31},
+        {"born": -1},
+        {"born": 2**63},
+    ],
+)
+def test_entry_with_absurd_numbers_is_rejected(changes):
+    server = sample_objects.make_server(**changes)
+    with pytest.raises(exceptions.InvalidObjectError):
+        wire.decode_upstream(sample_objects.make_stored("i", server))
--- a/src/fuchsiabarrow/platform/wire.py
+++ b/src/fuchsiabarrow/platform/wire.py
@@ -1,5 +1,6 @@
 """Decoding of objects of the platform's store into the package's types."""
 
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -109,10 +110,16 @@
     return joined >> ERA_SHIFT, joined & ((1 << ERA_SHIFT) - 1)
 
 
+# An entry may come from another writer. Numbers are bounded by the types that
+# hold them elsewhere.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+_UnixTimeMs = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class _LayerRange(msgspec.Struct, frozen=True):
     # "start_key" is the first layer, "to" is one past the last.
-    start_key: int
-    to: int
+    start_key: _Count
+    to: _Count
 
 
 class _Server(msgspec.Struct, frozen=True):
@@ -121,8 +128,8 @@
     zone: str
     state: str
     # Unix time in ms at which the instance started; differs after a restart.
-    born: int = 0
-    slots: int = 1
+    born: _UnixTimeMs = 0
+    slots: _Count = 1
     kind: str | None = None
     layers: _LayerRange | None = None
 
