Events: blank lines are no events, and the parser tells how a stream ends

Cause: any two blank lines in a row counted as an empty event, which ended the stream as lost; the HTML Standard (9.2) ignores them. Whether a stream ends inside an event was decided by the handler of language models alone.

Change: blank lines belong to the event after them, and those at the end are passed on. EventParser.close raises if the stream ends inside an event.

--- a/src/fuchsiabarrow/forwarding/events.py
+++ b/src/fuchsiabarrow/forwarding/events.py
@@ -10,9 +10,9 @@
 MAX_EVENT_BYTES = 1_048_576
 # Maximum size of the events of one response.
 MAX_STREAM_BYTES = 4 * 1_048_576
-# End of a line, then a blank line.
-SEPARATOR = re.compile(rb"\n\r?\n")
-SEPARATOR_BYTES = 3
+# End of a line that is not blank, then a blank line.
+SEPARATOR = re.compile(rb"[^\r\n]\r?\n\r?\n")
+SEPARATOR_BYTES = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -20,7 +20,8 @@
     """One server-sent event.
 
     Attributes:
-        data: Encoded event, including the blank line that ends it.
+        data: Encoded event, including the blank line that ends it and any
+            before it.
         event_id: Value of the ``id`` field; empty if the event has none.
     """
 
@@ -31,10 +32,15 @@
 class EventParser:
     """Splits a byte stream into complete events (HTML Standard, 9.2).
 
+    Blank lines between two events belong to the second one.
     Lines may end with LF or CRLF; the standard's lone CR is not supported.
+
+    Args:
+        max_stream_bytes: Maximum size of the response.
     """
 
-    def __init__(self):
+    def __init__(self, max_stream_bytes: int = MAX_STREAM_BYTES):
+        self._max_stream_bytes = max_stream_bytes
         self._buffer = bytearray()
         # Offset up to which the buffer contains no end of an event.
         self._searched = 0
@@ -49,9 +55,9 @@
         """Adds received bytes and returns the events that they complete.
 
         Raises:
-            UpstreamResponseLostError: An event is empty or longer than
-                ``MAX_EVENT_BYTES``, or the response is longer than
-                ``MAX_STREAM_BYTES``.
+            UpstreamResponseLostError: An event is longer than
+                ``MAX_EVENT_BYTES``, or the response is longer than its
+                limit.
         """
         self._buffer += data
         self._received_bytes += len(data)
@@ -67,16 +73,26 @@
             raise exceptions.UpstreamResponseLostError(
                 f"server-sent event is over {MAX_EVENT_BYTES} bytes"
             )
-        if self._received_bytes > MAX_STREAM_BYTES:
+        if self._received_bytes > self._max_stream_bytes:
             raise exceptions.UpstreamResponseLostError(
-                f"stream is over {MAX_STREAM_BYTES} bytes"
+                f"stream is over {self._max_stream_bytes} bytes"
             )
         return events
 
+    def close(self) -> bytes:
+        """Ends the stream; returns blank lines that follow the last event.
+
+        Raises:
+            UpstreamResponseLostError: It ends inside an event.
+        """
+        if self._buffer.strip(b"\r\n"):
+            raise exceptions.UpstreamResponseLostError(
+                "response ended inside an event"
+            )
+        return bytes(self._buffer)
+
 
 def _parse(data: bytes) -> Event:
-    if not data.strip():
-        raise exceptions.UpstreamResponseLostError("empty server-sent event")
     event_id = ""
     for line in data.splitlines():
         name, _, value = line.partition(b":")
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -554,10 +554,7 @@
                 state.is_writing = False
                 state.progress.record_written(loop.time())
                 self._mover.monitor.reset_silence()
-        if parser.remainder:
-            raise exceptions.UpstreamResponseLostError(
-                "response ended inside an event"
-            )
+        self._rest += parser.close()
         has_begun = bool(state.event_count or state.last_event_id)
         if head.ends_with_connection and not has_begun:
             # An instance that crashes closes its connections as well.
--- a/src/fuchsiabarrow/forwarding/tests/test_events.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_events.py
@@ -28,3 +28,22 @@
     parser = events.EventParser()
     with pytest.raises(exceptions.UpstreamResponseLostError, match="over"):
         parser.feed(b"x" * (events.MAX_EVENT_BYTES + 1))
+
+
+@pytest.mark.parametrize("size", [1, 2, 100])
+def test_blank_lines_are_no_events(size):
+    text = b"\n\n\r\n\nid: 1\n\n\n\n\n\nid: 2\n\n\n\n"
+    parser = events.EventParser()
+    found = []
+    for start in range(0, len(text), size):
+        found += parser.feed(text[start : start + size])
+    assert [event.event_id for event in found] == ["1", "2"]
+    assert b"".join(event.data for event in found) + parser.close() == text
+
+
+@pytest.mark.parametrize("end", [b"id: 2", b"id: 2\ndata: to", b"id: 2\n"])
+def test_stream_that_ends_inside_an_event_raises(end):
+    parser = events.EventParser()
+    parser.feed(TEXT + end)
+    with pytest.raises(exceptions.UpstreamResponseLostError, match="inside"):
+        parser.close()
