Forwarding: streams of plain services are passed on event by event

Cause: the handler of plain requests read any answer as bytes up to the end of the connection. The handler of language models parses events and was not affected.

Change: on routes of streams, an answer that consists of events is passed on event by event (forwarding/event_relays.py). One that ends inside an event, or whose connection ends before the first one, is lost: it is resumed after the last whole event where the route may be repeated, within its limit of attempts and the retry budget, and else aborted, so that it does not look complete. A stream whose last event had no id is not resumed. Begun streams end at the time limit of the route, and are counted and logged as those of language models (stream_aborted; first event and longest gap in the line served).

Why this works: half of an event never reaches the caller, and an answer is only finished after a whole event. Related paths: tunnels of other entries copy bytes as they arrive and tell a reset from an end; language models already resumed after whole events.

--- a/src/fuchsiabarrow/forwarding/messages.py
+++ b/src/fuchsiabarrow/forwarding/messages.py
@@ -130,6 +130,7 @@
         is_leaving: Whether the upstream announces that it is leaving.
         pause_s: Time for which the upstream that refused the request asks for
             no others; None if it does not.
+        has_events: Whether the body consists of server-sent events.
     """
 
     status: int
@@ -144,6 +145,7 @@
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
     pause_s: float | None = None
+    has_events: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/src/fuchsiabarrow/forwarding/plain_requests.py
+++ b/src/fuchsiabarrow/forwarding/plain_requests.py
@@ -1,17 +1,22 @@
 """Serves one request to a service without a language model.
 
 Tries one upstream after another, within the limits of the route and the retry
-budget.
+budget. The events of a stream are passed on as they arrive; other answers only
+once they are complete, so that another upstream may be tried until then.
 """
 
+import asyncio
+
 import logbook
 
 from fuchsiabarrow import exceptions
+from fuchsiabarrow.catalogs import documents
 from fuchsiabarrow.fleet import loads
 from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.forwarding import attempts
 from fuchsiabarrow.forwarding import connections
 from fuchsiabarrow.forwarding import contexts
+from fuchsiabarrow.forwarding import event_relays
 from fuchsiabarrow.forwarding import messages
 from fuchsiabarrow.forwarding import retries
 from fuchsiabarrow.limits import crash_counts
@@ -51,18 +56,24 @@
         self._retry = retries.HeldRetry(
             context.retry_budgets, exchange.service.name
         )
-        # Last upstream that was tried, for the detail of a refusal.
-        self._last_tried = "no upstream tried"
+        self._relay = event_relays.EventRelay(
+            context, exchange, MAX_ANSWER_BYTES
+        )
+        # Id of the last upstream that was tried; empty before the first.
+        self._last_tried = ""
         self._lost_upstream: upstreams.Upstream | None = None
         # Last whole answer; that of a failure is kept while others are tried.
         self._answer: tuple[messages.ResponseHead, bytes] | None = None
         self._failed_upstream: upstreams.Upstream | None = None
 
-    async def serve(self) -> None:
+    async def serve(self) -> messages.StreamSummary | None:
         """Forwards the request until the caller has a final answer.
 
         The time limit is that of the upstreams: a caller may take longer to
         read a whole answer.
+
+        Returns:
+            How it was served if events have arrived, else None.
         """
         request = self._request
         until_s = request.answer_deadline_s - REFUSAL_MARGIN_S
@@ -70,19 +81,70 @@
             async with self._context.ledger.limit_time(until_s, self._writer):
                 refusal = await self._run()
         except TimeoutError:
+            tried = (
+                f"last upstream tried: {self._last_tried}"
+                if self._last_tried
+                else "no upstream tried"
+            )
             refusal = self._context.ledger.make_time_refusal(
-                request, self._run_count == 0, self._last_tried
+                request, self._run_count == 0, tried
             )
         finally:
             self._retry.put_back()
         if self._answer is not None:
             await self._writer.answer(*self._answer)
+        elif refusal is None:
+            await self._relay.finish()
+        elif self._writer.is_started:
+            self._record_abort(refusal)
+            self._writer.abort()
         else:
             await self._writer.refuse(refusal)
+        return self._summarise() if self._relay.event_count else None
+
+    def _summarise(self) -> messages.StreamSummary:
+        progress, generation = self._relay.progress, self._request.generation
+        return messages.StreamSummary(
+            path=self._last_tried,
+            kinds="",
+            crossings=0,
+            sends=self._send_count,
+            size_tokens=(
+                generation.prompt_tokens + generation.max_answer_tokens
+                if generation
+                else 0
+            ),
+            first_event_s=round(progress.first_event_s, 4),
+            longest_gap_s=round(progress.longest_gap_s, 4),
+            gap_cause=progress.gap_cause.value if progress.gap_cause else "",
+        )
+
+    def _record_abort(self, refusal: messages.Refusal) -> None:
+        """Logs and counts a stream that has begun and cannot continue."""
+        request, context = self._request, self._context
+        now_s = asyncio.get_running_loop().time()
+        context.metrics.incomplete_answers.labels(refusal.reason.value).inc()
+        _log.info(
+            logs.format_event(
+                "stream_aborted",
+                request_id=request.request_id,
+                path=self._last_tried,
+                events=self._relay.event_count,
+                reason=refusal.reason.value,
+                why=refusal.detail,
+                version=request.catalog_version,
+                current_version=context.get_catalog().version,
+                silent_s=round(now_s - self._relay.progress.last_event_s, 4),
+                took_s=round(now_s - request.arrived_s, 4),
+                limit_s=round(request.answer_deadline_s - request.arrived_s, 4),
+                sends=self._send_count,
+                may_repeat=request.route.may_repeat,
+            )
+        )
 
     async def _run(self) -> messages.Refusal | None:
         """Tries upstreams; returns a refusal, or None if one answered."""
-        context, request = self._context, self._request
+        context = self._context
         detail = "no upstream available"
         while True:
             upstream = self._choose_upstream()
@@ -93,6 +155,7 @@
                 break
             self._tried.add(upstream.key)
             context.upstream_limits.take(upstream.key)
+            events_before = self._relay.event_count
             load = {upstream.key: loads.Load(1, 1)}
             with loads.Reservation(context.load_table, load):
                 detail = await self._attempt(upstream)
@@ -100,14 +163,19 @@
                 self._log_failure(upstream, detail)
             else:
                 return None
-            if self._lost_upstream is not None and await self._has_crashed():
+            has_progressed = self._relay.event_count > events_before
+            if has_progressed:
+                context.evidence.clear_crashes(self._fingerprint)
+            has_crashed = (
+                self._lost_upstream is not None and await self._has_crashed()
+            )
+            if has_crashed and not has_progressed:
                 count = context.evidence.count_crash(
                     self._fingerprint, self._lost_upstream
                 )
                 if count >= crash_counts.CRASH_LIMIT:
                     return context.ledger.make_crash_refusal(False)
-            may_repeat = request.route.may_repeat or self._run_count == 0
-            if not may_repeat or self._run_count >= request.route.max_attempts:
+            if not self._may_try_again():
                 break
         is_not_run = self._run_count == 0
         reason = messages.RefusalReason.UPSTREAM_FAILED
@@ -128,6 +196,17 @@
             retry_after_s = max(retry_after_s, self._get_pause_wait_s())
         return messages.Refusal(reason, is_not_run, retry_after_s, detail)
 
+    def _may_try_again(self) -> bool:
+        """Returns whether the request may be sent to another upstream."""
+        if self._run_count == 0:
+            return True
+        route = self._request.route
+        return (
+            route.may_repeat
+            and self._run_count < route.max_attempts
+            and self._relay.can_resume
+        )
+
     def _get_pause_wait_s(self) -> float:
         """Returns the time until the first of the paused upstreams takes work.
 
@@ -212,7 +291,7 @@
     async def _attempt(self, upstream: upstreams.Upstream) -> str | None:
         """Sends the request once; returns the error, or None on success."""
         context, request = self._context, self._request
-        self._last_tried = f"last upstream tried: {upstream.instance_id}"
+        self._last_tried = upstream.instance_id
         self._lost_upstream = None
         may_reuse = request.route.may_repeat
         try:
@@ -237,14 +316,12 @@
     ) -> str | None:
         context, request = self._context, self._request
         target = messages.AttemptTarget(upstream)
-        # Nothing has been sent to the caller: each attempt resumes its stream
-        # after the same event.
         attempts.send(
             context,
             connection,
             request,
             target,
-            request.last_event_id,
+            self._relay.last_event_id,
             self._send_count > 0,
         )
         self._send_count += 1
@@ -252,6 +329,12 @@
         self._run_count += 1
         head = await attempts.read_head(context, connection, request, upstream)
         context.evidence.record_pause(upstream, head.pause_s)
+        if self._is_stream(head):
+            # The failure of an earlier attempt is not the answer any more.
+            self._answer = None
+            await self._relay.relay(connection, head)
+            self._record_success(upstream)
+            return None
         body = await connection.read_body(MAX_ANSWER_BYTES)
         if head.is_not_run:
             self._run_count -= 1
@@ -260,15 +343,9 @@
                 f" status {head.status}"
             )
         if head.status < HTTP_SERVER_ERROR:
-            context.directory.record_success(upstream)
-            context.evidence.clear_crashes(self._fingerprint)
-            if self._failed_upstream is not None:
-                # The failure is recorded against the upstream only once
-                # another one served the request: some requests fail
-                # everywhere.
-                context.directory.record_unsuccessful_request(
-                    self._failed_upstream
-                )
+            self._record_success(upstream)
+        if self._writer.is_started:
+            return f"status {head.status} instead of the rest of the stream"
         self._answer = (head, body)
         may_retry = (
             head.status >= HTTP_SERVER_ERROR
@@ -279,3 +356,22 @@
             self._failed_upstream = upstream
             return f"status {head.status}"
         return None
+
+    def _is_stream(self, head: messages.ResponseHead) -> bool:
+        """Returns whether the answer is passed on event by event."""
+        return (
+            self._request.route.kind is documents.RequestKind.STREAM
+            and self._request.method != "HEAD"
+            and head.is_success
+            and head.has_events
+            and not head.is_not_run
+        )
+
+    def _record_success(self, upstream: upstreams.Upstream) -> None:
+        context = self._context
+        context.directory.record_success(upstream)
+        context.evidence.clear_crashes(self._fingerprint)
+        if self._failed_upstream is not None:
+            # The failure is recorded against the upstream only once another
+            # one served the request: some requests fail everywhere.
+            context.directory.record_unsuccessful_request(self._failed_upstream)
--- a/src/fuchsiabarrow/forwarding/service.py
+++ b/src/fuchsiabarrow/forwarding/service.py
@@ -236,7 +236,8 @@
         """Serves one request until its caller has a final answer.
 
         Returns:
-            How it was served if it was sent over a path, else None.
+            How it was served if it was sent over a path or answered by a
+            stream, else None.
         """
         with self._ledger.count_running():
             fingerprint = _compute_fingerprint(request)
@@ -262,10 +263,9 @@
                 return await generations.GenerationHandler(
                     self._context, exchange
                 ).serve()
-            await plain_requests.PlainRequestHandler(
+            return await plain_requests.PlainRequestHandler(
                 self._context, exchange
             ).serve()
-            return None
 
     def _choose_service(self, request: messages.Request) -> str:
         """Draws the service of a request by the weights in its route."""
--- a/src/fuchsiabarrow/forwarding/tests/fakes.py
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -35,6 +35,7 @@
     has_seal: bool = True
     at_fault: str = ""
     ends_with_connection: bool = False
+    has_events: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -167,6 +168,7 @@
             head.has_seal,
             None,
             head.ends_with_connection,
+            has_events=head.has_events,
         )
 
 
--- a/src/fuchsiabarrow/platform/tests/test_upstream_codec.py
+++ b/src/fuchsiabarrow/platform/tests/test_upstream_codec.py
@@ -133,3 +133,23 @@
 def test_response_head_has_address_of_upstream_at_fault():
     head = decode(503, Not_Run="1", At_Server="10.0.0.2:80")
     assert head.at_fault == "10.0.0.2:80"
+
+
+@pytest.mark.parametrize(
+    ("headers", "has_events"),
+    [
+        ({"Content_Type": "text/event-stream"}, True),
+        ({"Content_Type": "Text/Event-Stream; charset=utf-8"}, True),
+        ({"Content_Type": "text/plain"}, False),
+        ({}, False),
+        # The bytes are not those of the events.
+        (
+            {"Content_Type": "text/event-stream", "Content_Encoding": "gzip"},
+            False,
+        ),
+    ],
+)
+def test_media_type_tells_whether_an_answer_consists_of_events(
+    headers, has_events
+):
+    assert decode(200, **headers).has_events is has_events
--- a/src/fuchsiabarrow/platform/upstream_codec.py
+++ b/src/fuchsiabarrow/platform/upstream_codec.py
@@ -31,6 +31,7 @@
 # request, even without the Not-Run header.
 NOT_RUN_STATUSES = frozenset((421,))
 HTTP_UNAVAILABLE = 503
+EVENT_STREAM = "text/event-stream"
 # Longest pause that is granted to an upstream: one that asks for more is tried
 # again after this time.
 MAX_PAUSE_S = 60.0
@@ -132,9 +133,19 @@
                 and wire_names.RETRY_AFTER in headers
                 else None
             ),
+            has_events=_has_events(headers),
         )
 
 
+def _has_events(headers) -> bool:
+    """Returns whether a body consists of events, and not of an encoding."""
+    media_type = headers.get("Content-Type", "").partition(";")[0]
+    return (
+        media_type.strip().lower() == EVENT_STREAM
+        and "Content-Encoding" not in headers
+    )
+
+
 def _parse_pause(text: str) -> float | None:
     """Returns the seconds of a pause; None if they are malformed."""
     try:
