Catalogs: an empty list of organisations makes no key valid

Change: make_catalog takes None for a configuration without keys, and an empty list for one in which no key is valid; the decoder tells the two apart. The line configuration has requires_keys. Copies that other entries relay and the state after a restart are decoded by the same function.

Tests that stand for deployments without keys pass None instead of an empty list now; their checks are unchanged.

--- a/src/fuchsiabarrow/catalogs/documents.py
+++ b/src/fuchsiabarrow/catalogs/documents.py
@@ -240,21 +240,30 @@
     version: int,
     routes: list[Route],
     services: list[Service],
-    organisations: list[Organisation],
+    organisations: list[Organisation] | None,
     limits: RequestLimits,
 ) -> Catalog:
-    """Indexes one version of the configuration."""
+    """Indexes one version of the configuration.
+
+    Args:
+        version: Version number.
+        routes: All routes.
+        services: All services.
+        organisations: Holders of API keys; None if no keys are used. With an
+            empty list no key is valid.
+        limits: Limits on requests of callers.
+    """
     by_host: dict[str, list[Route]] = {}
     for route in routes:
         by_host.setdefault(route.host.lower(), []).append(route)
-    requires_keys = bool(organisations)
+    requires_keys = organisations is not None
     routes_by_host = {
         host: tuple(sorted(group, key=lambda r: -len(r.path_prefix)))
         for host, group in by_host.items()
     }
     organisations_by_key = {
         key: organisation
-        for organisation in organisations
+        for organisation in organisations or ()
         for key in organisation.keys
     }
     return Catalog(
--- a/src/fuchsiabarrow/catalogs/service.py
+++ b/src/fuchsiabarrow/catalogs/service.py
@@ -113,6 +113,7 @@
                 organisations=len(
                     {o.name for o in decoded.organisations_by_key.values()}
                 ),
+                requires_keys=decoded.requires_keys,
                 revision=stored.version,
                 bytes=len(stored.value),
                 age_s=round(min(self.get_age_s(), MAX_LOGGED_AGE_S), 3),
--- a/src/fuchsiabarrow/catalogs/tests/test_access.py
+++ b/src/fuchsiabarrow/catalogs/tests/test_access.py
@@ -27,13 +27,21 @@
     )
 
 
-def decide(age_s, path="/a/x", key="key", host="shop.example", with_keys=True):
-    organisations = [documents.Organisation("org", ("key",), None)]
+ORGANISATIONS = (documents.Organisation("org", ("key",), None),)
+
+
+def decide(
+    age_s,
+    path="/a/x",
+    key="key",
+    host="shop.example",
+    organisations=ORGANISATIONS,
+):
     catalog = documents.make_catalog(
         1,
         [make_route("a", "/a/"), make_route("open", "/open/", True)],
         [],
-        organisations if with_keys else [],
+        None if organisations is None else list(organisations),
         documents.RequestLimits(),
     )
     return access.decide_access(catalog, age_s, LIMITS, host, path, key)
@@ -65,7 +73,23 @@
     assert decide(FRESH_S, host="SHOP.EXAMPLE").route.name == "a"
 
 
-def test_no_key_is_needed_when_no_organisations_are_configured():
-    decision = decide(UNTRUSTED_S, key="", with_keys=False)
+def test_no_key_is_needed_if_the_configuration_uses_none():
+    decision = decide(UNTRUSTED_S, key="", organisations=None)
     assert decision.verdict is access.Verdict.ALLOWED
     assert decision.organisation is None
+
+
+# Once the last organisation was taken away, every key opened every route:
+# revoked ones, and keys that no configuration ever held.
+@pytest.mark.parametrize(
+    "organisations", [(), (documents.Organisation("org", (), None),)]
+)
+def test_no_key_is_valid_if_no_organisation_holds_one(organisations):
+    def decide_with(age_s, **request):
+        return decide(age_s, organisations=organisations, **request).verdict
+
+    for key in ("key", "other", ""):
+        assert decide_with(FRESH_S, key=key) is access.Verdict.UNKNOWN_KEY
+        assert decide_with(STALE_S, key=key) is access.Verdict.UNCONFIRMED
+        assert decide_with(UNTRUSTED_S, key=key) is access.Verdict.UNCONFIRMED
+    assert decide_with(FRESH_S, path="/open/x") is access.Verdict.ALLOWED
--- a/src/fuchsiabarrow/catalogs/tests/test_documents.py
+++ b/src/fuchsiabarrow/catalogs/tests/test_documents.py
@@ -33,9 +33,13 @@
     )
 
 
-def find_ranks(routes, organisations=(), service="model") -> tuple[int, ...]:
+def find_ranks(routes, organisations=None, service="model") -> tuple[int, ...]:
     catalog = documents.make_catalog(
-        1, list(routes), [], list(organisations), documents.RequestLimits()
+        1,
+        list(routes),
+        [],
+        None if organisations is None else list(organisations),
+        documents.RequestLimits(),
     )
     return catalog.get_rank_order(service).ranks
 
@@ -113,3 +117,9 @@
     # Ranks of requests that arrived before the configuration changed.
     unknown = [order.get_position((rank, 0)) for rank in (-1, 2, 4, 99)]
     assert unknown == [0, 0.5, 1, 1]
+
+
+def test_without_valid_keys_only_anonymous_routes_have_ranks():
+    routes = [make_route(1), make_route(2, "/open/", is_anonymous=True)]
+    assert find_ranks(routes, []) == ((2, 2),)
+    assert find_ranks(routes[:1], []) == ()
--- a/src/fuchsiabarrow/forwarding/tests/fakes.py
+++ b/src/fuchsiabarrow/forwarding/tests/fakes.py
@@ -266,7 +266,7 @@
                 documents.Service(PLAIN_SERVICE, "/", 10, None),
                 documents.Service(fleets.SERVICE, "/", 10, MODEL),
             ],
-            [],
+            None,
             documents.RequestLimits(),
         )
         self.forwarding = service_module.ForwardingService(
--- a/src/fuchsiabarrow/platform/tests/cut_off_entries.py
+++ b/src/fuchsiabarrow/platform/tests/cut_off_entries.py
@@ -526,7 +526,7 @@
                 documents.Service(fleets.SERVICE, "/", 1000, MODEL),
                 documents.Service(PLAIN_SERVICE, "/", 1000, None),
             ],
-            [],
+            None,
             documents.RequestLimits(),
         )
         self.disturbed: set[str] = set()
--- a/src/fuchsiabarrow/platform/tests/entry_simulation.py
+++ b/src/fuchsiabarrow/platform/tests/entry_simulation.py
@@ -752,7 +752,7 @@
             1,
             [route],
             [documents.Service(fleets.SERVICE, "/", 10, MODEL)],
-            [],
+            None,
             documents.RequestLimits(),
         )
 
--- a/src/fuchsiabarrow/platform/tests/test_frontend.py
+++ b/src/fuchsiabarrow/platform/tests/test_frontend.py
@@ -286,6 +286,26 @@
     run(test)
 
 
+# Revoked keys, and such that no configuration ever held, opened all routes.
+def test_all_keys_are_denied_after_the_last_organisation_was_removed():
+    async def test(harness):
+        config = sample_objects.make_config(
+            8, routes=entry_harness.ROUTES, tenants=[]
+        )
+        await harness.store.put("config", "main", config)
+        current_catalog = harness.entry.kernel.get("current_catalog")
+        await harness.wait(lambda: current_catalog.catalog.version == 8)
+        for key in ("Token key-1", "Token never-held", None):
+            headers = {wire_names.AUTHORIZATION: key}
+            status, _, _ = await harness.fetch("/read/x", headers=headers)
+            assert status == 401
+        assert not any(u.runs for u in harness.upstreams.values())
+        status, _, _ = await harness.fetch("/open/x")
+        assert status == 200
+
+    run(test)
+
+
 def test_keys_are_not_trusted_while_configuration_is_unconfirmed():
     async def test(harness):
         harness.store.status = 503
--- a/src/fuchsiabarrow/platform/tests/test_silent_upstreams.py
+++ b/src/fuchsiabarrow/platform/tests/test_silent_upstreams.py
@@ -80,7 +80,11 @@
             documents.Service(entry_simulation.PLAIN_SERVICE, "/", 10, None),
         ]
     return documents.make_catalog(
-        version, list(routes), services, [], limits or documents.RequestLimits()
+        version,
+        list(routes),
+        services,
+        None,
+        limits or documents.RequestLimits(),
     )
 
 
--- a/src/fuchsiabarrow/platform/tests/test_wire.py
+++ b/src/fuchsiabarrow/platform/tests/test_wire.py
@@ -153,3 +153,21 @@
     server = sample_objects.make_server(**changes)
     with pytest.raises(exceptions.InvalidObjectError):
         wire.decode_upstream(sample_objects.make_stored("i", server))
+
+
+# An empty list was taken for a configuration without keys: every key opened
+# every route once the last organisation was taken away.
+def test_empty_list_of_organisations_is_not_a_configuration_without_keys():
+    config = sample_objects.make_config(tenants=[])
+    stored = sample_objects.make_stored("main", config)
+    assert wire.decode_catalog(stored).requires_keys
+    del config["tenants"]
+    stored = sample_objects.make_stored("main", config)
+    assert not wire.decode_catalog(stored).requires_keys
+
+
+def test_configuration_whose_organisations_are_no_list_is_rejected():
+    for tenants in (None, {}, "", 0):
+        config = sample_objects.make_config(tenants=tenants)
+        with pytest.raises(exceptions.InvalidObjectError):
+            wire.decode_catalog(sample_objects.make_stored("main", config))
--- a/src/fuchsiabarrow/platform/wire.py
+++ b/src/fuchsiabarrow/platform/wire.py
@@ -263,7 +263,8 @@
     version: int
     routes: list[_Route] = []
     services: list[_Service] = []
-    tenants: list[_Tenant] = []
+    # Without the field, callers need no keys; with an empty list none is valid.
+    tenants: list[_Tenant] | msgspec.UnsetType = msgspec.UNSET
     limits: _Limits = _Limits()
 
 
@@ -282,7 +283,9 @@
         config.version,
         [_make_route(route) for route in config.routes],
         [_make_service(service) for service in config.services],
-        [
+        None
+        if config.tenants is msgspec.UNSET
+        else [
             documents.Organisation(t.name, tuple(t.api_keys), t.priority)
             for t in config.tenants
         ],
