--- a/src/fuchsiabarrow/platform/tests/test_wire.py
+++ b/src/fuchsiabarrow/platform/tests/test_wire.py
@@ -37,7 +37,11 @@
         "service": "desk",
         "address": "10.0.0.1:80",
         "zone": "a",
+        "version": "v1",
+        "slots": 6,
         "state": "draining",
+        "cold_left_ms": 12.5,
+        "sequence": 0,
     }
     found = wire.decode_upstream(sample_objects.make_stored("i", server))
     assert found.is_leaving
@@ -70,6 +74,31 @@
         wire.decode_upstream(sample_objects.make_stored("i", spec))
 
 
+# Bookings were sent to a server that is no upstream, and ended with 502.
+@pytest.mark.parametrize(
+    "field",
+    [
+        "service",
+        "address",
+        "zone",
+        "version",
+        "slots",
+        "state",
+        "cold_left_ms",
+        "sequence",
+    ],
+)
+def test_entry_that_lacks_a_field_or_has_it_of_another_type_is_rejected(field):
+    server = sample_objects.make_server()
+    for changed in (
+        {k: v for k, v in server.items() if k != field},
+        server | {field: None},
+        server | {field: ["x"]},
+    ):
+        with pytest.raises(exceptions.InvalidObjectError):
+            wire.decode_upstream(sample_objects.make_stored("i", changed))
+
+
 def test_configuration_is_decoded_as_catalog():
     catalog = wire.decode_catalog(
         sample_objects.make_stored("main", sample_objects.make_config())
--- a/src/fuchsiabarrow/platform/wire.py
+++ b/src/fuchsiabarrow/platform/wire.py
@@ -123,13 +123,18 @@
 
 
 class _Server(msgspec.Struct, frozen=True):
+    # Fields without a default are in all entries of upstreams: one that lacks
+    # any is of another writer.
     service: str
     address: str
     zone: str
+    version: str
+    slots: _Count
     state: str
+    cold_left_ms: float
+    sequence: _Count
     # Unix time in ms at which the instance started; differs after a restart.
     born: _UnixTimeMs = 0
-    slots: _Count = 1
     kind: str | None = None
     layers: _LayerRange | None = None
 
