Platform: an unreadable object does not end the news of the others

Cause: a page of a listing and the answer to a watch were decoded as a whole. The decoder checks the strings of each spec while it skips it, so that one lone surrogate made the answer malformed; lists nested 2,000 deep raised RecursionError. The decoding of single entries, which leaves out invalid ones, was not reached.

Change: an answer that the decoder rejects is split into its objects without decoding them (utils/json_slices.py), and each is decoded by itself. One with a readable name stays in the list as it is and is invalid when its contents are used (upstream_invalid); one without is left out (object_invalid).

--- a/src/fuchsiabarrow/platform/store.py
+++ b/src/fuchsiabarrow/platform/store.py
@@ -65,7 +65,7 @@
         revision = first_era = None
         while True:
             listing, era = await self._read(
-                kind, query, wire.Listing, self._timeout_s
+                kind, query, wire.decode_listing, self._timeout_s
             )
             if first_era is None:
                 first_era = era
@@ -101,7 +101,11 @@
             "wait_ms": str(int(wait_s * MS_PER_S)),
         }
         answer, era = await self._read(
-            kind, query, wire.WatchAnswer, WATCH_RESPONSE_SLACK_S, wait_s
+            kind,
+            query,
+            wire.decode_watch_answer,
+            WATCH_RESPONSE_SLACK_S,
+            wait_s,
         )
         if era != known_era:
             raise _make_restored_error(kind, known_era, era)
@@ -133,7 +137,7 @@
         path = f"{kind}/{urllib.parse.quote(name, safe='')}"
         await self._call("DELETE", path, {}, None, self._timeout_s)
 
-    async def _read(self, kind, query, answer_type, response_s, wait_s=0.0):
+    async def _read(self, kind, query, decode, response_s, wait_s=0.0):
         doublings = min(self._failures.get(kind, 0), MAX_DOUBLINGS)
         timeout_s = wait_s + response_s * 2**doublings
         try:
@@ -156,8 +160,8 @@
                 f" {query.get('watch')}; list again"
             )
         try:
-            return msgspec.json.decode(body, type=answer_type), era
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            return decode(body), era
+        except exceptions.InvalidObjectError as error:
             raise exceptions.StoreUnavailableError(
                 f"{kind}: malformed response from the store ({error});"
                 " retry after a delay"
--- a/src/fuchsiabarrow/platform/wire.py
+++ b/src/fuchsiabarrow/platform/wire.py
@@ -1,8 +1,12 @@
 """Decoding of objects of the platform's store into the package's types."""
 
+from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
 from typing import Annotated
 from typing import Any
 
+import logbook
 import msgspec
 
 from fuchsiabarrow import exceptions
@@ -10,7 +14,9 @@
 from fuchsiabarrow.catalogs import engines
 from fuchsiabarrow.fleet import upstreams
 from fuchsiabarrow.ports import objects
+from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import addresses
+from fuchsiabarrow.utils import json_slices
 
 __all__ = [
     "Event",
@@ -20,7 +26,9 @@
     "WatchAnswer",
     "convert_object",
     "decode_catalog",
+    "decode_listing",
     "decode_upstream",
+    "decode_watch_answer",
     "join_revision",
     "split_revision",
 ]
@@ -34,6 +42,10 @@
     "streaming": documents.RequestKind.STREAM,
 }
 STATES = ("ready", "draining")
+# Raised for a text that is not JSON, not Unicode, or nested too deeply.
+DECODING_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
+_log = logbook.Logger(__name__)
 
 
 class Metadata(msgspec.Struct, frozen=True):
@@ -85,6 +97,85 @@
     store_revision: int
 
 
+def decode_listing(body: bytes) -> Listing:
+    """Decodes a page of a listing.
+
+    An object whose `spec` cannot be read does not affect the others.
+
+    Raises:
+        InvalidObjectError: It is not a page of a listing.
+    """
+    try:
+        return msgspec.json.decode(body, type=Listing)
+    except DECODING_ERRORS as error:
+        with _as_invalid("listing", error):
+            page = json_slices.split_object(body)
+            return Listing(
+                _decode_objects(json_slices.split_array(page[b"entries"])),
+                msgspec.json.decode(page[b"store_revision"], type=int),
+                msgspec.json.decode(page.get(b"more", b"false"), type=bool),
+            )
+
+
+def decode_watch_answer(body: bytes) -> WatchAnswer:
+    """Decodes the changes that a watch returns, like `decode_listing`.
+
+    Raises:
+        InvalidObjectError: It is not the answer to a watch.
+    """
+    try:
+        return msgspec.json.decode(body, type=WatchAnswer)
+    except DECODING_ERRORS as error:
+        with _as_invalid("answer to a watch", error):
+            answer = json_slices.split_object(body)
+            events = [
+                json_slices.split_object(event)
+                for event in json_slices.split_array(answer[b"events"])
+            ]
+            return WatchAnswer(
+                [
+                    Event(
+                        stored,
+                        msgspec.json.decode(
+                            event.get(b"tombstone", b"false"), type=bool
+                        ),
+                    )
+                    for event in events
+                    for stored in _decode_objects([event[b"object"]])
+                ],
+                msgspec.json.decode(answer[b"store_revision"], type=int),
+            )
+
+
+@contextlib.contextmanager
+def _as_invalid(what: str, cause: Exception) -> Iterator[None]:
+    """Raises errors as `InvalidObjectError` with the first one's text."""
+    try:
+        yield
+    except (*DECODING_ERRORS, ValueError, KeyError) as error:
+        raise exceptions.InvalidObjectError(
+            f"malformed {what} ({cause})"
+        ) from error
+
+
+def _decode_objects(texts: Iterable[bytes]) -> list[StoredObject]:
+    """Decodes objects one by one, with each `spec` as it is.
+
+    Objects without a readable name are left out.
+    """
+    found = []
+    for text in texts:
+        try:
+            members = json_slices.split_object(text)
+            metadata = msgspec.json.decode(members[b"metadata"], type=Metadata)
+        except (*DECODING_ERRORS, ValueError, KeyError) as error:
+            _log.warning(logs.format_event("object_invalid", why=error))
+            continue
+        spec = msgspec.Raw(members.get(b"spec", b"null"))
+        found.append(StoredObject(metadata, spec))
+    return found
+
+
 def convert_object(
     stored: StoredObject, era: int = 0
 ) -> objects.VersionedObject:
@@ -148,7 +239,7 @@
     name = stored.name
     try:
         server = msgspec.json.decode(stored.value, type=_Server)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         raise exceptions.InvalidObjectError(
             f"servers/{name}: {error}"
         ) from error
@@ -281,7 +372,7 @@
     """
     try:
         config = msgspec.json.decode(stored.value, type=_Config)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         raise exceptions.InvalidObjectError(f"config/main: {error}") from error
     limits = config.limits
     return documents.make_catalog(
