Fleet: entries of services that are not configured take no one's place

Cause: the directory takes the newest start at an address for the one that runs there, over the entries of all services. The foreign ones had the time of their writing as their start.

Change: only services of the configuration in force count (set_services, which replaces set_layer_counts); before there is one, all do. An address that a configured service has taken over is that service's, as before.

--- a/src/fuchsiabarrow/catalogs/documents.py
+++ b/src/fuchsiabarrow/catalogs/documents.py
@@ -198,12 +198,11 @@
         """Returns the organisation that holds a key, or None."""
         return self.organisations_by_key.get(key)
 
-    def get_layer_counts(self) -> dict[str, int]:
-        """Returns the number of layers of each service's model, if any."""
+    def get_layer_counts(self) -> dict[str, int | None]:
+        """Returns the layers of each service's model; None without a model."""
         return {
-            service.name: service.engine.layers
+            service.name: service.engine.layers if service.engine else None
             for service in self.services.values()
-            if service.engine is not None
         }
 
     def get_rank_order(self, service: str) -> RankOrder:
--- a/src/fuchsiabarrow/entry/forwarding_entry.py
+++ b/src/fuchsiabarrow/entry/forwarding_entry.py
@@ -166,9 +166,7 @@
             "current_catalog", contextlib.nullcontext(current_catalog)
         )
         current_catalog.add_listener(
-            lambda catalog: directory.set_layer_counts(
-                catalog.get_layer_counts()
-            )
+            lambda catalog: directory.set_services(catalog.get_layer_counts())
         )
         list_updater = lists.UpstreamListUpdater(
             directory, wire.decode_upstream
--- a/src/fuchsiabarrow/fleet/directory.py
+++ b/src/fuchsiabarrow/fleet/directory.py
@@ -55,7 +55,8 @@
         self._upstreams: dict[str, upstreams.Upstream] = {}
         # Newest incarnation at each address.
         self._newest: dict[str, int] = {}
-        self._layer_counts: Mapping[str, int] = {}
+        # Layers of the model of each configured service, None without one.
+        self._services: Mapping[str, int | None] = {}
         # Listed upstreams with layers that the model of their service lacks.
         self._misfits: set[str] = set()
         self._health: dict[tuple[str, int], _Health] = {}
@@ -72,14 +73,19 @@
         """Registers a callback for changes of the list."""
         self._listeners.append(listener)
 
-    def set_layer_counts(self, layer_counts: Mapping[str, int]) -> None:
-        """Sets the number of layers of the model of each service that has one.
+    def set_services(self, layer_counts: Mapping[str, int | None]) -> None:
+        """Sets the services that are configured.
 
-        Upstreams that state other layers are listed but not used: their entry
-        was not written by an instance of that service.
+        Upstreams with layers that the model of their service does not have are
+        listed but not used, and those of other services do not take the place
+        of any: their entries were not written by instances of these services.
+
+        Args:
+            layer_counts: Number of layers of the model of each service; None
+                for a service without one.
         """
-        if layer_counts != self._layer_counts:
-            self._layer_counts = dict(layer_counts)
+        if layer_counts != self._services:
+            self._services = dict(layer_counts)
             self._notify()
 
     def replace(self, listed: list[upstreams.Upstream]) -> None:
@@ -118,8 +124,15 @@
         return self._upstreams.get(instance_id)
 
     def find_by_address(self, address: str) -> upstreams.Upstream | None:
-        """Returns the newest upstream with an address, or None."""
-        matching = [u for u in self._upstreams.values() if u.address == address]
+        """Returns the newest upstream with an address, or None.
+
+        Those of services that are not configured are left out.
+        """
+        matching = [
+            u
+            for u in self._upstreams.values()
+            if u.address == address and self._is_configured(u)
+        ]
         return max(matching, key=lambda u: u.incarnation, default=None)
 
     def is_replaced(self, upstream: upstreams.Upstream) -> bool:
@@ -150,7 +163,7 @@
             u
             for u in self._upstreams.values()
             if u.service == service
-            and u.incarnation == self._newest[u.address]
+            and u.incarnation == self._newest.get(u.address)
             and u.instance_id not in self._misfits
         ]
 
@@ -161,7 +174,7 @@
             for u in self._upstreams.values()
             if u.service == service
             and not u.is_leaving
-            and u.incarnation == self._newest[u.address]
+            and u.incarnation == self._newest.get(u.address)
             and u.instance_id not in self._misfits
             and not self.is_avoided(u)
             and not self.is_paused(u)
@@ -178,7 +191,7 @@
         if known is None or known.key != upstream.key or known.is_leaving:
             return False
         self.put(dataclasses.replace(known, is_leaving=True))
-        return True
+        return not self._services or upstream.service in self._services
 
     def record_pause(self, upstream: upstreams.Upstream, for_s: float) -> None:
         """Records that an upstream asks for no requests for some seconds.
@@ -293,19 +306,22 @@
         factor, until_s = self._slowdowns.get(upstream.key, (1.0, 0.0))
         return factor if self._read_time_s() < until_s else 1.0
 
+    def _is_configured(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether its service is configured, as far as is known."""
+        return not self._services or upstream.service in self._services
+
     def _find_misfits(self) -> set[str]:
-        counts = self._layer_counts
         return {
             upstream.instance_id
             for upstream in self._upstreams.values()
             if upstream.layers is not None
-            and upstream.service in counts
-            and not upstream.layers.is_within(counts[upstream.service])
+            and (count := self._services.get(upstream.service)) is not None
+            and not upstream.layers.is_within(count)
         }
 
     def _notify(self) -> None:
         newest: dict[str, int] = {}
-        for upstream in self._upstreams.values():
+        for upstream in filter(self._is_configured, self._upstreams.values()):
             previous = newest.get(upstream.address, upstream.incarnation)
             newest[upstream.address] = max(previous, upstream.incarnation)
         self._newest = newest
--- a/src/fuchsiabarrow/fleet/tests/test_directory.py
+++ b/src/fuchsiabarrow/fleet/tests/test_directory.py
@@ -120,7 +120,7 @@
         "other", "c", layers=layers, service="unlimited"
     )
     directory, _ = make_directory(sound, foreign, other)
-    directory.set_layer_counts({fleets.SERVICE: 80})
+    directory.set_services({fleets.SERVICE: 80, "unlimited": None})
     assert directory.get_upstreams(fleets.SERVICE) == [sound]
     assert directory.get_usable_upstreams(fleets.SERVICE) == [sound]
     assert directory.get_upstreams("unlimited") == [other]
@@ -130,3 +130,31 @@
     directory.put(returned)
     assert returned in directory.get_usable_upstreams(fleets.SERVICE)
     assert not directory.get_misfits()
+
+
+# Entries of an unnamed service at the addresses of sound upstreams, with the
+# time at which they were written as their start, took all of them out of use.
+def test_entry_of_an_unnamed_service_takes_no_place():
+    sound = fleets.make_instance("sound", address="10.0.0.1:80")
+    foreign = fleets.make_instance(
+        "note", service="none", address="10.0.0.1:80", incarnation=9
+    )
+    directory, _ = make_directory(sound, foreign)
+    directory.set_services({fleets.SERVICE: 80, "desk": None})
+    assert directory.get_upstreams(fleets.SERVICE) == [sound]
+    assert directory.get_usable_upstreams(fleets.SERVICE) == [sound]
+    assert directory.find_by_address("10.0.0.1:80") == sound
+    assert not directory.is_replaced(sound)
+
+
+def test_address_taken_over_by_another_service_is_that_services():
+    ended = fleets.make_instance("ended", address="10.0.0.1:80")
+    newer = fleets.make_instance(
+        "newer", service="desk", address="10.0.0.1:80", incarnation=9
+    )
+    directory, _ = make_directory(ended, newer)
+    for services in ({}, {fleets.SERVICE: 80, "desk": None}):
+        directory.set_services(services)
+        assert directory.get_upstreams(fleets.SERVICE) == []
+        assert directory.get_usable_upstreams("desk") == [newer]
+        assert directory.is_replaced(ended)
