Fleet: an upstream whose entry becomes invalid is not used any more

Cause: UpstreamListUpdater._put returned before it looked at what is known.

Measured: test_upstream_whose_entry_becomes_invalid_is_not_used fails without.

--- a/src/fuchsiabarrow/fleet/lists.py
+++ b/src/fuchsiabarrow/fleet/lists.py
@@ -136,11 +136,12 @@
             self._put(change.stored, known)
         elif known is not None and is_after_outage and not known.is_leaving:
             self._delay_removal([known])
-        elif known is not None:
-            _log_removed(known, "removed from the list")
+        else:
             self._stored.pop(name, None)
-            self._remember_removed(known)
-            self._directory.remove(name)
+            if known is not None:
+                _log_removed(known, "removed from the list")
+                self._remember_removed(known)
+                self._directory.remove(name)
 
     def _log_misfits(self) -> None:
         """Logs upstreams that are not used because of their layers."""
@@ -168,6 +169,13 @@
     ) -> None:
         upstream = self._try_decode(stored)
         if upstream is None:
+            if known is not None:
+                # Another writer has replaced the entry, which names no
+                # upstream any more. A snapshot leaves it out as well.
+                _log_removed(known, "its entry became invalid")
+                self._delayed_removals.pop(stored.name, None)
+                self._directory.remove(stored.name)
+            self._stored[stored.name] = stored
             return
         self._delayed_removals.pop(stored.name, None)
         self._removed_keys.pop(upstream.key, None)
--- a/src/fuchsiabarrow/platform/tests/test_store.py
+++ b/src/fuchsiabarrow/platform/tests/test_store.py
@@ -273,6 +273,24 @@
     asyncio.run(run())
 
 
+# A snapshot left it out, but a watch kept the last good entry in use.
+def test_upstream_whose_entry_becomes_invalid_is_not_used():
+    async def run():
+        async with run_watchers() as (store, mirror):
+            await store.put("servers", "x", sample_objects.make_server())
+            await mirror.wait(lambda: get_names(mirror) == {"x"})
+            await store.put("servers", "x", {"service": 3})
+            await mirror.wait(lambda: get_names(mirror) == set())
+            await store.put("servers", "x", sample_objects.make_server())
+            await mirror.wait(lambda: get_names(mirror) == {"x"})
+            await store.put("servers", "x", {"service": 3})
+            await store.remove("servers", "x")
+            await store.put("servers", "y", sample_objects.make_server())
+            await mirror.wait(lambda: get_names(mirror) == {"y"})
+
+    asyncio.run(run())
+
+
 def test_older_configuration_is_ignored():
     async def run():
         async with run_watchers() as (store, mirror):
