Delays: the number of failures in a row is unbounded

Callers would have seen: the 1,024th failure of an upstream without 10 s between two raised OverflowError, the upstream was not avoided, and the request that had met the failure ended with 500.

Cause: 2.0 * 2 ** failures does not fit a float. The same form stood in the rejection of sources and in the health of instances.

Change: all of them use jitter.compute_ceiling_s, which bounds the exponent.

Measured: test_upstream_that_has_failed_for_hours_is_still_avoided fails without the change.

--- a/src/fuchsiabarrow/fleet/directory.py
+++ b/src/fuchsiabarrow/fleet/directory.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 from fuchsiabarrow.fleet import upstreams
+from fuchsiabarrow.utils import jitter
 
 __all__ = ["Directory"]
 
@@ -236,7 +237,9 @@
             health.is_shared and now_s < health.avoid_until_s
         )
         health.is_shared = is_shared
-        avoid_s = min(MAX_AVOID_S, MIN_AVOID_S * 2 ** (health.failures - 1))
+        avoid_s = jitter.compute_ceiling_s(
+            health.failures - 1, MIN_AVOID_S, MAX_AVOID_S
+        )
         health.avoid_until_s = now_s + avoid_s
         if is_news:
             for listener in self._failure_listeners:
--- a/src/fuchsiabarrow/fleet/tests/test_directory.py
+++ b/src/fuchsiabarrow/fleet/tests/test_directory.py
@@ -158,3 +158,14 @@
         assert directory.get_upstreams(fleets.SERVICE) == []
         assert directory.get_usable_upstreams("desk") == [newer]
         assert directory.is_replaced(ended)
+
+
+# The 1,024th failure without a pause raised OverflowError: the upstream was
+# not avoided, and the request that had met the failure ended with 500.
+def test_upstream_that_has_failed_for_hours_is_still_avoided():
+    upstream = fleets.make_instance("x")
+    directory, clock = make_directory(upstream)
+    for _ in range(1100):
+        avoid_s = directory.record_failure(upstream)
+        clock.now_s += avoid_s
+    assert avoid_s == directory_module.MAX_AVOID_S
--- a/src/fuchsiabarrow/peers/shared_stores.py
+++ b/src/fuchsiabarrow/peers/shared_stores.py
@@ -28,6 +28,7 @@
 from fuchsiabarrow.telemetry import logs
 from fuchsiabarrow.utils import bodies
 from fuchsiabarrow.utils import clocks
+from fuchsiabarrow.utils import jitter
 
 __all__ = ["SharedStore"]
 
@@ -340,7 +341,9 @@
         if rejection is not None and now_s < rejection.until_s:
             return
         failures = rejection.failures if rejection is not None else 0
-        for_s = min(MAX_REJECTION_S, MIN_REJECTION_S * 2**failures)
+        for_s = jitter.compute_ceiling_s(
+            failures, MIN_REJECTION_S, MAX_REJECTION_S
+        )
         self._rejections[address] = _Rejection(now_s + for_s, failures + 1)
         _log.info(
             logs.format_event(
--- a/src/fuchsiabarrow/routing/health.py
+++ b/src/fuchsiabarrow/routing/health.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from fuchsiabarrow.ports import instances
+from fuchsiabarrow.utils import jitter
 
 __all__ = ["HealthTracker", "InstanceState", "Settings"]
 
@@ -150,8 +151,9 @@
         state = self._states.get(instance_id)
         if state is None or now_s < state.excluded_until_s:
             return
-        delay_s = min(
-            self._settings.suspicion_base_s * 2**state.failures,
+        delay_s = jitter.compute_ceiling_s(
+            state.failures,
+            self._settings.suspicion_base_s,
             self._settings.suspicion_limit_s,
         )
         state.failures += 1
--- a/src/fuchsiabarrow/utils/jitter.py
+++ b/src/fuchsiabarrow/utils/jitter.py
@@ -1,11 +1,14 @@
-"""Random jitter for periods and retry delays."""
+"""Retry delays, and random jitter for them and for periods."""
 
 import random
 
-__all__ = ["compute_backoff_s", "spread_period_s"]
+__all__ = ["compute_backoff_s", "compute_ceiling_s", "spread_period_s"]
 
 # Periods are varied by up to this fraction in either direction.
 PERIOD_SPREAD = 0.2
+# Any limit is reached before; a float cannot hold 2 to the number of failures
+# of some hours.
+MAX_DOUBLINGS = 16
 
 
 def spread_period_s(period_s: float, source: random.Random) -> float:
@@ -18,6 +21,17 @@
     return period_s * source.uniform(1 - PERIOD_SPREAD, 1 + PERIOD_SPREAD)
 
 
+def compute_ceiling_s(attempt: int, base_s: float, limit_s: float) -> float:
+    """Returns a time that doubles with each attempt, up to a limit.
+
+    Args:
+        attempt: Number of earlier failures, from 0; any number.
+        base_s: Time for attempt 0 in seconds.
+        limit_s: Limit in seconds.
+    """
+    return min(limit_s, base_s * 2 ** min(attempt, MAX_DOUBLINGS))
+
+
 def compute_backoff_s(
     attempt: int, base_s: float, limit_s: float, source: random.Random
 ) -> float:
@@ -30,5 +44,4 @@
         limit_s: Upper bound of all delays in seconds.
         source: Random number generator.
     """
-    ceiling_s = min(limit_s, base_s * 2 ** min(attempt, 16))
-    return source.uniform(0, ceiling_s)
+    return source.uniform(0, compute_ceiling_s(attempt, base_s, limit_s))
