Fleet: record_leaving tells again whether the announcement is new

Found on reading the diff. Callers saw nothing: the result is used for the line upstream_leaving, and requests lead to configured services only.

--- a/src/fuchsiabarrow/fleet/directory.py
+++ b/src/fuchsiabarrow/fleet/directory.py
@@ -192,7 +192,7 @@
         if known is None or known.key != upstream.key or known.is_leaving:
             return False
         self.put(dataclasses.replace(known, is_leaving=True))
-        return not self._services or upstream.service in self._services
+        return True
 
     def record_pause(self, upstream: upstreams.Upstream, for_s: float) -> None:
         """Records that an upstream asks for no requests for some seconds.
--- a/src/fuchsiabarrow/fleet/tests/test_directory.py
+++ b/src/fuchsiabarrow/fleet/tests/test_directory.py
@@ -169,3 +169,11 @@
         avoid_s = directory.record_failure(upstream)
         clock.now_s += avoid_s
     assert avoid_s == directory_module.MAX_AVOID_S
+
+
+def test_announcement_of_leaving_is_new_once_whatever_the_service():
+    upstream = fleets.make_instance("x", service="unnamed")
+    directory, _ = make_directory(upstream)
+    directory.set_services({fleets.SERVICE: 80})
+    assert directory.record_leaving(upstream)
+    assert not directory.record_leaving(upstream)
