--- a/src/fuchsiabarrow/utils/json_slices.py
+++ b/src/fuchsiabarrow/utils/json_slices.py
@@ -9,7 +9,8 @@
 
 __all__ = ["split_array", "split_object"]
 
-_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{},:]', re.DOTALL)
+# Without backtracking, which takes memory in proportion to the text.
+_TOKEN = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[\]{},:]', re.DOTALL)
 _OPENING, _CLOSING = b"[{", b"]}"
 
 
