Streams: one of which an event is missing does not end with an empty attempt

Cause: an attempt without events counted as the end whenever the caller had an event, as a stream whose last bytes only were lost has nothing left.

Change: both handlers remember whether a part of the next event was received. Nothing is left then only if the answer has an explicit end.

--- a/src/fuchsiabarrow/forwarding/event_relays.py
+++ b/src/fuchsiabarrow/forwarding/event_relays.py
@@ -46,6 +46,8 @@
         self._writer = exchange.writer
         self._max_bytes = max_bytes
         self._has_position = True
+        # Whether a part of the next event has been received in an attempt.
+        self._misses_event = False
         # Last bytes of the answer. They are sent after the time limit of the
         # upstreams has ended, as a caller may take longer to read them.
         self._rest = b""
@@ -68,25 +70,20 @@
             UpstreamResponseLostError: The stream was cut.
         """
         parser = events.EventParser(self._max_bytes)
-        loop = asyncio.get_running_loop()
-        if self.event_count:
+        count_before, missed_event = self.event_count, self._misses_event
+        if count_before:
             self.progress.record_move()
-        with self._context.loop_lags:
-            while data := await connection.read_chunk():
-                received = parser.feed(data)
-                if not received:
-                    continue
-                self._record(received, loop.time())
-                if not self._writer.is_started:
-                    await self._writer.start(head)
-                data = b"".join(event.data for event in received)
-                if connection.is_received() and not parser.remainder:
-                    self._rest = data
-                    continue
-                await self._writer.write(data)
-                self.progress.record_written(loop.time())
+        try:
+            with self._context.loop_lags:
+                await self._pass_on(connection, head, parser)
+        finally:
+            is_inside = parser.is_inside_event
+            if is_inside or self.event_count > count_before:
+                self._misses_event = is_inside
         self._rest += parser.close()
-        has_begun = bool(self.event_count or self.last_event_id)
+        has_begun = self.event_count > count_before or (
+            self.last_event_id and not missed_event
+        )
         if head.ends_with_connection and not has_begun:
             # An upstream that crashes closes its connections as well.
             raise exceptions.UpstreamResponseLostError(
@@ -95,6 +92,28 @@
         if not self._writer.is_started:
             await self._writer.start(head)
 
+    async def _pass_on(
+        self,
+        connection: connections.Connection,
+        head: messages.ResponseHead,
+        parser: events.EventParser,
+    ) -> None:
+        """Passes on the events of one attempt as they arrive."""
+        loop = asyncio.get_running_loop()
+        while data := await connection.read_chunk():
+            received = parser.feed(data)
+            if not received:
+                continue
+            self._record(received, loop.time())
+            if not self._writer.is_started:
+                await self._writer.start(head)
+            data = b"".join(event.data for event in received)
+            if connection.is_received() and not parser.remainder:
+                self._rest = data
+                continue
+            await self._writer.write(data)
+            self.progress.record_written(loop.time())
+
     async def finish(self) -> None:
         """Sends the end of a stream that has arrived as a whole."""
         if self._rest:
--- a/src/fuchsiabarrow/forwarding/events.py
+++ b/src/fuchsiabarrow/forwarding/events.py
@@ -51,6 +51,11 @@
         """Bytes received of an event that is not complete yet."""
         return bytes(self._buffer)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether a part of the next event has been received."""
+        return bool(self._buffer.strip(b"\r\n"))
+
     def feed(self, data: bytes) -> list[Event]:
         """Adds received bytes and returns the events that they complete.
 
@@ -85,7 +90,7 @@
         Raises:
             UpstreamResponseLostError: It ends inside an event.
         """
-        if self._buffer.strip(b"\r\n"):
+        if self.is_inside_event:
             raise exceptions.UpstreamResponseLostError(
                 "response ended inside an event"
             )
--- a/src/fuchsiabarrow/forwarding/generations.py
+++ b/src/fuchsiabarrow/forwarding/generations.py
@@ -529,7 +529,35 @@
         self, connection: connections.Connection, head: messages.ResponseHead
     ) -> _AttemptResult:
         state = self._state
+        count_before, missed_event = state.event_count, state.misses_event
         parser = events.EventParser()
+        try:
+            await self._pass_on(connection, head, parser)
+        finally:
+            is_inside = parser.is_inside_event
+            if is_inside or state.event_count > count_before:
+                state.misses_event = is_inside
+        self._rest += parser.close()
+        has_begun = state.event_count > count_before or (
+            state.last_event_id and not missed_event
+        )
+        if head.ends_with_connection and not has_begun:
+            # An instance that crashes closes its connections as well.
+            raise exceptions.UpstreamResponseLostError(
+                "connection closed before the first event"
+            )
+        if not self._writer.is_started:
+            await self._writer.start(head)
+        return _AttemptResult.DONE
+
+    async def _pass_on(
+        self,
+        connection: connections.Connection,
+        head: messages.ResponseHead,
+        parser: events.EventParser,
+    ) -> None:
+        """Passes on the events of one attempt as they arrive."""
+        state = self._state
         loop = asyncio.get_running_loop()
         while data := await connection.read_chunk():
             if state.connection is None and state.following is not None:
@@ -554,16 +582,6 @@
                 state.is_writing = False
                 state.progress.record_written(loop.time())
                 self._mover.monitor.reset_silence()
-        self._rest += parser.close()
-        has_begun = bool(state.event_count or state.last_event_id)
-        if head.ends_with_connection and not has_begun:
-            # An instance that crashes closes its connections as well.
-            raise exceptions.UpstreamResponseLostError(
-                "connection closed before the first event"
-            )
-        if not self._writer.is_started:
-            await self._writer.start(head)
-        return _AttemptResult.DONE
 
     def _record_progress(self, now_s: float, count: int) -> None:
         metrics = self._context.metrics
--- a/src/fuchsiabarrow/forwarding/stream_states.py
+++ b/src/fuchsiabarrow/forwarding/stream_states.py
@@ -108,6 +108,8 @@
         event_count: Number of events received.
         last_event_id: Id of the last event received; at first that after which
             the caller resumes the stream.
+        misses_event: Whether a part of the next event has been received in an
+            attempt.
         is_writing: Whether a write to the caller is in progress.
         failure_detail: Why the last attempt has failed.
 
@@ -138,6 +140,7 @@
         self.send_count = 0
         self.event_count = 0
         self.last_event_id = exchange.request.last_event_id
+        self.misses_event = False
         self.is_writing = False
         self.failure_detail = ""
         self._context = context
--- a/src/fuchsiabarrow/forwarding/tests/test_plain_streams.py
+++ b/src/fuchsiabarrow/forwarding/tests/test_plain_streams.py
@@ -114,6 +114,12 @@
     assert [sent[-1] for sent in harness.pool.sent] == ["2", "2"]
 
 
+def test_stream_that_the_caller_resumes_at_its_end_is_complete():
+    writer, _, _ = serve([OPEN_HEAD], last_event_id=str(EVENTS))
+    assert writer.is_finished
+    assert writer.body == b""
+
+
 def test_cut_stream_that_may_run_once_does_not_look_complete():
     writer, harness, _ = serve(CUT, REST, route=make_route(is_resumable=False))
     assert (writer.is_finished, writer.is_aborted) == (False, True)
@@ -130,6 +136,15 @@
     assert writer.refusal.reason is messages.RefusalReason.UPSTREAM_FAILED
 
 
+def test_resumed_stream_of_which_nothing_was_left_is_complete():
+    writer, _, _ = serve(
+        [OPEN_HEAD, *make_events(1, EVENTS + 1), fakes.ConnectionLost],
+        [OPEN_HEAD],
+    )
+    assert writer.is_finished
+    assert writer.body == WHOLE
+
+
 # An upstream that crashes closes its connections as well.
 def test_end_of_the_connection_before_the_first_event_is_no_empty_stream():
     writer, harness, _ = serve([OPEN_HEAD], [HEAD, *make_events(1, 7)])
@@ -141,6 +156,8 @@
     "other",
     [
         fakes.Unreachable,
+        # An upstream that crashes closes its connections.
+        [OPEN_HEAD],
         fakes.answer(b"failed", status=500),
         fakes.answer(b"no stream"),
         fakes.answer(status=503, is_not_run=True),
