--- a/src/fuchsiabarrow/platform/tests/fake_upstreams.py
+++ b/src/fuchsiabarrow/platform/tests/fake_upstreams.py
@@ -139,7 +139,7 @@
         }
         try:
             await asyncio.sleep(self.delay_s)
-            if wire_names.PATH in request.headers and self.status == 200:
+            if self._is_stream(request) and self.status == 200:
                 return await self._stream(request, headers)
         except asyncio.CancelledError:
             self.cancelled += 1
@@ -152,6 +152,9 @@
             headers=headers,
         )
 
+    def _is_stream(self, request: aiohttp.web.Request) -> bool:
+        return wire_names.PATH in request.headers
+
     async def _stream(self, request: aiohttp.web.Request, headers: dict):
         headers["Content-Type"] = "text/event-stream"
         response = aiohttp.web.StreamResponse(headers=headers)
--- a/src/fuchsiabarrow/platform/tests/soak/invariants.py
+++ b/src/fuchsiabarrow/platform/tests/soak/invariants.py
@@ -34,6 +34,8 @@
 STOPPED = "stopped"
 SOAK_HELD_UP = "soak_held_up"
 UPSTREAM_CUT = "upstream_cut"
+# Path prefixes of streams, of a model and of a plain service.
+STREAMS = ("draft", "notes")
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,7 +44,7 @@
 
     Attributes:
         request_id: Id of the request.
-        kind: Path prefix: read, book or draft.
+        kind: Path prefix, such as read, book, draft or notes.
         key: API key of the caller.
         entry: Name of the entry that it was sent to.
         sent_s: Loop time at which it was sent.
@@ -318,7 +320,7 @@
             self.violations.append(
                 f"{attempt.request_id} succeeded but never ran"
             )
-        elif attempt.kind == "draft":
+        elif attempt.kind in STREAMS:
             self._check_stream(attempt)
         elif attempt.body not in [
             PADDING * attempt.is_large
--- a/src/fuchsiabarrow/platform/tests/soak/scenario.py
+++ b/src/fuchsiabarrow/platform/tests/soak/scenario.py
@@ -54,6 +54,9 @@
 SLOW_SHARE = 0.1
 PAUSE_RANGE_S = (0.1, 2.0)
 LARGE_PATH = "read/large"
+# Streams of a plain service, in place of one in this many of a model.
+NOTES_PATH = "notes/x"
+NOTES_PERIOD = 3
 EVENTS = 12
 KINDS = ("read", "book", "draft")
 # Time limits of their routes that are less than that of the callers.
@@ -62,6 +65,9 @@
     for route in entry_harness.ROUTES
     if route["timeout_ms"] / 1000 < REQUEST_TIMEOUT_S
 }
+NOTES_ROUTE = sample_objects.make_route(
+    name="notes", path_prefix="/notes/", service="desk"
+)
 # Upstream of a service to which only routes are moved; it has no faults.
 ANNEX = "annex-1"
 SERVICES = ("desk", "annex")
@@ -146,6 +152,9 @@
             response.body = invariants.PADDING + response.body
         return response
 
+    def _is_stream(self, request) -> bool:
+        return super()._is_stream(request) or request.path == f"/{NOTES_PATH}"
+
     async def _stream(self, request, headers):
         headers["Content-Type"] = "text/event-stream"
         response = aiohttp.web.StreamResponse(headers=headers)
@@ -304,7 +313,7 @@
         ]
         config = sample_objects.make_config(
             self._version,
-            routes=[*entry_harness.ROUTES, *changing],
+            routes=[*entry_harness.ROUTES, NOTES_ROUTE, *changing],
             tenants=tenants,
         )
         config["services"].append({**config["services"][-1], "name": "annex"})
@@ -455,6 +464,8 @@
                 limit_s = REQUEST_TIMEOUT_S
                 if path.startswith("draft/") and draw() < LONG_SHARE:
                     limit_s = LONG_TIMEOUT_S
+                if path == "draft/x" and self._count % NOTES_PERIOD == 0:
+                    paths[0] = NOTES_PATH
                 await self._send(
                     connections, entry, paths, key, pause_s, limit_s
                 )
--- a/src/fuchsiabarrow/platform/tests/soak/test_soak.py
+++ b/src/fuchsiabarrow/platform/tests/soak/test_soak.py
@@ -32,6 +32,11 @@
     statuses = [a.status for a in soak.history.attempts.values()]
     assert not violations, "\n".join(violations)
     assert statuses.count(200) > 50
+    for kind in invariants.STREAMS:
+        assert any(
+            attempt.kind == kind and attempt.status == 200
+            for attempt in soak.history.attempts.values()
+        )
     assert len(soak.faults) > 3
     assert soak.versions.count + soak.versions.disturbed_count > 20
 
@@ -172,8 +177,9 @@
         make_stream([1, 2], owner="r2"),
     ],
 )
-def test_invalid_stream_is_detected(body):
-    history = make_history("draft")
+@pytest.mark.parametrize("kind", invariants.STREAMS)
+def test_invalid_stream_is_detected(kind, body):
+    history = make_history(kind)
     history.record_run("r1", "first-a", 100.1)
     answer(history, body=make_stream([1, 2, 3]))
     assert not history.violations
