--- a/src/fuchsiabarrow/platform/tests/soak/proxies.py
+++ b/src/fuchsiabarrow/platform/tests/soak/proxies.py
@@ -120,10 +120,7 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((host, port))
         listener.listen(0)
-        self._full_sockets = [
-            listener,
-            socket.create_connection((host, port), timeout=1.0),
-        ]
+        self._full_sockets = [listener, _start_connecting(host, port)]
 
     def _close_full_sockets(self) -> None:
         for sock in self._full_sockets:
@@ -213,6 +210,18 @@
         await asyncio.sleep(POLL_INTERVAL_S)
 
 
+def _start_connecting(host: str, port: int) -> socket.socket:
+    """Starts a connection that takes the place in the queue of a listener.
+
+    It is not waited for: if a connection of an entry took the place before, it
+    is never accepted.
+    """
+    connecting = socket.socket()
+    connecting.setblocking(False)
+    connecting.connect_ex((host, port))
+    return connecting
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
     if sock is not None and sock.fileno() >= 0:
