Events: the end of an event is found as fast as before

The tests of the parser are unchanged; 3,000 random streams (trial) give the same events for five sizes of chunks, and lose no byte.

--- a/src/fuchsiabarrow/forwarding/events.py
+++ b/src/fuchsiabarrow/forwarding/events.py
@@ -10,9 +10,9 @@
 MAX_EVENT_BYTES = 1_048_576
 # Maximum size of the events of one response.
 MAX_STREAM_BYTES = 4 * 1_048_576
-# End of a line that is not blank, then a blank line.
-SEPARATOR = re.compile(rb"[^\r\n]\r?\n\r?\n")
-SEPARATOR_BYTES = 5
+# End of a line, then a blank line.
+SEPARATOR = re.compile(rb"\n\r?\n")
+SEPARATOR_BYTES = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +44,8 @@
         self._buffer = bytearray()
         # Offset up to which the buffer contains no end of an event.
         self._searched = 0
+        # Offset up to which the buffer contains blank lines only.
+        self._blank_end = 0
         self._received_bytes = 0
 
     @property
@@ -67,11 +69,16 @@
         self._buffer += data
         self._received_bytes += len(data)
         events = []
-        begin = 0
+        begin, blank_end = 0, self._blank_end
         for found in SEPARATOR.finditer(self._buffer, self._searched):
-            events.append(_parse(bytes(self._buffer[begin : found.end()])))
-            begin = found.end()
+            end = found.end()
+            if not self._buffer[blank_end:end].strip():
+                blank_end = end
+                continue
+            events.append(_parse(bytes(self._buffer[begin:end])))
+            begin = blank_end = end
         del self._buffer[:begin]
+        self._blank_end = blank_end - begin
         # A separator may have begun in the bytes received so far.
         self._searched = max(0, len(self._buffer) - SEPARATOR_BYTES + 1)
         if len(self._buffer) > MAX_EVENT_BYTES:
