--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -133,11 +133,19 @@
 
 
 class Store(Server):
-    """The platform's store: lists and watches of objects."""
+    """The platform's store: lists and watches of objects.
+
+    Attributes:
+        revision: Revision of the last change.
+        era: Value of the header `Store-Era`, 0 to leave it out.
+        is_away: Whether calls are answered with 503.
+    """
 
     def __init__(self, record):
         super().__init__()
         self.revision = 10
+        self.era = 0
+        self.is_away = False
         self._record = record
         self._objects = {}
         self._events = []
@@ -172,10 +180,27 @@
         stored["metadata"]["revision"] = self.revision
         self._announce(kind, stored, True)
 
+    def copy(self):
+        """Returns a copy of the state, for `restore`."""
+        state = (self._objects, self.revision, self._events)
+        return json.loads(json.dumps(state))
+
+    def restore(self, copied):
+        """Returns to a copied state; the era rises by one."""
+        self._objects, self.revision, self._events = copied
+        self._events = [tuple(event) for event in self._events]
+        self.era += 1
+
     async def answer(self, first, headers, body):
         del headers, body
+        if self.is_away:
+            return encode_answer(503)
         method, target, _ = first.split(" ")
         path, _, text = target.partition("?")
+        data = await self._answer_call(method, path, text)
+        return encode_answer(503) if self.is_away else data
+
+    async def _answer_call(self, method, path, text):
         query = dict(p.partition("=")[::2] for p in text.split("&") if p)
         kind = path.rsplit("/", 1)[-1]
         if method != "GET" or not path.startswith("/objects/"):
@@ -194,11 +219,16 @@
             "more": len(entries) > 500,
             "store_revision": self.revision,
         }
-        return _encode_json(page)
+        return self._encode_json(page)
 
     async def _watch(self, kind, since, wait_ms):
+        if since > self.revision:
+            return self._encode_json({"error": "unknown revision"}, 410)
+        era = self.era
         end_s = time.monotonic() + wait_ms / 1000
         while True:
+            if era != self.era or self.is_away:
+                return encode_answer(503)
             found = [
                 event
                 for revision, of_kind, event in self._events
@@ -206,17 +236,17 @@
             ]
             left_s = end_s - time.monotonic()
             if found or left_s <= 0:
-                return _encode_json(
+                return self._encode_json(
                     {"events": found, "store_revision": self.revision}
                 )
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._changed.wait(), left_s)
-
+                await asyncio.wait_for(self._changed.wait(), min(left_s, 0.1))
 
-def _encode_json(value):
-    return encode_answer(
-        200, json.dumps(value).encode(), {"Content-Type": "application/json"}
-    )
+    def _encode_json(self, value, status=200):
+        headers = {"Content-Type": "application/json"}
+        if self.era:
+            headers["Store-Era"] = str(self.era)
+        return encode_answer(status, json.dumps(value).encode(), headers)
 
 
 class Channel:
@@ -513,16 +543,16 @@
 
 
 async def send_request(
-    record, entry, request_id, method, target, limit_ms=600, body=b""
+    record, entry, request_id, method, target, limit_ms=600, body=b"", key=KEY
 ):
     """Sends a consumer's request; returns its answer, None for none."""
     headers = {
         "Host": HOST,
         "Attempt-Id": request_id,
         "Deadline-Ms": str(limit_ms),
-        "Authorization": f"Token {KEY}",
+        "Authorization": f"Token {key}",
     }
-    record.add(f"send {request_id} to {entry.name} {method} {target}")
+    record.add(f"send {request_id} to {entry.name} {method} {target} {key}")
     try:
         answer = await asyncio.wait_for(
             call(entry.front, method, target, headers, body),
