--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -257,6 +257,7 @@
         self.request = ""
         self.sent_s = 0.0
         self.is_waiting = False
+        self.abort = lambda: None
 
 
 class Proxy:
@@ -264,14 +265,15 @@
 
     Attributes:
         channels: Open connections, with the last request on each.
+        delay: Seconds by which each part of an answer is late.
     """
 
     def __init__(self, host, target):
         self.host = host
         self.port = 0
         self.channels = set()
+        self.delay = 0.0
         self._target = target
-        self._tasks = set()
         self._server = None
 
     @property
@@ -306,6 +308,7 @@
             writer.transport.abort()
             return
         self.channels.add(channel)
+        channel.abort = writer.transport.abort
         pumps = [
             asyncio.create_task(self._pump(reader, back, channel, True)),
             asyncio.create_task(self._pump(there, writer, channel, False)),
@@ -332,6 +335,8 @@
                     channel.request = line
                     channel.sent_s = time.monotonic()
                 channel.is_waiting = is_request
+                if not is_request and self.delay:
+                    await asyncio.sleep(self.delay)
                 writer.write(data)
         except ConnectionError:
             pass
