--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import pathlib
@@ -26,6 +27,8 @@
     500: "Internal Server Error",
     503: "Service Unavailable",
 }
+# From linux/prctl.h.
+PR_SET_PDEATHSIG = 1
 HOST = "shop.example"
 KEY = "key-1"
 
@@ -404,6 +407,13 @@
     return f"{runner_id} {request_id} ".encode() + b"x" * 700
 
 
+_libc = ctypes.CDLL(None)
+
+
+def _end_with_parent():
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Entry:
     """A process of the project, started as the deploy file says."""
 
@@ -480,6 +490,7 @@
             self._process = subprocess.Popen(
                 [sys.executable, "deploy/launch.py"],
                 cwd=ROOT,
+                preexec_fn=_end_with_parent,
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env={
